Lay the build, the shared model, the fold and the configuration reader

Cause: the repository was empty. Change: Maven build with Palantir format, Error Prone, Checkstyle; the model, the ports, a first fold and the TOML reader that all later parts stand on.

--- /dev/null
+++ b/src/main/java/org/cicadalead/adapters/event/TimelineRecorder.java
@@ -0,0 +1,91 @@
+package org.cicadalead.adapters.event;
+
+import com.google.common.flogger.FluentLogger;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.LongSupplier;
+import java.util.logging.Level;
+import org.cicadalead.model.event.Event;
+import org.cicadalead.model.event.EventDetail;
+import org.cicadalead.model.event.EventKind;
+import org.cicadalead.model.event.EventSeverity;
+import org.cicadalead.model.identity.ProcessIdentifier;
+import org.cicadalead.model.identity.ZoneName;
+import org.cicadalead.ports.EventSink;
+
+/**
+ * Keeps the newest events of one process in bounded memory, and writes all but details to the log. The sequence has no
+ * gaps, so a reader sees how many events were dropped. Safe for use by several threads.
+ */
+public final class TimelineRecorder implements EventSink {
+    /** Events kept; older ones are dropped. */
+    public static final int CAPACITY = 20_000;
+
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
+    private final ProcessIdentifier process;
+    private final ZoneName zone;
+    private final LongSupplier offset;
+    private final LongSupplier wallClockMilliseconds;
+    private final Deque<Event> events = new ArrayDeque<>();
+    private long sequence;
+
+    /** Creates a recorder that asks for offset and clock when an event comes in. */
+    public TimelineRecorder(
+            ProcessIdentifier process, ZoneName zone, LongSupplier offset, LongSupplier wallClockMilliseconds) {
+        this.process = process;
+        this.zone = zone;
+        this.offset = offset;
+        this.wallClockMilliseconds = wallClockMilliseconds;
+    }
+
+    @Override
+    public void emit(EventKind kind, Optional<String> cause, EventDetail... details) {
+        Event event = record(kind, cause, details);
+        Level level = levelOf(kind.severity());
+        LOGGER.at(level).log(
+                "%d %s process=%s cause=%s %s",
+                kind.number(), kind.summary(), process, cause.orElse("-"), event.details());
+    }
+
+    /** Returns the kept events from a sequence number on, oldest first. */
+    public synchronized List<Event> eventsFrom(long fromSequence) {
+        List<Event> found = new ArrayList<>();
+        for (Event event : events) {
+            if (event.sequence() >= fromSequence) {
+                found.add(event);
+            }
+        }
+        return found;
+    }
+
+    private synchronized Event record(EventKind kind, Optional<String> cause, EventDetail... details) {
+        sequence++;
+        Event event = new Event(
+                process,
+                zone,
+                sequence,
+                offset.getAsLong(),
+                wallClockMilliseconds.getAsLong(),
+                kind,
+                cause,
+                List.of(details));
+        events.addLast(event);
+        if (events.size() > CAPACITY) {
+            events.removeFirst();
+        }
+        return event;
+    }
+
+    private static Level levelOf(EventSeverity severity) {
+        return switch (severity) {
+            case DETAIL -> Level.FINE;
+            case INFORMATION -> Level.INFO;
+            case WARNING -> Level.WARNING;
+            case ERROR -> Level.SEVERE;
+        };
+    }
+}
--- /dev/null
+++ b/src/main/java/org/cicadalead/adapters/toml/ConfigurationUnitReader.java
@@ -0,0 +1,206 @@
+package org.cicadalead.adapters.toml;
+
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.Optional;
+import java.util.TreeSet;
+import java.util.function.Function;
+import org.cicadalead.model.configuration.AvailabilityBudget;
+import org.cicadalead.model.configuration.ConfigurationProblem;
+import org.cicadalead.model.configuration.ConfigurationUnit;
+import org.cicadalead.model.configuration.DeploymentDefinition;
+import org.cicadalead.model.configuration.FailureCover;
+import org.cicadalead.model.configuration.HostDefinition;
+import org.cicadalead.model.configuration.Measure;
+import org.cicadalead.model.configuration.NetworkAddress;
+import org.cicadalead.model.configuration.PoolDefinition;
+import org.cicadalead.model.configuration.ServiceDefinition;
+import org.cicadalead.model.configuration.SourcePlace;
+import org.cicadalead.model.configuration.TeamDefinition;
+import org.cicadalead.model.configuration.ZoneDefinition;
+import org.cicadalead.model.identity.HostName;
+import org.cicadalead.model.identity.PoolName;
+import org.cicadalead.model.identity.RackName;
+import org.cicadalead.model.identity.RegionName;
+import org.cicadalead.model.identity.ServiceName;
+import org.cicadalead.model.identity.TeamName;
+import org.cicadalead.model.identity.ZoneName;
+import org.tomlj.Toml;
+import org.tomlj.TomlParseError;
+import org.tomlj.TomlParseResult;
+
+/** Reads one file of a configuration folder. Stateless; safe for use by several threads. */
+public final class ConfigurationUnitReader {
+    private static final int MAXIMUM_COUNT = 1_000_000;
+    private static final int MAXIMUM_TIMEOUT_MILLISECONDS = 24 * 60 * 60 * 1_000;
+
+    private ConfigurationUnitReader() {}
+
+    /** Reads the text of a file; definitions with errors are left out and the errors go to the list. */
+    public static ConfigurationUnit read(String fileName, String text, List<ConfigurationProblem> problems) {
+        TomlParseResult parsed = Toml.parse(text);
+        for (TomlParseError error : parsed.errors()) {
+            SourcePlace place = new SourcePlace(
+                    fileName, error.position().line(), error.position().column());
+            problems.add(new ConfigurationProblem(
+                    place,
+                    "not valid TOML: " + error.getMessage(),
+                    "Correct the line; the rest of the file is not read"));
+        }
+        CheckedTable root = new CheckedTable(fileName, parsed, new SourcePlace(fileName, 0, 0), problems);
+        if (parsed.hasErrors()) {
+            return new ConfigurationUnit(
+                    fileName, digest(text), Optional.empty(), List.of(), List.of(), List.of(), List.of(), List.of());
+        }
+        ConfigurationUnit unit = new ConfigurationUnit(
+                fileName,
+                digest(text),
+                root.optionalTable("deployment").flatMap(ConfigurationUnitReader::deployment),
+                each(root, "zone", ConfigurationUnitReader::zone),
+                each(root, "host", ConfigurationUnitReader::host),
+                each(root, "pool", ConfigurationUnitReader::pool),
+                each(root, "service", ConfigurationUnitReader::service),
+                each(root, "team", ConfigurationUnitReader::team));
+        root.rejectUnknownKeys();
+        return unit;
+    }
+
+    private static <T> List<T> each(CheckedTable root, String key, Function<CheckedTable, Optional<T>> reader) {
+        List<T> definitions = new ArrayList<>();
+        for (CheckedTable table : root.tables(key)) {
+            reader.apply(table).ifPresent(definitions::add);
+        }
+        return definitions;
+    }
+
+    private static Optional<DeploymentDefinition> deployment(CheckedTable table) {
+        Optional<String> name = table.requiredText("name");
+        Optional<Measure> firstMeasure = table.required("first-measure", ConfigurationUnitReader::measure);
+        table.rejectUnknownKeys();
+        if (name.isEmpty() || firstMeasure.isEmpty()) {
+            return Optional.empty();
+        }
+        return Optional.of(new DeploymentDefinition(name.get(), firstMeasure.get(), table.place()));
+    }
+
+    private static Optional<ZoneDefinition> zone(CheckedTable table) {
+        Optional<ZoneName> name = table.required("name", ZoneName::new);
+        Optional<RegionName> region = table.required("region", RegionName::new);
+        table.rejectUnknownKeys();
+        if (name.isEmpty() || region.isEmpty()) {
+            return Optional.empty();
+        }
+        return Optional.of(new ZoneDefinition(name.get(), region.get(), table.place()));
+    }
+
+    private static Optional<HostDefinition> host(CheckedTable table) {
+        Optional<HostName> name = table.required("name", HostName::new);
+        Optional<ZoneName> zone = table.required("zone", ZoneName::new);
+        Optional<RackName> rack = table.required("rack", RackName::new);
+        Optional<NetworkAddress> address = table.required("address", NetworkAddress::parse);
+        Optional<Integer> slots = table.optionalNumber("slots", 1, MAXIMUM_COUNT);
+        Optional<Integer> connections = table.optionalNumber("connections", 1, MAXIMUM_COUNT);
+        Optional<Integer> processors = table.requiredNumber("processors", 1, MAXIMUM_COUNT);
+        Optional<Integer> memory = table.requiredNumber("memory-gigabytes", 1, MAXIMUM_COUNT);
+        Optional<Integer> accelerators = table.optionalNumber("accelerators", 0, MAXIMUM_COUNT);
+        table.rejectUnknownKeys();
+        if (name.isEmpty() || zone.isEmpty() || rack.isEmpty() || address.isEmpty()) {
+            return Optional.empty();
+        }
+        if (processors.isEmpty() || memory.isEmpty()) {
+            return Optional.empty();
+        }
+        return Optional.of(new HostDefinition(
+                name.get(),
+                zone.get(),
+                rack.get(),
+                address.get(),
+                slots.orElse(HostDefinition.DEFAULT_SLOTS),
+                connections.orElse(HostDefinition.DEFAULT_CONNECTIONS),
+                processors.get(),
+                memory.get(),
+                accelerators.orElse(0),
+                table.place()));
+    }
+
+    private static Optional<PoolDefinition> pool(CheckedTable table) {
+        Optional<PoolName> name = table.required("name", PoolName::new);
+        boolean spare = table.optionalFlag("spare").orElse(false);
+        List<PoolDefinition.HostReference> hosts =
+                table.texts("hosts", (text, place) -> new PoolDefinition.HostReference(new HostName(text), place));
+        table.rejectUnknownKeys();
+        return name.map(poolName -> new PoolDefinition(poolName, spare, hosts, table.place()));
+    }
+
+    private static Optional<ServiceDefinition> service(CheckedTable table) {
+        Optional<ServiceName> name = table.required("name", ServiceName::new);
+        Optional<PoolName> pool = table.required("pool", PoolName::new);
+        Optional<AvailabilityBudget> budget = budget(table);
+        Optional<Integer> timeout = table.optionalNumber("timeout-milliseconds", 1, MAXIMUM_TIMEOUT_MILLISECONDS);
+        Optional<Integer> queueLimit = table.optionalNumber("queue-limit", 1, MAXIMUM_COUNT);
+        List<String> methods = table.texts("idempotent-methods", (text, place) -> text);
+        table.rejectUnknownKeys();
+        if (name.isEmpty() || pool.isEmpty() || budget.isEmpty()) {
+            return Optional.empty();
+        }
+        return Optional.of(new ServiceDefinition(
+                name.get(),
+                pool.get(),
+                budget.get(),
+                timeout.map(Duration::ofMillis).orElse(ServiceDefinition.DEFAULT_TIMEOUT),
+                queueLimit.orElse(ServiceDefinition.DEFAULT_QUEUE_LIMIT),
+                new TreeSet<>(methods.isEmpty() ? ServiceDefinition.STANDARD_IDEMPOTENT_METHODS : methods),
+                table.place()));
+    }
+
+    private static Optional<AvailabilityBudget> budget(CheckedTable table) {
+        Optional<Integer> promised = table.requiredNumber("promised-hosts", 1, MAXIMUM_COUNT);
+        Optional<Integer> unavailable = table.requiredNumber("maximum-unavailable", 0, MAXIMUM_COUNT);
+        FailureCover cover =
+                table.optional("covers", ConfigurationUnitReader::cover).orElse(FailureCover.RACK);
+        if (promised.isEmpty() || unavailable.isEmpty()) {
+            return Optional.empty();
+        }
+        if (unavailable.get() > promised.get()) {
+            table.problem(
+                    table.placeOf("maximum-unavailable"),
+                    "'maximum-unavailable' is larger than 'promised-hosts'",
+                    "Name at most " + promised.get());
+            return Optional.empty();
+        }
+        return Optional.of(new AvailabilityBudget(promised.get(), unavailable.get(), cover));
+    }
+
+    private static Optional<TeamDefinition> team(CheckedTable table) {
+        Optional<TeamName> name = table.required("name", TeamName::new);
+        int share = table.optionalNumber("share", 1, MAXIMUM_COUNT).orElse(TeamDefinition.DEFAULT_SHARE);
+        int jobQuota = table.optionalNumber("job-quota", 0, MAXIMUM_COUNT).orElse(TeamDefinition.DEFAULT_JOB_QUOTA);
+        table.rejectUnknownKeys();
+        return name.map(teamName -> new TeamDefinition(teamName, share, jobQuota, table.place()));
+    }
+
+    private static Measure measure(String label) {
+        return Measure.fromLabel(label)
+                .orElseThrow(() -> new IllegalArgumentException(
+                        "'" + label + "' is not one of buffer-cost, roll-out-time, moves"));
+    }
+
+    private static FailureCover cover(String label) {
+        return FailureCover.fromLabel(label)
+                .orElseThrow(() -> new IllegalArgumentException("'" + label + "' is not one of none, host, rack"));
+    }
+
+    private static String digest(String text) {
+        try {
+            MessageDigest algorithm = MessageDigest.getInstance("SHA-256");
+            return HexFormat.of().formatHex(algorithm.digest(text.getBytes(StandardCharsets.UTF_8)));
+        } catch (NoSuchAlgorithmException missing) {
+            throw new IllegalStateException(missing);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/cicadalead/logic/configuration/ConfigurationMerger.java
@@ -0,0 +1,113 @@
+package org.cicadalead.logic.configuration;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Function;
+import org.cicadalead.model.configuration.ConfigurationProblem;
+import org.cicadalead.model.configuration.ConfigurationUnit;
+import org.cicadalead.model.configuration.DeploymentDefinition;
+import org.cicadalead.model.configuration.FleetConfiguration;
+import org.cicadalead.model.configuration.HostDefinition;
+import org.cicadalead.model.configuration.PoolDefinition;
+import org.cicadalead.model.configuration.ServiceDefinition;
+import org.cicadalead.model.configuration.SourcePlace;
+import org.cicadalead.model.configuration.TeamDefinition;
+import org.cicadalead.model.configuration.ZoneDefinition;
+import org.cicadalead.model.identity.HostName;
+import org.cicadalead.model.identity.Identifier;
+import org.pcollections.TreePMap;
+
+/**
+ * Merges configuration units in the order of their file names and checks the whole. Names must be unique over all
+ * files, every reference must resolve, and a host stands in exactly one pool. The deployment's settings are the only
+ * part that a later file replaces. Stateless; safe for use by several threads.
+ */
+public final class ConfigurationMerger {
+    private ConfigurationMerger() {}
+
+    /** Merges units; the order of the collection is the order of merging. */
+    public static MergeResult merge(Collection<ConfigurationUnit> units) {
+        List<ConfigurationProblem> problems = new ArrayList<>();
+        Optional<DeploymentDefinition> deployment = Optional.empty();
+        List<ZoneDefinition> zones = new ArrayList<>();
+        List<HostDefinition> hosts = new ArrayList<>();
+        List<PoolDefinition> pools = new ArrayList<>();
+        List<ServiceDefinition> services = new ArrayList<>();
+        List<TeamDefinition> teams = new ArrayList<>();
+        for (ConfigurationUnit unit : units) {
+            deployment = unit.deployment().or(lastOf(deployment));
+            zones.addAll(unit.zones());
+            hosts.addAll(unit.hosts());
+            pools.addAll(unit.pools());
+            services.addAll(unit.services());
+            teams.addAll(unit.teams());
+        }
+        FleetConfiguration merged = new FleetConfiguration(
+                deployment,
+                index("availability zone", zones, ZoneDefinition::name, ZoneDefinition::place, problems),
+                index("host", hosts, HostDefinition::name, HostDefinition::place, problems),
+                index("pool", pools, PoolDefinition::name, PoolDefinition::place, problems),
+                index("service", services, ServiceDefinition::name, ServiceDefinition::place, problems),
+                index("team", teams, TeamDefinition::name, TeamDefinition::place, problems));
+        ReferenceChecker.check(merged, problems);
+        return new MergeResult(merged, problems);
+    }
+
+    private static java.util.function.Supplier<Optional<DeploymentDefinition>> lastOf(
+            Optional<DeploymentDefinition> deployment) {
+        return () -> deployment;
+    }
+
+    private static <K extends Identifier<K>, V> TreePMap<K, V> index(
+            String what,
+            List<V> definitions,
+            Function<V, K> nameOf,
+            Function<V, SourcePlace> placeOf,
+            List<ConfigurationProblem> problems) {
+        TreePMap<K, V> indexed = TreePMap.empty();
+        for (V definition : definitions) {
+            K name = nameOf.apply(definition);
+            V earlier = indexed.get(name);
+            if (earlier == null) {
+                indexed = indexed.plus(name, definition);
+                continue;
+            }
+            problems.add(new ConfigurationProblem(
+                    placeOf.apply(definition),
+                    "the " + what + " '" + name + "' is already defined at " + placeOf.apply(earlier),
+                    "Choose another name, or remove one of the two definitions"));
+        }
+        return indexed;
+    }
+
+    /**
+     * The merged configuration with every problem found; it may be used only when there is none. Immutable.
+     *
+     * @param configuration the merged configuration
+     * @param problems every problem, in the order of the files
+     */
+    public record MergeResult(FleetConfiguration configuration, List<ConfigurationProblem> problems) {
+        /** Copies the list. */
+        public MergeResult {
+            problems = List.copyOf(problems);
+        }
+
+        /** Tells whether the configuration may be used. */
+        public boolean isValid() {
+            return problems.isEmpty();
+        }
+    }
+
+    /** Returns the pool that each host is declared in. */
+    public static TreePMap<HostName, PoolDefinition> declaredPools(FleetConfiguration configuration) {
+        TreePMap<HostName, PoolDefinition> declared = TreePMap.empty();
+        for (PoolDefinition pool : configuration.pools().values()) {
+            for (PoolDefinition.HostReference reference : pool.hosts()) {
+                declared = declared.plus(reference.host(), pool);
+            }
+        }
+        return declared;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/cicadalead/model/command/CommandEnvelope.java
@@ -0,0 +1,18 @@
+package org.cicadalead.model.command;
+
+import org.cicadalead.model.identity.CommandIdentifier;
+import org.cicadalead.model.identity.ProcessIdentifier;
+
+/**
+ * A command as it stands in the log. Immutable.
+ *
+ * @param formatVersion version of the record format
+ * @param identifier identifier of the command; a second record with the same identifier is dropped by the fold
+ * @param writer the process that appended it
+ * @param command the command
+ */
+public record CommandEnvelope(
+        int formatVersion, CommandIdentifier identifier, ProcessIdentifier writer, Command command) {
+    /** The version that this program writes, and the latest that it reads. */
+    public static final int CURRENT_FORMAT = 1;
+}
--- /dev/null
+++ b/src/main/java/org/cicadalead/model/command/FleetCommand.java
@@ -0,0 +1,75 @@
+package org.cicadalead.model.command;
+
+import java.util.List;
+import org.cicadalead.model.fleet.HostHealth;
+import org.cicadalead.model.identity.HostName;
+import org.cicadalead.model.identity.PoolName;
+import org.cicadalead.model.identity.ProcessIdentifier;
+
+/** Commands on hosts: observed failures and returns, and moves between pools. Implementations are immutable. */
+public sealed interface FleetCommand extends Command {
+    /**
+     * Failures and returns of hosts that a process observed; a whole wave stands in one record.
+     *
+     * @param observations one entry a host
+     */
+    record Observe(List<HostObservation> observations) implements FleetCommand {
+        /** Copies the list. */
+        public Observe {
+            observations = List.copyOf(observations);
+        }
+    }
+
+    /**
+     * The observed health of one host.
+     *
+     * @param host the host
+     * @param hostVersion the version of the host that was read
+     * @param health its health
+     */
+    record HostObservation(HostName host, long hostVersion, HostHealth health) {}
+
+    /**
+     * First step of a move: no process may place new work on the host.
+     *
+     * @param host the host
+     * @param hostVersion the version of the host that was read
+     * @param destination the pool that it goes to
+     */
+    record Withdraw(HostName host, long hostVersion, PoolName destination) implements FleetCommand {}
+
+    /**
+     * A process has stopped placing work on a withdrawn host and has none in flight there.
+     *
+     * @param process the process
+     * @param hosts the hosts
+     */
+    record Acknowledge(ProcessIdentifier process, List<HostMove> hosts) implements FleetCommand {
+        /** Copies the list. */
+        public Acknowledge {
+            hosts = List.copyOf(hosts);
+        }
+    }
+
+    /**
+     * A move of one host, named by the offset of its withdrawal.
+     *
+     * @param host the host
+     * @param moveVersion offset of the withdrawal
+     */
+    record HostMove(HostName host, long moveVersion) {}
+
+    /**
+     * Last step of a move: the host belongs to its new pool.
+     *
+     * @param move the move
+     */
+    record Assign(HostMove move) implements FleetCommand {}
+
+    /**
+     * Gives a move up: the host stays in its pool.
+     *
+     * @param move the move
+     */
+    record CancelMove(HostMove move) implements FleetCommand {}
+}
--- /dev/null
+++ b/src/main/java/org/cicadalead/model/configuration/package-info.java
@@ -0,0 +1,3 @@
+/** The operators' configuration: units (files), the definitions in them, and the merged whole. */
+@org.jspecify.annotations.NullMarked
+package org.cicadalead.model.configuration;
--- /dev/null
+++ b/src/main/java/org/cicadalead/model/state/SharedState.java
@@ -0,0 +1,68 @@
+package org.cicadalead.model.state;
+
+import org.cicadalead.model.fleet.HostState;
+import org.cicadalead.model.identity.CommandIdentifier;
+import org.cicadalead.model.identity.HostName;
+import org.cicadalead.model.identity.JobIdentifier;
+import org.cicadalead.model.identity.ProcessIdentifier;
+import org.pcollections.TreePMap;
+
+/**
+ * What all processes share: the result of folding the platform log up to an offset. Two processes that have folded the
+ * same records hold equal states. Immutable; its maps are persistent, so that a new state shares most of the old one.
+ *
+ * @param offset offset of the last folded record; 0 before the first, as the log starts at 1
+ * @param configuration the accepted configuration
+ * @param members entry processes that may place work
+ * @param hosts hosts by name
+ * @param jobs long jobs by identifier
+ * @param commands recently folded commands with their offsets, to drop duplicates
+ */
+public record SharedState(
+        long offset,
+        ConfigurationState configuration,
+        TreePMap<ProcessIdentifier, Member> members,
+        TreePMap<HostName, HostState> hosts,
+        TreePMap<JobIdentifier, JobState> jobs,
+        TreePMap<CommandIdentifier, Long> commands) {
+    /** Returns the state before the first record. */
+    public static SharedState empty() {
+        return new SharedState(
+                0, ConfigurationState.empty(), TreePMap.empty(), TreePMap.empty(), TreePMap.empty(), TreePMap.empty());
+    }
+
+    /** Returns this state at another offset. */
+    public SharedState withOffset(long newOffset) {
+        return new SharedState(newOffset, configuration, members, hosts, jobs, commands);
+    }
+
+    /** Returns this state with another configuration. */
+    public SharedState withConfiguration(ConfigurationState newConfiguration) {
+        return new SharedState(offset, newConfiguration, members, hosts, jobs, commands);
+    }
+
+    /** Returns this state with other members. */
+    public SharedState withMembers(TreePMap<ProcessIdentifier, Member> newMembers) {
+        return new SharedState(offset, configuration, newMembers, hosts, jobs, commands);
+    }
+
+    /** Returns this state with other hosts. */
+    public SharedState withHosts(TreePMap<HostName, HostState> newHosts) {
+        return new SharedState(offset, configuration, members, newHosts, jobs, commands);
+    }
+
+    /** Returns this state with one host changed. */
+    public SharedState withHost(HostState host) {
+        return withHosts(hosts.plus(host.name(), host));
+    }
+
+    /** Returns this state with other jobs. */
+    public SharedState withJobs(TreePMap<JobIdentifier, JobState> newJobs) {
+        return new SharedState(offset, configuration, members, hosts, newJobs, commands);
+    }
+
+    /** Returns this state with other remembered commands. */
+    public SharedState withCommands(TreePMap<CommandIdentifier, Long> newCommands) {
+        return new SharedState(offset, configuration, members, hosts, jobs, newCommands);
+    }
+}
