Serve a request end to end: entry processes, stand-ins, command line, quickstart

Failure found: an error was answered after its exchange had been closed, so that the caller got no answer (404 came as a broken connection); the exchange is now closed after the answer, and a test refuses an unknown service. Conclusion: the thin path is whole; slots over several processes, retries and faults are not handled yet.

--- a/src/main/java/org/cicadalead/adapters/codec/DomainMappers.java
+++ b/src/main/java/org/cicadalead/adapters/codec/DomainMappers.java
@@ -41,7 +41,6 @@
         mapper.enable(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES);
         mapper.disable(DeserializationFeature.ACCEPT_FLOAT_AS_INT);
         mapper.disable(MapperFeature.AUTO_DETECT_IS_GETTERS);
-        mapper.disable(MapperFeature.AUTO_DETECT_GETTERS);
         mapper.addMixIn(Command.class, TypedByName.class);
         mapper.addMixIn(CommandOutcome.class, TypedByName.class);
         registerSealed(mapper, Command.class);
--- /dev/null
+++ b/src/main/java/org/cicadalead/adapters/entry/EntryProcess.java
@@ -0,0 +1,180 @@
+package org.cicadalead.adapters.entry;
+
+import com.sun.net.httpserver.HttpExchange;
+import io.micrometer.core.instrument.Gauge;
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.UUID;
+import org.cicadalead.adapters.administration.AdministrationServer;
+import org.cicadalead.adapters.administration.StateRoutes;
+import org.cicadalead.adapters.codec.MessagePackCommandCodec;
+import org.cicadalead.adapters.event.TimelineRecorder;
+import org.cicadalead.adapters.http.JsonExchange;
+import org.cicadalead.adapters.platform.HttpPlatform;
+import org.cicadalead.adapters.replica.CommandAppender;
+import org.cicadalead.adapters.replica.LogFollower;
+import org.cicadalead.adapters.replica.SharedStateReplica;
+import org.cicadalead.adapters.request.CallerServer;
+import org.cicadalead.adapters.time.SystemTimerService;
+import org.cicadalead.model.configuration.NetworkAddress;
+import org.cicadalead.model.event.EventDetail;
+import org.cicadalead.model.event.EventKind;
+import org.cicadalead.model.identity.ProcessIdentifier;
+import org.cicadalead.model.settings.EntrySettings;
+import org.cicadalead.model.state.SharedState;
+
+/**
+ * One entry process: request path, replica, membership and planners on the same shared state. Parts are started in
+ * dependency order and stopped in reverse. Safe for use by several threads.
+ */
+public final class EntryProcess implements AutoCloseable {
+    private static final int UNAVAILABLE = 503;
+    private static final int OK = 200;
+    private static final Duration SHUTDOWN_POLL = Duration.ofMillis(20);
+
+    private final EntrySettings settings;
+    private final ProcessIdentifier identifier =
+            new ProcessIdentifier(UUID.randomUUID().toString());
+    private final SharedStateReplica replica = new SharedStateReplica();
+    private final TimelineRecorder timeline;
+    private final SystemTimerService timers;
+    private final LogFollower follower;
+    private final CommandAppender appender;
+    private final CallerServer callers;
+    private final AdministrationServer administration;
+    private final PrometheusMeterRegistry metrics = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+    private volatile boolean stopping;
+
+    /** Starts a process. */
+    public EntryProcess(EntrySettings settings) {
+        this.settings = settings;
+        timeline = new TimelineRecorder(
+                identifier, settings.zone(), () -> replica.state().offset(), System::currentTimeMillis);
+        timers = new SystemTimerService(failure ->
+                timeline.emit(EventKind.INTERNAL_FAILURE, Optional.empty(), EventDetail.of("failure", failure)));
+        HttpPlatform platform = new HttpPlatform(settings.platformAddress());
+        MessagePackCommandCodec codec = new MessagePackCommandCodec();
+        appender = new CommandAppender(platform, codec, identifier, replica);
+        follower = new LogFollower(platform, codec, replica, timeline);
+        callers = new CallerServer(settings, replica::state, timeline);
+        administration = new AdministrationServer(settings);
+        addRoutes();
+        follower.start();
+        administration.start();
+        timeline.emit(EventKind.PROCESS_STARTED, Optional.empty(), EventDetail.of("zone", settings.zone()));
+    }
+
+    /** Returns the process's identifier. */
+    public ProcessIdentifier identifier() {
+        return identifier;
+    }
+
+    /** Returns where callers reach it. */
+    public NetworkAddress callerAddress() {
+        return callers.address();
+    }
+
+    /** Returns where operators reach it. */
+    public NetworkAddress administrationAddress() {
+        return administration.address();
+    }
+
+    /** Returns the newest shared state of this process. */
+    public SharedState state() {
+        return replica.state();
+    }
+
+    /** Tells whether it takes requests. */
+    public boolean isReady() {
+        return !stopping && replica.state().configuration().version() > 0;
+    }
+
+    /**
+     * Stops gracefully: says that it is not ready, goes on for the balancer's delay, then waits until every request in
+     * flight is answered. Returns the number of requests that were left when the shutdown limit had passed.
+     */
+    public int stopGracefully() {
+        stopping = true;
+        timeline.emit(EventKind.PROCESS_STOPPING, Optional.empty());
+        sleep(settings.balancerDelay());
+        long deadline = System.nanoTime() + settings.shutdownLimit().toNanos();
+        while (callers.inFlight() > 0 && System.nanoTime() < deadline) {
+            sleep(SHUTDOWN_POLL);
+        }
+        int left = callers.inFlight();
+        timeline.emit(EventKind.PROCESS_STOPPED, Optional.empty(), EventDetail.of("left", left));
+        close();
+        return left;
+    }
+
+    @Override
+    public void close() {
+        callers.close();
+        follower.close();
+        appender.close();
+        administration.close();
+        timers.close();
+    }
+
+    private void addRoutes() {
+        Gauge.builder("cicadalead.state.offset", () -> replica.state().offset()).register(metrics);
+        Gauge.builder("cicadalead.requests.in.flight", callers::inFlight).register(metrics);
+        new StateRoutes(replica::state, appender).addTo(administration);
+        administration.route("GET", "/healthz", exchange -> JsonExchange.answerText(exchange, OK, "ok\n"));
+        administration.route("GET", "/readyz", this::answerReady);
+        administration.route("GET", "/metrics", exchange -> JsonExchange.answerText(exchange, OK, metrics.scrape()));
+        administration.route("GET", "/status", exchange -> JsonExchange.answer(exchange, status()));
+        administration.route("GET", "/timeline", exchange -> JsonExchange.answer(exchange, timeline.eventsFrom(0)));
+    }
+
+    private void answerReady(HttpExchange exchange) throws IOException {
+        boolean ready = isReady();
+        JsonExchange.answerText(exchange, ready ? OK : UNAVAILABLE, ready ? "ready\n" : "not ready\n");
+    }
+
+    private StatusView status() {
+        SharedState state = replica.state();
+        return new StatusView(
+                identifier,
+                settings.zone().value(),
+                isReady(),
+                follower.isReachable(),
+                state.offset(),
+                state.configuration().version(),
+                state.members().size(),
+                callers.inFlight());
+    }
+
+    private static void sleep(Duration duration) {
+        try {
+            Thread.sleep(duration.toMillis());
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /**
+     * A process's own view.
+     *
+     * @param process the process
+     * @param zone its availability zone
+     * @param ready whether it takes requests
+     * @param platformReachable whether the last read reached the platform
+     * @param offset offset that it has folded up to
+     * @param configurationVersion the configuration in force here
+     * @param members entry processes that may place work
+     * @param requestsInFlight requests not answered yet
+     */
+    public record StatusView(
+            ProcessIdentifier process,
+            String zone,
+            boolean ready,
+            boolean platformReachable,
+            long offset,
+            long configurationVersion,
+            int members,
+            int requestsInFlight) {}
+}
--- /dev/null
+++ b/src/main/java/org/cicadalead/adapters/http/HttpServers.java
@@ -0,0 +1,55 @@
+package org.cicadalead.adapters.http;
+
+import com.sun.net.httpserver.HttpServer;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.cicadalead.model.configuration.NetworkAddress;
+import org.cicadalead.model.error.CicadaleadException;
+import org.cicadalead.model.error.ErrorKind;
+
+/** Creates HTTP servers of the JDK. Stateless; safe for use by several threads. */
+public final class HttpServers {
+    private static final int BACKLOG = 1_024;
+
+    private HttpServers() {}
+
+    /** Sets the system properties that the JDK reads once; to be called before the first server or client. */
+    public static void configureProcess() {
+        System.setProperty("sun.net.httpserver.nodelay", "true");
+        System.setProperty("jdk.httpclient.disableRetryConnect", "true");
+        System.setProperty("jdk.httpclient.redirects.retrylimit", "1");
+    }
+
+    /** Binds a server; port 0 takes any free one. */
+    public static HttpServer bind(String address, int port) {
+        configureProcess();
+        try {
+            return HttpServer.create(new InetSocketAddress(address, port), BACKLOG);
+        } catch (IOException failure) {
+            throw new CicadaleadException(
+                    ErrorKind.INVALID_SETTINGS,
+                    "The address " + address + ":" + port + " cannot be bound; is another process using it?",
+                    failure);
+        }
+    }
+
+    /** Returns the address that a server is bound to. */
+    public static NetworkAddress addressOf(HttpServer server) {
+        return new NetworkAddress(
+                server.getAddress().getAddress().getHostAddress(),
+                server.getAddress().getPort());
+    }
+
+    /** Returns an executor of daemon threads with a name. */
+    public static ExecutorService daemonThreads(String name) {
+        AtomicInteger count = new AtomicInteger();
+        return Executors.newCachedThreadPool(runnable -> {
+            Thread thread = new Thread(runnable, name + "-" + count.incrementAndGet());
+            thread.setDaemon(true);
+            return thread;
+        });
+    }
+}
--- /dev/null
+++ b/src/main/java/org/cicadalead/adapters/http/JsonExchange.java
@@ -0,0 +1,100 @@
+package org.cicadalead.adapters.http;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpHandler;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import org.cicadalead.adapters.codec.DomainMappers;
+import org.cicadalead.model.error.CicadaleadException;
+import org.cicadalead.model.error.ErrorKind;
+
+/** Answers exchanges with JSON and errors with problem documents (RFC 9457). Stateless; safe for several threads. */
+public final class JsonExchange {
+    /** Seconds that a refused caller should wait when nothing better is known. */
+    public static final int DEFAULT_RETRY_AFTER_SECONDS = 1;
+
+    private static final ObjectMapper MAPPER = DomainMappers.json();
+    private static final int OK = 200;
+
+    private JsonExchange() {}
+
+    /** Wraps a handler so that its errors are answered from the table of error kinds. */
+    public static HttpHandler guarded(HttpHandler handler) {
+        return exchange -> {
+            try (exchange) {
+                handleAnsweringErrors(handler, exchange);
+            }
+        };
+    }
+
+    /** The exchange is still open when an error is answered; the caller closes it. */
+    private static void handleAnsweringErrors(HttpHandler handler, HttpExchange exchange) throws IOException {
+        try {
+            handler.handle(exchange);
+        } catch (CicadaleadException failure) {
+            answerProblem(exchange, failure.kind(), failure.getMessage());
+        } catch (RuntimeException failure) {
+            answerProblem(exchange, ErrorKind.INTERNAL, failure.toString());
+        }
+    }
+
+    /** Answers with a value as JSON. */
+    public static void answer(HttpExchange exchange, Object value) throws IOException {
+        answerBytes(exchange, OK, "application/json", MAPPER.writeValueAsBytes(value));
+    }
+
+    /** Answers with plain text. */
+    public static void answerText(HttpExchange exchange, int status, String text) throws IOException {
+        answerBytes(exchange, status, "text/plain; charset=utf-8", text.getBytes(StandardCharsets.UTF_8));
+    }
+
+    /** Answers with a problem document. */
+    public static void answerProblem(HttpExchange exchange, ErrorKind kind, String detail) throws IOException {
+        ProblemDocument problem = ProblemDocument.of(kind, detail);
+        problem.retryAfterSeconds()
+                .ifPresent(seconds -> exchange.getResponseHeaders().set("Retry-After", String.valueOf(seconds)));
+        answerBytes(exchange, kind.status(), "application/problem+json", MAPPER.writeValueAsBytes(problem));
+    }
+
+    /** Encodes a value as JSON. */
+    public static byte[] encode(Object value) throws IOException {
+        return MAPPER.writeValueAsBytes(value);
+    }
+
+    /** Reads a JSON body. */
+    public static <T> T readBody(HttpExchange exchange, Class<T> type) throws IOException {
+        try {
+            return MAPPER.readValue(exchange.getRequestBody(), type);
+        } catch (com.fasterxml.jackson.core.JsonProcessingException malformed) {
+            throw new CicadaleadException(
+                    ErrorKind.MALFORMED_REQUEST,
+                    "The body is not the expected JSON: " + malformed.getOriginalMessage());
+        }
+    }
+
+    /** Returns the value of a query parameter. */
+    public static Optional<String> queryParameter(HttpExchange exchange, String name) {
+        String query = exchange.getRequestURI().getQuery();
+        if (query == null) {
+            return Optional.empty();
+        }
+        for (String pair : query.split("&", -1)) {
+            if (pair.startsWith(name + "=")) {
+                return Optional.of(pair.substring(name.length() + 1));
+            }
+        }
+        return Optional.empty();
+    }
+
+    private static void answerBytes(HttpExchange exchange, int status, String contentType, byte[] body)
+            throws IOException {
+        exchange.getResponseHeaders().set("Content-Type", contentType);
+        boolean head = "HEAD".equals(exchange.getRequestMethod());
+        exchange.sendResponseHeaders(status, head ? -1 : body.length);
+        if (!head) {
+            exchange.getResponseBody().write(body);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/cicadalead/adapters/http/package-info.java
@@ -0,0 +1,3 @@
+/** Helpers around the JDK's HTTP server and client. */
+@org.jspecify.annotations.NullMarked
+package org.cicadalead.adapters.http;
--- /dev/null
+++ b/src/main/java/org/cicadalead/adapters/platform/HttpPlatform.java
@@ -0,0 +1,103 @@
+package org.cicadalead.adapters.platform;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.net.ConnectException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpConnectTimeoutException;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.List;
+import org.cicadalead.adapters.codec.DomainMappers;
+import org.cicadalead.adapters.platform.PlatformMessages.AppendAnswer;
+import org.cicadalead.adapters.platform.PlatformMessages.ReadAnswer;
+import org.cicadalead.model.configuration.NetworkAddress;
+import org.cicadalead.model.error.CicadaleadException;
+import org.cicadalead.model.error.ErrorKind;
+import org.cicadalead.ports.HostDirectory;
+import org.cicadalead.ports.PlatformLog;
+
+/** The platform's log and host list over HTTP and JSON. Immutable and safe for use by several threads. */
+public final class HttpPlatform implements PlatformLog, HostDirectory {
+    private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(2);
+    private static final Duration ANSWER_TIMEOUT = Duration.ofSeconds(5);
+    private static final int CREATED = 201;
+    private static final int OK = 200;
+
+    private final ObjectMapper mapper = DomainMappers.json();
+    private final HttpClient client;
+    private final String baseAddress;
+
+    /** Creates a client of the platform at an address. */
+    public HttpPlatform(NetworkAddress address) {
+        this.baseAddress = "http://" + address;
+        this.client = HttpClient.newBuilder()
+                .version(HttpClient.Version.HTTP_1_1)
+                .connectTimeout(CONNECT_TIMEOUT)
+                .build();
+    }
+
+    @Override
+    public long append(byte[] payload) {
+        HttpRequest request = request("/log/records", ANSWER_TIMEOUT)
+                .POST(HttpRequest.BodyPublishers.ofByteArray(payload))
+                .build();
+        byte[] body = send(request, CREATED, ErrorKind.LOG_OUTCOME_UNKNOWN);
+        return parse(body, AppendAnswer.class, ErrorKind.LOG_OUTCOME_UNKNOWN).offset();
+    }
+
+    @Override
+    public LogBatch read(long fromOffset, int maximumRecords, Duration maximumWait) {
+        String path = "/log/records?from=" + fromOffset + "&limit=" + maximumRecords + "&wait-milliseconds="
+                + maximumWait.toMillis();
+        HttpRequest request =
+                request(path, ANSWER_TIMEOUT.plus(maximumWait)).GET().build();
+        byte[] body = send(request, OK, ErrorKind.PLATFORM_UNAVAILABLE);
+        ReadAnswer answer = parse(body, ReadAnswer.class, ErrorKind.PLATFORM_UNAVAILABLE);
+        List<LogRecord> records = answer.records().stream()
+                .map(record -> new LogRecord(record.offset(), record.payload()))
+                .toList();
+        return new LogBatch(answer.oldestOffset(), answer.nextOffset(), records);
+    }
+
+    @Override
+    public List<DirectoryEntry> list() {
+        HttpRequest request = request("/hosts", ANSWER_TIMEOUT).GET().build();
+        byte[] body = send(request, OK, ErrorKind.PLATFORM_UNAVAILABLE);
+        return List.of(parse(body, DirectoryEntry[].class, ErrorKind.PLATFORM_UNAVAILABLE));
+    }
+
+    private HttpRequest.Builder request(String path, Duration timeout) {
+        return HttpRequest.newBuilder(URI.create(baseAddress + path)).timeout(timeout);
+    }
+
+    /** A failure to connect, or a refusal by the platform itself, proves that nothing was appended. */
+    private byte[] send(HttpRequest request, int expectedStatus, ErrorKind kindAfterSending) {
+        try {
+            HttpResponse<byte[]> response = client.send(request, HttpResponse.BodyHandlers.ofByteArray());
+            if (response.statusCode() != expectedStatus) {
+                throw new CicadaleadException(
+                        ErrorKind.PLATFORM_UNAVAILABLE, "The platform answered with status " + response.statusCode());
+            }
+            return response.body();
+        } catch (ConnectException | HttpConnectTimeoutException failure) {
+            throw new CicadaleadException(
+                    ErrorKind.PLATFORM_UNAVAILABLE, "The platform cannot be reached at " + baseAddress, failure);
+        } catch (IOException failure) {
+            throw new CicadaleadException(kindAfterSending, "The platform's answer was lost", failure);
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+            throw new CicadaleadException(kindAfterSending, "Interrupted while waiting for the platform", interrupted);
+        }
+    }
+
+    private <T> T parse(byte[] body, Class<T> type, ErrorKind kind) {
+        try {
+            return mapper.readValue(body, type);
+        } catch (IOException malformed) {
+            throw new CicadaleadException(kind, "The platform's answer cannot be read", malformed);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/cicadalead/adapters/platform/PlatformMessages.java
@@ -0,0 +1,38 @@
+package org.cicadalead.adapters.platform;
+
+import java.util.List;
+
+/** Messages of the platform's protocol. Stateless. */
+public final class PlatformMessages {
+    private PlatformMessages() {}
+
+    /**
+     * Answer to an append.
+     *
+     * @param offset offset of the new record
+     */
+    public record AppendAnswer(long offset) {}
+
+    /**
+     * Answer to a read.
+     *
+     * @param oldestOffset offset of the oldest kept record
+     * @param nextOffset offset of the next append
+     * @param records the records
+     */
+    public record ReadAnswer(long oldestOffset, long nextOffset, List<RecordAnswer> records) {
+        /** Copies the list. */
+        public ReadAnswer {
+            records = List.copyOf(records);
+        }
+    }
+
+    /**
+     * One record.
+     *
+     * @param offset its offset
+     * @param payload its bytes, in Base64 on the wire
+     */
+    @SuppressWarnings("ArrayRecordComponent")
+    public record RecordAnswer(long offset, byte[] payload) {}
+}
--- /dev/null
+++ b/src/main/java/org/cicadalead/adapters/quickstart/LoadCaller.java
@@ -0,0 +1,104 @@
+package org.cicadalead.adapters.quickstart;
+
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.BooleanSupplier;
+import java.util.function.DoubleSupplier;
+import java.util.function.Supplier;
+import org.cicadalead.adapters.entry.EntryProcess;
+import org.cicadalead.adapters.standin.UpstreamStandIn;
+import org.cicadalead.model.identity.ServiceName;
+
+/** One caller of one service: sends a request, checks the answer, waits, and sends the next. Used by one thread. */
+final class LoadCaller implements Runnable {
+    private static final Duration ANSWER_TIMEOUT = Duration.ofSeconds(15);
+    private static final int MAXIMUM_BODY_BYTES = 4_096;
+    private static final int OK = 200;
+
+    private static final AtomicLong NEXT_REQUEST = new AtomicLong();
+
+    private final ServiceName service;
+    private final Supplier<List<EntryProcess>> entries;
+    private final DoubleSupplier pauseMilliseconds;
+    private final BooleanSupplier running;
+    private final CallerLedger ledger;
+    private final HttpClient client;
+    private final Random random;
+
+    LoadCaller(
+            ServiceName service,
+            Supplier<List<EntryProcess>> entries,
+            DoubleSupplier pauseMilliseconds,
+            BooleanSupplier running,
+            CallerLedger ledger,
+            HttpClient client,
+            long seed) {
+        this.service = service;
+        this.entries = entries;
+        this.pauseMilliseconds = pauseMilliseconds;
+        this.running = running;
+        this.ledger = ledger;
+        this.client = client;
+        this.random = new Random(seed);
+    }
+
+    @Override
+    public void run() {
+        try {
+            while (running.getAsBoolean()) {
+                sendOne();
+                Thread.sleep((long) (pauseMilliseconds.getAsDouble() * (0.5 + random.nextDouble())));
+            }
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void sendOne() throws InterruptedException {
+        String identifier = "request-" + NEXT_REQUEST.incrementAndGet();
+        boolean idempotent = random.nextBoolean();
+        byte[] body = new byte[1 + random.nextInt(MAXIMUM_BODY_BYTES)];
+        random.nextBytes(body);
+        List<EntryProcess> ready =
+                entries.get().stream().filter(EntryProcess::isReady).toList();
+        EntryProcess entry = ready.get(random.nextInt(ready.size()));
+        HttpRequest request = HttpRequest.newBuilder(
+                        URI.create("http://" + entry.callerAddress() + "/services/" + service + "/work"))
+                .timeout(ANSWER_TIMEOUT)
+                .header(UpstreamStandIn.REQUEST_HEADER, identifier)
+                .method(idempotent ? "PUT" : "POST", HttpRequest.BodyPublishers.ofByteArray(body))
+                .build();
+        ledger.noteSent(identifier, idempotent);
+        try {
+            HttpResponse<byte[]> response = client.send(request, HttpResponse.BodyHandlers.ofByteArray());
+            ledger.noteOutcome(identifier, classify(identifier, body, response));
+        } catch (IOException failure) {
+            ledger.noteOutcome(identifier, CallerOutcome.LOST);
+        }
+    }
+
+    private static CallerOutcome classify(String identifier, byte[] body, HttpResponse<byte[]> response) {
+        if (response.statusCode() == OK) {
+            boolean own = response.headers()
+                    .firstValue(UpstreamStandIn.ANSWER_HEADER)
+                    .filter(identifier::equals)
+                    .isPresent();
+            return own && Arrays.equals(body, response.body())
+                    ? CallerOutcome.ANSWERED
+                    : CallerOutcome.ANSWERED_WRONGLY;
+        }
+        String problem = new String(response.body(), java.nio.charset.StandardCharsets.UTF_8);
+        if (problem.contains("\"execution\":\"not-run\"")) {
+            return CallerOutcome.REFUSED;
+        }
+        return problem.contains("\"execution\":\"unknown\"") ? CallerOutcome.UNKNOWN : CallerOutcome.ANSWERED_WRONGLY;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/cicadalead/adapters/quickstart/QuickstartFleet.java
@@ -0,0 +1,181 @@
+package org.cicadalead.adapters.quickstart;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import org.cicadalead.adapters.codec.MessagePackCommandCodec;
+import org.cicadalead.adapters.entry.EntryProcess;
+import org.cicadalead.adapters.platform.HttpPlatform;
+import org.cicadalead.adapters.standin.PlatformStandIn;
+import org.cicadalead.adapters.standin.UpstreamStandIn;
+import org.cicadalead.model.command.CommandEnvelope;
+import org.cicadalead.model.command.ConfigurationCommand;
+import org.cicadalead.model.command.ConfigurationCommand.UnitChange;
+import org.cicadalead.model.configuration.ConfigurationUnit;
+import org.cicadalead.model.configuration.HostDefinition;
+import org.cicadalead.model.configuration.NetworkAddress;
+import org.cicadalead.model.error.CicadaleadException;
+import org.cicadalead.model.error.ErrorKind;
+import org.cicadalead.model.fleet.HostHealth;
+import org.cicadalead.model.identity.CommandIdentifier;
+import org.cicadalead.model.identity.HostName;
+import org.cicadalead.model.identity.ProcessIdentifier;
+import org.cicadalead.model.identity.ZoneName;
+import org.cicadalead.model.settings.EntrySettings;
+import org.cicadalead.model.settings.EntrySettings.BindAddress;
+
+/**
+ * A platform stand-in, a worker for each host of a deployment, and two entry processes for each availability zone, all
+ * over loopback sockets in this process. Safe for use by several threads.
+ */
+public final class QuickstartFleet implements AutoCloseable {
+    private static final String LOOPBACK = "127.0.0.1";
+    private static final int ENTRIES_PER_ZONE = 2;
+    private static final Duration WORK_TIME = Duration.ofMillis(5);
+    private static final Duration READY_TIMEOUT = Duration.ofSeconds(20);
+    private static final Duration POLL = Duration.ofMillis(5);
+    private static final Duration BALANCER_DELAY = Duration.ofMillis(500);
+    private static final Duration SHUTDOWN_LIMIT = Duration.ofSeconds(10);
+
+    private final ExampleDeployment deployment;
+    private final PlatformStandIn platform = new PlatformStandIn(LOOPBACK, 0);
+    private final Map<HostName, UpstreamStandIn> workers = new TreeMap<>();
+    private final List<EntryProcess> entries = new CopyOnWriteArrayList<>();
+
+    private QuickstartFleet(ExampleDeployment deployment) {
+        this.deployment = deployment;
+    }
+
+    /** Starts everything and waits until every entry process is ready. */
+    public static QuickstartFleet start(ExampleDeployment deployment) {
+        QuickstartFleet fleet = new QuickstartFleet(deployment);
+        try {
+            fleet.startWorkers();
+            fleet.publish();
+            deployment.zones().forEach(zone -> {
+                for (int count = 0; count < ENTRIES_PER_ZONE; count++) {
+                    fleet.entries.add(fleet.newEntry(zone));
+                }
+            });
+            fleet.entries.forEach(QuickstartFleet::awaitReady);
+            return fleet;
+        } catch (RuntimeException failure) {
+            fleet.close();
+            throw failure;
+        }
+    }
+
+    /** Returns the deployment. */
+    public ExampleDeployment deployment() {
+        return deployment;
+    }
+
+    /** Returns the entry processes that run. */
+    public List<EntryProcess> entries() {
+        return entries;
+    }
+
+    /** Returns the workers by host. */
+    public Map<HostName, UpstreamStandIn> workers() {
+        return workers;
+    }
+
+    /** Returns the platform stand-in. */
+    public PlatformStandIn platform() {
+        return platform;
+    }
+
+    /** Returns where callers reach the entry processes. */
+    public List<NetworkAddress> callerAddresses() {
+        return entries.stream().map(EntryProcess::callerAddress).toList();
+    }
+
+    /** Stops an entry process gracefully and starts another in its availability zone; returns what was left. */
+    public int replaceEntry(EntryProcess old, ZoneName zone) {
+        EntryProcess fresh = newEntry(zone);
+        awaitReady(fresh);
+        entries.add(fresh);
+        entries.remove(old);
+        return old.stopGracefully();
+    }
+
+    /** Publishes a change of one file through the log; returns its offset. */
+    public long publishChange(UnitChange change) {
+        CommandEnvelope envelope = new CommandEnvelope(
+                CommandEnvelope.CURRENT_FORMAT,
+                new CommandIdentifier("quickstart-" + System.nanoTime()),
+                new ProcessIdentifier("quickstart"),
+                new ConfigurationCommand.Publish(List.of(change)));
+        return new HttpPlatform(platform.address()).append(new MessagePackCommandCodec().encode(envelope));
+    }
+
+    /** Waits until every entry process has the configuration of an offset in force. */
+    public void awaitInForce(long offset) {
+        for (EntryProcess entry : entries) {
+            await(() -> entry.state().configuration().version() >= offset);
+        }
+    }
+
+    @Override
+    public void close() {
+        entries.forEach(EntryProcess::close);
+        workers.values().forEach(UpstreamStandIn::close);
+        platform.close();
+    }
+
+    private void startWorkers() {
+        for (HostDefinition host : deployment.hosts()) {
+            workers.put(host.name(), new UpstreamStandIn(LOOPBACK, 0, WORK_TIME));
+            platform.putHost(host.name(), HostHealth.UP);
+        }
+    }
+
+    private void publish() {
+        List<UnitChange> changes = new ArrayList<>();
+        for (ConfigurationUnit unit : deployment.units()) {
+            changes.add(new UnitChange(unit.fileName(), 0, Optional.of(atWorkers(unit))));
+        }
+        CommandEnvelope envelope = new CommandEnvelope(
+                CommandEnvelope.CURRENT_FORMAT,
+                new CommandIdentifier("quickstart-first"),
+                new ProcessIdentifier("quickstart"),
+                new ConfigurationCommand.Publish(changes));
+        new HttpPlatform(platform.address()).append(new MessagePackCommandCodec().encode(envelope));
+    }
+
+    /** The examples' addresses are for stand-ins started by hand; here every worker has a free port. */
+    ConfigurationUnit atWorkers(ConfigurationUnit unit) {
+        return unit.withHosts(unit.hosts().stream()
+                .map(host -> host.withAddress(workers.get(host.name()).address()))
+                .toList());
+    }
+
+    private EntryProcess newEntry(ZoneName zone) {
+        BindAddress anyPort = new BindAddress(LOOPBACK, 0);
+        return new EntryProcess(new EntrySettings(
+                zone, anyPort, anyPort, anyPort, platform.address(), List.of(), BALANCER_DELAY, SHUTDOWN_LIMIT));
+    }
+
+    private static void awaitReady(EntryProcess entry) {
+        await(entry::isReady);
+    }
+
+    private static void await(java.util.function.BooleanSupplier condition) {
+        long deadline = System.nanoTime() + READY_TIMEOUT.toNanos();
+        while (!condition.getAsBoolean()) {
+            if (System.nanoTime() > deadline) {
+                throw new CicadaleadException(ErrorKind.NOT_READY, "The entry processes did not become ready");
+            }
+            try {
+                Thread.sleep(POLL.toMillis());
+            } catch (InterruptedException interrupted) {
+                Thread.currentThread().interrupt();
+                throw new CicadaleadException(ErrorKind.NOT_READY, "Interrupted", interrupted);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/cicadalead/adapters/quickstart/package-info.java
@@ -0,0 +1,3 @@
+/** The example deployments on embedded stand-ins, judged by callers and workers. */
+@org.jspecify.annotations.NullMarked
+package org.cicadalead.adapters.quickstart;
--- /dev/null
+++ b/src/main/java/org/cicadalead/cli/CheckCommand.java
@@ -0,0 +1,64 @@
+package org.cicadalead.cli;
+
+import java.nio.file.Path;
+import java.util.List;
+import java.util.stream.Collectors;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.Options;
+import org.cicadalead.adapters.toml.ConfigurationFolderReader;
+import org.cicadalead.adapters.toml.ConfigurationFolderReader.Folder;
+import org.cicadalead.model.configuration.ConfigurationProblem;
+
+/** Checks a configuration folder and names every error at once. Stateless. */
+final class CheckCommand implements Subcommand {
+    @Override
+    public String words() {
+        return "check";
+    }
+
+    @Override
+    public String argumentsUsage() {
+        return "FOLDER";
+    }
+
+    @Override
+    public String summary() {
+        return "checks a configuration folder";
+    }
+
+    @Override
+    public List<String> examples() {
+        return List.of("cicadalead check examples/blue-mountain");
+    }
+
+    @Override
+    public Options options() {
+        return new Options();
+    }
+
+    @Override
+    public ExitCode run(CommandLine arguments, Console console) {
+        String name = OptionReader.onlyArgument(arguments, "folder");
+        Folder folder = ConfigurationFolderReader.read(Path.of(name));
+        if (folder.problems().isEmpty()) {
+            String text = name + " is valid: " + folder.units().size() + " files";
+            console.result(new CheckResult(true, folder.units().size(), List.of()), text);
+            return ExitCode.DONE;
+        }
+        String text = folder.problems().stream()
+                .map(ConfigurationProblem::toString)
+                .collect(Collectors.joining(System.lineSeparator()));
+        console.result(new CheckResult(false, folder.units().size(), folder.problems()), text);
+        console.progress(folder.problems().size() + " errors; nothing was applied");
+        return ExitCode.BAD_USAGE;
+    }
+
+    /**
+     * The result of a check.
+     *
+     * @param valid whether the folder may be published
+     * @param files number of files
+     * @param problems every error
+     */
+    record CheckResult(boolean valid, int files, List<ConfigurationProblem> problems) {}
+}
--- /dev/null
+++ b/src/main/java/org/cicadalead/cli/EntryCommand.java
@@ -0,0 +1,74 @@
+package org.cicadalead.cli;
+
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.Option;
+import org.apache.commons.cli.Options;
+import org.cicadalead.adapters.entry.EntryProcess;
+import org.cicadalead.adapters.toml.EntrySettingsReader;
+
+/** Runs one entry process until it is told to stop. Stateless. */
+final class EntryCommand implements Subcommand {
+    @Override
+    public String words() {
+        return "entry";
+    }
+
+    @Override
+    public String argumentsUsage() {
+        return "--settings FILE";
+    }
+
+    @Override
+    public String summary() {
+        return "runs one entry process";
+    }
+
+    @Override
+    public List<String> examples() {
+        return List.of("cicadalead entry --settings examples/blue-mountain/settings/entry-kingston-1.toml");
+    }
+
+    @Override
+    public Options options() {
+        return new Options()
+                .addOption(Option.builder()
+                        .longOpt("settings")
+                        .hasArg()
+                        .argName("FILE")
+                        .required()
+                        .desc("settings of the process, in TOML")
+                        .build());
+    }
+
+    @Override
+    public ExitCode run(CommandLine arguments, Console console) {
+        EntryProcess process =
+                new EntryProcess(EntrySettingsReader.read(Path.of(arguments.getOptionValue("settings"))));
+        console.progress("callers: http://" + process.callerAddress() + "  administration: http://"
+                + process.administrationAddress());
+        CountDownLatch stopped = new CountDownLatch(1);
+        AtomicInteger left = new AtomicInteger();
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+            left.set(process.stopGracefully());
+            if (left.get() > 0) {
+                console.progress(left.get() + " requests were still in flight at the shutdown limit");
+                Runtime.getRuntime().halt(ExitCode.FAILED.code());
+            }
+            Runtime.getRuntime().halt(ExitCode.DONE.code());
+        }));
+        awaitForever(stopped);
+        return ExitCode.DONE;
+    }
+
+    static void awaitForever(CountDownLatch never) {
+        try {
+            never.await();
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/cicadalead/cli/PlatformStandInCommand.java
@@ -0,0 +1,55 @@
+package org.cicadalead.cli;
+
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.Option;
+import org.apache.commons.cli.Options;
+import org.cicadalead.adapters.standin.PlatformStandIn;
+import org.cicadalead.model.configuration.NetworkAddress;
+
+/** Runs a stand-in for the platform until it is told to stop. Stateless. */
+final class PlatformStandInCommand implements Subcommand {
+    private static final String DEFAULT_ADDRESS = "127.0.0.1:20000";
+
+    @Override
+    public String words() {
+        return "stand-in platform";
+    }
+
+    @Override
+    public String argumentsUsage() {
+        return "[--listen ADDRESS:PORT]";
+    }
+
+    @Override
+    public String summary() {
+        return "runs a stand-in for the platform, kept in memory";
+    }
+
+    @Override
+    public List<String> examples() {
+        return List.of("cicadalead stand-in platform --listen " + DEFAULT_ADDRESS);
+    }
+
+    @Override
+    public Options options() {
+        return new Options()
+                .addOption(Option.builder()
+                        .longOpt("listen")
+                        .hasArg()
+                        .argName("ADDRESS:PORT")
+                        .desc("where to listen (" + DEFAULT_ADDRESS + ")")
+                        .build());
+    }
+
+    @Override
+    public ExitCode run(CommandLine arguments, Console console) {
+        NetworkAddress listen = OptionReader.address(arguments, "listen", DEFAULT_ADDRESS);
+        try (PlatformStandIn platform = new PlatformStandIn(listen.address(), listen.port())) {
+            console.progress("platform stand-in: http://" + platform.address());
+            EntryCommand.awaitForever(new CountDownLatch(1));
+        }
+        return ExitCode.DONE;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/cicadalead/cli/QuickstartCommand.java
@@ -0,0 +1,77 @@
+package org.cicadalead.cli;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CountDownLatch;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.Option;
+import org.apache.commons.cli.Options;
+import org.cicadalead.adapters.quickstart.ExampleDeployment;
+import org.cicadalead.adapters.quickstart.QuickstartDay;
+import org.cicadalead.adapters.quickstart.QuickstartFleet;
+import org.cicadalead.adapters.quickstart.QuickstartReport;
+
+/** Runs the whole system on embedded stand-ins in this process. Stateless. */
+final class QuickstartCommand implements Subcommand {
+    private static final String DEFAULT_DEPLOYMENT = "blue-mountain";
+
+    @Override
+    public String words() {
+        return "quickstart";
+    }
+
+    @Override
+    public String argumentsUsage() {
+        return "[--deployment NAME] [--for DURATION]";
+    }
+
+    @Override
+    public String summary() {
+        return "runs an example deployment on embedded stand-ins, over loopback sockets";
+    }
+
+    @Override
+    public List<String> examples() {
+        return List.of(
+                "cicadalead quickstart", "cicadalead quickstart --deployment dakar-wage-survey --for 20s --json");
+    }
+
+    @Override
+    public Options options() {
+        return new Options()
+                .addOption(Option.builder()
+                        .longOpt("deployment")
+                        .hasArg()
+                        .argName("NAME")
+                        .desc("blue-mountain (the default) or dakar-wage-survey")
+                        .build())
+                .addOption(Option.builder()
+                        .longOpt("for")
+                        .hasArg()
+                        .argName("DURATION")
+                        .desc("plays the deployment's day in this time and reports; without it, runs until stopped")
+                        .build());
+    }
+
+    @Override
+    public ExitCode run(CommandLine arguments, Console console) {
+        String name = arguments.getOptionValue("deployment", DEFAULT_DEPLOYMENT);
+        Optional<Duration> duration = OptionReader.duration(arguments, "for");
+        ExampleDeployment deployment = ExampleDeployment.load(name);
+        try (QuickstartFleet fleet = QuickstartFleet.start(deployment)) {
+            console.progress("entry processes: " + fleet.callerAddresses());
+            if (duration.isEmpty()) {
+                console.output()
+                        .println("Try: curl -d hello http://"
+                                + fleet.callerAddresses().get(0) + "/services/"
+                                + deployment.services().get(0) + "/try");
+                EntryCommand.awaitForever(new CountDownLatch(1));
+                return ExitCode.DONE;
+            }
+            QuickstartReport report = new QuickstartDay(fleet, duration.get(), console::progress).play();
+            console.result(report, report.toText());
+            return report.isClean() ? ExitCode.DONE : ExitCode.FAILED;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/cicadalead/cli/ShowCommand.java
@@ -0,0 +1,59 @@
+package org.cicadalead.cli;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.List;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.Options;
+
+/** The commands that show a part of the state through the administration port. */
+enum ShowCommand implements Subcommand {
+    /** Shows one process's view: offset, configuration, members. */
+    STATUS("status", "shows an entry process's view of the whole"),
+    /** Shows pools with their budgets. */
+    POOLS("pools", "shows pools, their capacity and budgets"),
+    /** Shows hosts. */
+    HOSTS("hosts", "shows hosts with pool, health, maintenance and move"),
+    /** Shows the time line of events. */
+    TIMELINE("timeline", "shows the time line of events");
+
+    private final String word;
+    private final String summary;
+
+    ShowCommand(String word, String summary) {
+        this.word = word;
+        this.summary = summary;
+    }
+
+    @Override
+    public String words() {
+        return word;
+    }
+
+    @Override
+    public String argumentsUsage() {
+        return "[--address ADDRESS:PORT]";
+    }
+
+    @Override
+    public String summary() {
+        return summary;
+    }
+
+    @Override
+    public List<String> examples() {
+        return List.of("cicadalead " + word + " --address 127.0.0.1:20100");
+    }
+
+    @Override
+    public Options options() {
+        return AddressOption.options();
+    }
+
+    @Override
+    public ExitCode run(CommandLine arguments, Console console) {
+        AdministrationClient client = AddressOption.client(arguments);
+        JsonNode answer = client.parse(client.get("/" + word), JsonNode.class);
+        console.result(answer, answer.isArray() ? TextTable.ofRows(answer) : TextTable.ofFields(answer));
+        return ExitCode.DONE;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/cicadalead/cli/Subcommands.java
@@ -0,0 +1,38 @@
+package org.cicadalead.cli;
+
+import java.util.List;
+import java.util.Optional;
+
+/** The list of commands. Immutable. */
+final class Subcommands {
+    private static final List<Subcommand> ALL = List.of(
+            new QuickstartCommand(),
+            new EntryCommand(),
+            new CheckCommand(),
+            new PublishCommand(),
+            ShowCommand.STATUS,
+            ShowCommand.POOLS,
+            ShowCommand.HOSTS,
+            ShowCommand.TIMELINE,
+            new PlatformStandInCommand(),
+            new UpstreamStandInCommand());
+
+    private Subcommands() {}
+
+    /** Finds the command whose name the arguments start with. */
+    static Optional<Subcommand> find(List<String> arguments) {
+        String joined = String.join(" ", arguments) + " ";
+        return ALL.stream()
+                .filter(subcommand -> joined.startsWith(subcommand.words() + " "))
+                .findFirst();
+    }
+
+    /** Returns the list of commands for people. */
+    static String overview() {
+        StringBuilder text = new StringBuilder("Usage: cicadalead COMMAND [options]\n\nCommands:\n");
+        for (Subcommand subcommand : ALL) {
+            text.append(String.format("  %-20s %s%n", subcommand.words(), subcommand.summary()));
+        }
+        return text.append("\nEach command explains itself with --help.\n").toString();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/cicadalead/cli/UpstreamStandInCommand.java
@@ -0,0 +1,64 @@
+package org.cicadalead.cli;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.Option;
+import org.apache.commons.cli.Options;
+import org.cicadalead.adapters.standin.UpstreamStandIn;
+import org.cicadalead.model.configuration.NetworkAddress;
+
+/** Runs a stand-in for one worker until it is told to stop. Stateless. */
+final class UpstreamStandInCommand implements Subcommand {
+    private static final String DEFAULT_ADDRESS = "127.0.0.1:21001";
+    private static final Duration DEFAULT_WORK_TIME = Duration.ofMillis(5);
+
+    @Override
+    public String words() {
+        return "stand-in upstream";
+    }
+
+    @Override
+    public String argumentsUsage() {
+        return "[--listen ADDRESS:PORT] [--work-time DURATION]";
+    }
+
+    @Override
+    public String summary() {
+        return "runs a stand-in for one worker, which answers each request with its body";
+    }
+
+    @Override
+    public List<String> examples() {
+        return List.of("cicadalead stand-in upstream --listen " + DEFAULT_ADDRESS + " --work-time 5ms");
+    }
+
+    @Override
+    public Options options() {
+        return new Options()
+                .addOption(Option.builder()
+                        .longOpt("listen")
+                        .hasArg()
+                        .argName("ADDRESS:PORT")
+                        .desc("where to listen (" + DEFAULT_ADDRESS + ")")
+                        .build())
+                .addOption(Option.builder()
+                        .longOpt("work-time")
+                        .hasArg()
+                        .argName("DURATION")
+                        .desc("how long a request runs (5ms)")
+                        .build());
+    }
+
+    @Override
+    public ExitCode run(CommandLine arguments, Console console) {
+        NetworkAddress listen = OptionReader.address(arguments, "listen", DEFAULT_ADDRESS);
+        Duration workTime = OptionReader.duration(arguments, "work-time").orElse(DEFAULT_WORK_TIME);
+        try (UpstreamStandIn upstream = new UpstreamStandIn(listen.address(), listen.port(), workTime)) {
+            console.progress("upstream stand-in: http://" + upstream.address());
+            EntryCommand.awaitForever(new CountDownLatch(1));
+        }
+        return ExitCode.DONE;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/cicadalead/model/settings/package-info.java
@@ -0,0 +1,3 @@
+/** Settings of one process. */
+@org.jspecify.annotations.NullMarked
+package org.cicadalead.model.settings;
