--- /dev/null
+++ b/src/main/java/org/cicadalead/ports/PeerChannel.java
@@ -0,0 +1,48 @@
+package org.cicadalead.ports;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
+import org.cicadalead.model.identity.ProcessIdentifier;
+import org.cicadalead.model.identity.ZoneName;
+
+/** Calls between entry processes. Implementations are safe for use by several threads. */
+public interface PeerChannel {
+    /** Answers calls on a topic; a handler must not block. */
+    void answer(PeerTopic topic, CallHandler handler);
+
+    /**
+     * Calls another process. The result completes exceptionally with a
+     * {@link org.cicadalead.model.error.CicadaleadException} of kind {@code NO_UPSTREAM} when the call was not sent, or
+     * {@code OUTCOME_UNKNOWN} when it may have arrived.
+     */
+    CompletableFuture<byte[]> call(ProcessIdentifier peer, PeerTopic topic, byte[] payload, Duration timeout);
+
+    /** Adds a small part to every heartbeat of this process, taken anew each time. */
+    void contribute(PeerTopic topic, Supplier<byte[]> part);
+
+    /** Returns the part that another process put into its newest heartbeat. */
+    Optional<byte[]> newestPart(ProcessIdentifier peer, PeerTopic topic);
+
+    /** Returns the other processes that are known, ordered by identifier. */
+    List<PeerStatus> peers();
+
+    /** Answers calls of one topic. */
+    @FunctionalInterface
+    interface CallHandler {
+        /** Answers one call; must not block. */
+        CompletableFuture<byte[]> handle(ProcessIdentifier caller, byte[] payload);
+    }
+
+    /**
+     * Another process as this one sees it.
+     *
+     * @param process the process
+     * @param zone its availability zone
+     * @param appliedOffset offset of its shared state, by its newest heartbeat
+     * @param reachable whether heartbeats come in time
+     */
+    record PeerStatus(ProcessIdentifier process, ZoneName zone, long appliedOffset, boolean reachable) {}
+}
