Merge the time line over all processes, and write events as structured logs

Cause: the time line showed one process's events as raw JSON; the log had the JDK's two-line form. Change: merge by offset and cause, filter, explain, follow, an HTML page with a lane a process; JSON-lines and plain logs carry the same numbered events.

--- a/src/main/java/org/cicadalead/adapters/entry/EntryProcess.java
+++ b/src/main/java/org/cicadalead/adapters/entry/EntryProcess.java
@@ -12,6 +12,7 @@
 import org.cicadalead.adapters.administration.StateRoutes;
 import org.cicadalead.adapters.codec.MessagePackCommandCodec;
 import org.cicadalead.adapters.event.TimelineRecorder;
+import org.cicadalead.adapters.event.TimelineRoutes;
 import org.cicadalead.adapters.http.JsonExchange;
 import org.cicadalead.adapters.platform.HttpPlatform;
 import org.cicadalead.adapters.replica.CommandAppender;
@@ -127,7 +128,7 @@
         administration.route("GET", "/readyz", this::answerReady);
         administration.route("GET", "/metrics", exchange -> JsonExchange.answerText(exchange, OK, metrics.scrape()));
         administration.route("GET", "/status", exchange -> JsonExchange.answer(exchange, status()));
-        administration.route("GET", "/timeline", exchange -> JsonExchange.answer(exchange, timeline.eventsFrom(0)));
+        new TimelineRoutes(timeline).addTo(administration);
     }
 
     private void answerReady(HttpExchange exchange) throws IOException {
--- /dev/null
+++ b/src/main/java/org/cicadalead/adapters/event/EventLogFormatter.java
@@ -0,0 +1,82 @@
+package org.cicadalead.adapters.event;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.common.flogger.MetadataKey;
+import com.google.common.flogger.backend.system.AbstractLogRecord;
+import java.time.Instant;
+import java.util.Optional;
+import java.util.logging.Formatter;
+import java.util.logging.LogRecord;
+import org.cicadalead.adapters.codec.DomainMappers;
+import org.cicadalead.model.event.Event;
+import org.cicadalead.model.event.EventDetail;
+
+/** Formats log records, one a line: as plain text or as JSON. Immutable and safe for use by several threads. */
+public final class EventLogFormatter extends Formatter {
+    /** Carries the event of a log record. */
+    static final MetadataKey<Event> EVENT = MetadataKey.single("event", Event.class);
+
+    private final ObjectMapper mapper = DomainMappers.json();
+    private final LogFormat format;
+
+    /** Creates a formatter. */
+    public EventLogFormatter(LogFormat format) {
+        this.format = format;
+    }
+
+    @Override
+    public String format(LogRecord logRecord) {
+        return switch (format) {
+            case PLAIN -> plain(logRecord);
+            case JSON -> json(logRecord);
+        };
+    }
+
+    private String plain(LogRecord logRecord) {
+        String message = eventOf(logRecord)
+                .map(org.cicadalead.logic.timeline.TimelineExplanation::describe)
+                .orElseGet(() -> formatMessage(logRecord));
+        return logRecord.getInstant() + " " + logRecord.getLevel() + " " + message + failure(logRecord) + "\n";
+    }
+
+    private String json(LogRecord logRecord) {
+        ObjectNode line = mapper.createObjectNode();
+        Instant time = logRecord.getInstant();
+        line.put("time", time.toString());
+        line.put("level", logRecord.getLevel().getName());
+        Optional<Event> event = eventOf(logRecord);
+        if (event.isPresent()) {
+            addEvent(line, event.get());
+        } else {
+            line.put("message", formatMessage(logRecord) + failure(logRecord));
+        }
+        return line + "\n";
+    }
+
+    private static void addEvent(ObjectNode line, Event event) {
+        line.put("number", event.kind().number());
+        line.put("kind", event.kind().name());
+        line.put("message", event.kind().summary());
+        line.put("process", event.process().value());
+        line.put("zone", event.zone().value());
+        line.put("sequence", event.sequence());
+        line.put("offset", event.offset());
+        event.cause().ifPresent(cause -> line.put("cause", cause));
+        ObjectNode details = line.putObject("details");
+        for (EventDetail detail : event.details()) {
+            details.put(detail.name(), detail.value());
+        }
+    }
+
+    private static Optional<Event> eventOf(LogRecord logRecord) {
+        if (logRecord instanceof AbstractLogRecord floggerRecord) {
+            return Optional.ofNullable(floggerRecord.getLogData().getMetadata().findValue(EVENT));
+        }
+        return Optional.empty();
+    }
+
+    private static String failure(LogRecord logRecord) {
+        return logRecord.getThrown() == null ? "" : " failure=" + logRecord.getThrown();
+    }
+}
--- a/src/main/java/org/cicadalead/adapters/event/TimelineRecorder.java
+++ b/src/main/java/org/cicadalead/adapters/event/TimelineRecorder.java
@@ -8,10 +8,12 @@
 import java.util.Optional;
 import java.util.function.LongSupplier;
 import java.util.logging.Level;
+import org.cicadalead.logic.timeline.TimelineExplanation;
 import org.cicadalead.model.event.Event;
 import org.cicadalead.model.event.EventDetail;
 import org.cicadalead.model.event.EventKind;
 import org.cicadalead.model.event.EventSeverity;
+import org.cicadalead.model.event.TimelineStream;
 import org.cicadalead.model.identity.ProcessIdentifier;
 import org.cicadalead.model.identity.ZoneName;
 import org.cicadalead.ports.EventSink;
@@ -46,20 +48,19 @@
     public void emit(EventKind kind, Optional<String> cause, EventDetail... details) {
         Event event = record(kind, cause, details);
         Level level = levelOf(kind.severity());
-        LOGGER.at(level).log(
-                "%d %s process=%s cause=%s %s",
-                kind.number(), kind.summary(), process, cause.orElse("-"), event.details());
+        LOGGER.at(level).with(EventLogFormatter.EVENT, event).log("%s", TimelineExplanation.describe(event));
     }
 
-    /** Returns the kept events from a sequence number on, oldest first. */
-    public synchronized List<Event> eventsFrom(long fromSequence) {
+    /** Returns the kept events from a sequence number on, with the number of earlier ones that were dropped. */
+    public synchronized TimelineStream streamFrom(long fromSequence) {
+        long oldest = events.isEmpty() ? sequence + 1 : events.getFirst().sequence();
         List<Event> found = new ArrayList<>();
         for (Event event : events) {
             if (event.sequence() >= fromSequence) {
                 found.add(event);
             }
         }
-        return found;
+        return new TimelineStream(process, zone, Math.max(0, oldest - Math.max(1, fromSequence)), found);
     }
 
     private synchronized Event record(EventKind kind, Optional<String> cause, EventDetail... details) {
--- a/src/main/java/org/cicadalead/cli/EntryCommand.java
+++ b/src/main/java/org/cicadalead/cli/EntryCommand.java
@@ -4,10 +4,13 @@
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.logging.Level;
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.Option;
 import org.apache.commons.cli.Options;
 import org.cicadalead.adapters.entry.EntryProcess;
+import org.cicadalead.adapters.event.LogFormat;
+import org.cicadalead.adapters.event.LogSetup;
 import org.cicadalead.adapters.toml.EntrySettingsReader;
 
 /** Runs one entry process until it is told to stop. Stateless. */
@@ -19,7 +22,7 @@
 
     @Override
     public String argumentsUsage() {
-        return "--settings FILE";
+        return "--settings FILE [--log-format plain|json]";
     }
 
     @Override
@@ -41,11 +44,18 @@
                         .argName("FILE")
                         .required()
                         .desc("settings of the process, in TOML")
+                        .build())
+                .addOption(Option.builder()
+                        .longOpt("log-format")
+                        .hasArg()
+                        .argName("FORM")
+                        .desc("form of the log on standard error: plain (the default) or json")
                         .build());
     }
 
     @Override
     public ExitCode run(CommandLine arguments, Console console) {
+        LogSetup.install(logFormat(arguments), Level.INFO);
         EntryProcess process =
                 new EntryProcess(EntrySettingsReader.read(Path.of(arguments.getOptionValue("settings"))));
         console.progress("callers: http://" + process.callerAddress() + "  administration: http://"
@@ -64,6 +74,14 @@
         return ExitCode.DONE;
     }
 
+    private static LogFormat logFormat(CommandLine arguments) {
+        try {
+            return LogFormat.fromLabel(arguments.getOptionValue("log-format", "plain"));
+        } catch (IllegalArgumentException unknown) {
+            throw OptionReader.badUsage("--log-format: " + unknown.getMessage());
+        }
+    }
+
     static void awaitForever(CountDownLatch never) {
         try {
             never.await();
--- a/src/main/java/org/cicadalead/cli/Main.java
+++ b/src/main/java/org/cicadalead/cli/Main.java
@@ -6,12 +6,15 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
+import java.util.logging.Level;
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.DefaultParser;
 import org.apache.commons.cli.HelpFormatter;
 import org.apache.commons.cli.Option;
 import org.apache.commons.cli.Options;
 import org.apache.commons.cli.ParseException;
+import org.cicadalead.adapters.event.LogFormat;
+import org.cicadalead.adapters.event.LogSetup;
 import org.cicadalead.model.error.CicadaleadException;
 import org.cicadalead.model.error.ErrorKind;
 
@@ -50,6 +53,7 @@
             printHelp(subcommand, options, output);
             return ExitCode.DONE;
         }
+        LogSetup.install(LogFormat.PLAIN, Level.SEVERE);
         try {
             CommandLine parsed = new DefaultParser().parse(options, arguments.toArray(String[]::new));
             return subcommand.run(parsed, new Console(output, errors, parsed.hasOption("json")));
--- a/src/main/java/org/cicadalead/cli/ShowCommand.java
+++ b/src/main/java/org/cicadalead/cli/ShowCommand.java
@@ -12,9 +12,7 @@
     /** Shows pools with their budgets. */
     POOLS("pools", "shows pools, their capacity and budgets"),
     /** Shows hosts. */
-    HOSTS("hosts", "shows hosts with pool, health, maintenance and move"),
-    /** Shows the time line of events. */
-    TIMELINE("timeline", "shows the time line of events");
+    HOSTS("hosts", "shows hosts with pool, health, maintenance and move");
 
     private final String word;
     private final String summary;
--- a/src/main/java/org/cicadalead/cli/Subcommands.java
+++ b/src/main/java/org/cicadalead/cli/Subcommands.java
@@ -13,7 +13,7 @@
             ShowCommand.STATUS,
             ShowCommand.POOLS,
             ShowCommand.HOSTS,
-            ShowCommand.TIMELINE,
+            new TimelineCommand(),
             new PlatformStandInCommand(),
             new UpstreamStandInCommand());
 
--- /dev/null
+++ b/src/main/java/org/cicadalead/cli/TimelineCommand.java
@@ -0,0 +1,182 @@
+package org.cicadalead.cli;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.Option;
+import org.apache.commons.cli.Options;
+import org.cicadalead.logic.timeline.TimelineExplanation;
+import org.cicadalead.logic.timeline.TimelineFilter;
+import org.cicadalead.logic.timeline.TimelineMerger;
+import org.cicadalead.model.configuration.NetworkAddress;
+import org.cicadalead.model.error.CicadaleadException;
+import org.cicadalead.model.error.ErrorKind;
+import org.cicadalead.model.event.Event;
+import org.cicadalead.model.event.TimelineStream;
+
+/** Merges, filters, explains, follows and draws the time lines of entry processes. Stateless. */
+final class TimelineCommand implements Subcommand {
+    private static final long FOLLOW_PERIOD_MILLISECONDS = 500;
+
+    @Override
+    public String words() {
+        return "timeline";
+    }
+
+    @Override
+    public String argumentsUsage() {
+        return "[--address ADDRESS:PORT]... [--subject NAME] [--explain NAME] [--follow] [--html FILE]";
+    }
+
+    @Override
+    public String summary() {
+        return "shows the time line of events over all processes, in causal order";
+    }
+
+    @Override
+    public List<String> examples() {
+        return List.of(
+                "cicadalead timeline --address 127.0.0.1:20100 --address 127.0.0.1:20101",
+                "cicadalead timeline --explain kingston-03",
+                "cicadalead timeline --kind configuration-accepted --html timeline.html");
+    }
+
+    @Override
+    public Options options() {
+        return new Options()
+                .addOption(valued("address", "ADDRESS:PORT", "administration port; may be repeated"))
+                .addOption(valued("subject", "NAME", "only events of a request, job, host, pool, wave or file"))
+                .addOption(valued("kind", "KIND", "only events of a kind, by name or number"))
+                .addOption(valued("from-offset", "OFFSET", "only events from this offset on"))
+                .addOption(valued("to-offset", "OFFSET", "only events up to this offset"))
+                .addOption(valued("from", "MILLISECONDS", "only events from this time on, since 1970"))
+                .addOption(valued("to", "MILLISECONDS", "only events up to this time, since 1970"))
+                .addOption(valued("explain", "NAME", "what happened to a subject, and why"))
+                .addOption(valued("html", "FILE", "write a page with a picture"))
+                .addOption(Option.builder()
+                        .longOpt("follow")
+                        .desc("go on showing new events")
+                        .build());
+    }
+
+    @Override
+    public ExitCode run(CommandLine arguments, Console console) {
+        List<AdministrationClient> clients = clients(arguments);
+        List<TimelineStream> streams =
+                clients.stream().map(client -> read(client, 1)).toList();
+        for (TimelineStream stream : streams) {
+            if (stream.dropped() > 0) {
+                console.progress(stream.process() + " no longer keeps its first " + stream.dropped() + " events");
+            }
+        }
+        List<Event> selected = select(arguments, TimelineMerger.merge(streams));
+        if (arguments.hasOption("html")) {
+            write(Path.of(arguments.getOptionValue("html")), TimelinePage.render(selected));
+            return ExitCode.DONE;
+        }
+        selected.forEach(event -> show(event, console));
+        if (arguments.hasOption("follow")) {
+            follow(arguments, clients, streams, console);
+        }
+        return ExitCode.DONE;
+    }
+
+    private static List<AdministrationClient> clients(CommandLine arguments) {
+        String[] addresses = Optional.ofNullable(arguments.getOptionValues("address"))
+                .orElse(new String[] {AdministrationClient.DEFAULT_ADDRESS});
+        List<AdministrationClient> clients = new ArrayList<>();
+        for (String address : addresses) {
+            try {
+                clients.add(new AdministrationClient(NetworkAddress.parse(address)));
+            } catch (IllegalArgumentException invalid) {
+                throw OptionReader.badUsage("--address: " + invalid.getMessage());
+            }
+        }
+        return clients;
+    }
+
+    private static TimelineStream read(AdministrationClient client, long from) {
+        return client.parse(client.get("/timeline?from=" + from), TimelineStream.class);
+    }
+
+    private static List<Event> select(CommandLine arguments, List<Event> merged) {
+        List<Event> explained = Optional.ofNullable(arguments.getOptionValue("explain"))
+                .map(subject -> TimelineExplanation.explain(merged, subject))
+                .orElse(merged);
+        TimelineFilter filter = new TimelineFilter(
+                Optional.ofNullable(arguments.getOptionValue("subject")),
+                Optional.ofNullable(arguments.getOptionValue("kind")),
+                number(arguments, "from-offset"),
+                number(arguments, "to-offset"),
+                number(arguments, "from"),
+                number(arguments, "to"));
+        return explained.stream().filter(filter::selects).toList();
+    }
+
+    private static Optional<Long> number(CommandLine arguments, String option) {
+        try {
+            return Optional.ofNullable(arguments.getOptionValue(option)).map(Long::parseLong);
+        } catch (NumberFormatException malformed) {
+            throw OptionReader.badUsage("--" + option + " must be a whole number");
+        }
+    }
+
+    private static void show(Event event, Console console) {
+        console.result(event, TimelineExplanation.describe(event));
+    }
+
+    private static void follow(
+            CommandLine arguments, List<AdministrationClient> clients, List<TimelineStream> seen, Console console) {
+        Map<AdministrationClient, Long> next = new HashMap<>();
+        for (int index = 0; index < clients.size(); index++) {
+            next.put(clients.get(index), nextSequence(seen.get(index), 1));
+        }
+        while (pause()) {
+            List<TimelineStream> streams = new ArrayList<>();
+            for (AdministrationClient client : clients) {
+                TimelineStream stream = read(client, next.get(client));
+                next.put(client, nextSequence(stream, next.get(client)));
+                streams.add(stream);
+            }
+            select(arguments, TimelineMerger.merge(streams)).forEach(event -> show(event, console));
+        }
+    }
+
+    private static long nextSequence(TimelineStream stream, long from) {
+        List<Event> events = stream.events();
+        return events.isEmpty() ? from : events.get(events.size() - 1).sequence() + 1;
+    }
+
+    private static boolean pause() {
+        try {
+            Thread.sleep(FOLLOW_PERIOD_MILLISECONDS);
+            return true;
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+            return false;
+        }
+    }
+
+    private static void write(Path file, String text) {
+        try {
+            Files.writeString(file, text);
+        } catch (IOException failure) {
+            throw new CicadaleadException(ErrorKind.MALFORMED_REQUEST, "'" + file + "' cannot be written", failure);
+        }
+    }
+
+    private static Option valued(String name, String argument, String description) {
+        return Option.builder()
+                .longOpt(name)
+                .hasArg()
+                .argName(argument)
+                .desc(description)
+                .build();
+    }
+}
--- /dev/null
+++ b/src/test/java/org/cicadalead/logic/timeline/TimelineMergerTest.java
@@ -0,0 +1,41 @@
+package org.cicadalead.logic.timeline;
+
+import static org.cicadalead.support.Events.event;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.List;
+import org.cicadalead.model.event.Event;
+import org.cicadalead.model.event.TimelineStream;
+import org.junit.jupiter.api.Test;
+
+class TimelineMergerTest {
+    @Test
+    void keepsEachProcessInItsOwnOrder() {
+        TimelineStream first = stream(event("a", 1, 5, "x"), event("a", 2, 5, "y"));
+        assertEquals(List.of("a1", "a2"), merged(first));
+    }
+
+    @Test
+    void putsEarlierOffsetsFirstAcrossProcesses() {
+        TimelineStream ahead = stream(event("a", 1, 7, "x"));
+        TimelineStream behind = stream(event("b", 1, 3, "x"), event("b", 2, 9, "x"));
+        assertEquals(List.of("b1", "a1", "b2"), merged(ahead, behind));
+    }
+
+    @Test
+    void keepsOneCauseTogetherOnTheSameOffset() {
+        TimelineStream first = stream(event("a", 1, 5, "x"), event("a", 2, 5, "y"));
+        TimelineStream second = stream(event("b", 1, 5, "x"));
+        assertEquals(List.of("a1", "b1", "a2"), merged(first, second));
+    }
+
+    private static TimelineStream stream(Event... events) {
+        return new TimelineStream(events[0].process(), events[0].zone(), 0, List.of(events));
+    }
+
+    private static List<String> merged(TimelineStream... streams) {
+        return TimelineMerger.merge(List.of(streams)).stream()
+                .map(event -> event.process().value() + event.sequence())
+                .toList();
+    }
+}
