--- a/src/main/java/org/cicadalead/cli/Main.java
+++ b/src/main/java/org/cicadalead/cli/Main.java
@@ -13,6 +13,7 @@
 import org.apache.commons.cli.Option;
 import org.apache.commons.cli.Options;
 import org.apache.commons.cli.ParseException;
+import org.cicadalead.adapters.event.LastingLogManager;
 import org.cicadalead.adapters.event.LogFormat;
 import org.cicadalead.adapters.event.LogSetup;
 import org.cicadalead.model.error.CicadaleadException;
@@ -26,6 +27,7 @@
 
     /** Runs one command and exits with its code. */
     public static void main(String[] arguments) {
+        System.setProperty(LastingLogManager.PROPERTY, LastingLogManager.class.getName());
         System.exit(run(List.of(arguments), System.out, System.err).code());
     }
 
