Add maintenance waves to the shared state

A wave keeps the hosts selected at its start, their progress and who must still confirm each drain, so that every process can plan and resume it.

--- a/src/main/java/org/cicadalead/model/fleet/MaintenanceStep.java
+++ b/src/main/java/org/cicadalead/model/fleet/MaintenanceStep.java
@@ -6,6 +6,8 @@
     NONE(true),
     /** Granted: no new work is placed, work in flight finishes. */
     DRAINING(false),
+    /** Drained, and held so until an operator returns it. */
+    HELD(false),
     /** The host is being rebooted. */
     REBOOTING(false),
     /** The host is back and is being checked. */
--- /dev/null
+++ b/src/main/java/org/cicadalead/model/fleet/WavePhase.java
@@ -0,0 +1,33 @@
+package org.cicadalead.model.fleet;
+
+/** Phase of a maintenance wave. */
+public enum WavePhase {
+    /** Hosts are granted as budgets allow. */
+    RUNNING(true, false),
+    /** An operator paused it: hosts under way finish, no further host is granted. */
+    PAUSED(false, false),
+    /** More hosts failed than it tolerates: no further host is granted until an operator resumes it. */
+    STOPPED(false, false),
+    /** An operator gave it up: hosts under way finish, the others stay as they are. */
+    ABORTED(false, true),
+    /** Every host is done, failed or gone. */
+    FINISHED(false, true);
+
+    private final boolean granting;
+    private final boolean terminal;
+
+    WavePhase(boolean granting, boolean terminal) {
+        this.granting = granting;
+        this.terminal = terminal;
+    }
+
+    /** Tells whether further hosts may be granted. */
+    public boolean isGranting() {
+        return granting;
+    }
+
+    /** Tells whether the phase never changes again. */
+    public boolean isTerminal() {
+        return terminal;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/cicadalead/model/fleet/WaveSelection.java
@@ -0,0 +1,48 @@
+package org.cicadalead.model.fleet;
+
+import java.util.List;
+import org.cicadalead.model.configuration.HostDefinition;
+import org.cicadalead.model.identity.HostName;
+import org.cicadalead.model.identity.PoolName;
+import org.cicadalead.model.identity.RackName;
+import org.cicadalead.model.identity.ZoneName;
+
+/**
+ * Which hosts a maintenance wave takes: those that match every list that is not empty. Immutable.
+ *
+ * @param pools pools; empty for all
+ * @param racks racks; empty for all
+ * @param zones availability zones; empty for all
+ * @param hosts hosts by name; empty for all
+ */
+public record WaveSelection(List<PoolName> pools, List<RackName> racks, List<ZoneName> zones, List<HostName> hosts) {
+    /** Copies the lists. */
+    public WaveSelection {
+        pools = List.copyOf(pools);
+        racks = List.copyOf(racks);
+        zones = List.copyOf(zones);
+        hosts = List.copyOf(hosts);
+    }
+
+    /** Selects the whole fleet. */
+    public static WaveSelection everything() {
+        return new WaveSelection(List.of(), List.of(), List.of(), List.of());
+    }
+
+    /** Selects one host. */
+    public static WaveSelection of(HostName host) {
+        return new WaveSelection(List.of(), List.of(), List.of(), List.of(host));
+    }
+
+    /** Tells whether it takes a host. */
+    public boolean selects(HostState host, HostDefinition definition) {
+        return matches(pools, host.pool())
+                && matches(racks, definition.rack())
+                && matches(zones, definition.zone())
+                && matches(hosts, host.name());
+    }
+
+    private static <T> boolean matches(List<T> allowed, T value) {
+        return allowed.isEmpty() || allowed.contains(value);
+    }
+}
--- a/src/main/java/org/cicadalead/model/state/SharedState.java
+++ b/src/main/java/org/cicadalead/model/state/SharedState.java
@@ -5,6 +5,7 @@
 import org.cicadalead.model.identity.HostName;
 import org.cicadalead.model.identity.JobIdentifier;
 import org.cicadalead.model.identity.ProcessIdentifier;
+import org.cicadalead.model.identity.WaveIdentifier;
 import org.pcollections.TreePMap;
 
 /**
@@ -16,6 +17,7 @@
  * @param members entry processes that may place work
  * @param hosts hosts by name
  * @param jobs long jobs by identifier
+ * @param waves maintenance waves by identifier
  * @param commands recently folded commands with their offsets, to drop duplicates
  */
 public record SharedState(
@@ -24,31 +26,38 @@
         TreePMap<ProcessIdentifier, Member> members,
         TreePMap<HostName, HostState> hosts,
         TreePMap<JobIdentifier, JobState> jobs,
+        TreePMap<WaveIdentifier, WaveState> waves,
         TreePMap<CommandIdentifier, Long> commands) {
     /** Returns the state before the first record. */
     public static SharedState empty() {
         return new SharedState(
-                0, ConfigurationState.empty(), TreePMap.empty(), TreePMap.empty(), TreePMap.empty(), TreePMap.empty());
+                0,
+                ConfigurationState.empty(),
+                TreePMap.empty(),
+                TreePMap.empty(),
+                TreePMap.empty(),
+                TreePMap.empty(),
+                TreePMap.empty());
     }
 
     /** Returns this state at another offset. */
     public SharedState withOffset(long newOffset) {
-        return new SharedState(newOffset, configuration, members, hosts, jobs, commands);
+        return new SharedState(newOffset, configuration, members, hosts, jobs, waves, commands);
     }
 
     /** Returns this state with another configuration. */
     public SharedState withConfiguration(ConfigurationState newConfiguration) {
-        return new SharedState(offset, newConfiguration, members, hosts, jobs, commands);
+        return new SharedState(offset, newConfiguration, members, hosts, jobs, waves, commands);
     }
 
     /** Returns this state with other members. */
     public SharedState withMembers(TreePMap<ProcessIdentifier, Member> newMembers) {
-        return new SharedState(offset, configuration, newMembers, hosts, jobs, commands);
+        return new SharedState(offset, configuration, newMembers, hosts, jobs, waves, commands);
     }
 
     /** Returns this state with other hosts. */
     public SharedState withHosts(TreePMap<HostName, HostState> newHosts) {
-        return new SharedState(offset, configuration, members, newHosts, jobs, commands);
+        return new SharedState(offset, configuration, members, newHosts, jobs, waves, commands);
     }
 
     /** Returns this state with one host changed. */
@@ -58,11 +67,21 @@
 
     /** Returns this state with other jobs. */
     public SharedState withJobs(TreePMap<JobIdentifier, JobState> newJobs) {
-        return new SharedState(offset, configuration, members, hosts, newJobs, commands);
+        return new SharedState(offset, configuration, members, hosts, newJobs, waves, commands);
+    }
+
+    /** Returns this state with other maintenance waves. */
+    public SharedState withWaves(TreePMap<WaveIdentifier, WaveState> newWaves) {
+        return new SharedState(offset, configuration, members, hosts, jobs, newWaves, commands);
+    }
+
+    /** Returns this state with one maintenance wave changed. */
+    public SharedState withWave(WaveState wave) {
+        return withWaves(waves.plus(wave.wave(), wave));
     }
 
     /** Returns this state with other remembered commands. */
     public SharedState withCommands(TreePMap<CommandIdentifier, Long> newCommands) {
-        return new SharedState(offset, configuration, members, hosts, jobs, newCommands);
+        return new SharedState(offset, configuration, members, hosts, jobs, waves, newCommands);
     }
 }
