--- a/src/main/java/org/cicadalead/adapters/entry/EntryProcess.java
+++ b/src/main/java/org/cicadalead/adapters/entry/EntryProcess.java
@@ -14,6 +14,7 @@
 import org.cicadalead.adapters.event.TimelineRecorder;
 import org.cicadalead.adapters.event.TimelineRoutes;
 import org.cicadalead.adapters.http.JsonExchange;
+import org.cicadalead.adapters.membership.EntryMembership;
 import org.cicadalead.adapters.platform.HttpPlatform;
 import org.cicadalead.adapters.replica.CommandAppender;
 import org.cicadalead.adapters.replica.LogFollower;
@@ -44,6 +45,7 @@
     private final SystemTimerService timers;
     private final LogFollower follower;
     private final CommandAppender appender;
+    private final EntryMembership membership;
     private final CallerServer callers;
     private final AdministrationServer administration;
     private final PrometheusMeterRegistry metrics = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
@@ -60,9 +62,11 @@
         MessagePackCommandCodec codec = new MessagePackCommandCodec();
         appender = new CommandAppender(platform, codec, identifier, replica);
         follower = new LogFollower(platform, codec, replica, timeline);
+        membership = new EntryMembership(settings, identifier, replica::state, appender, timers, timeline);
         callers = new CallerServer(settings, replica::state, timeline);
         administration = new AdministrationServer(settings);
         addRoutes();
+        membership.start();
         follower.start();
         administration.start();
         timeline.emit(EventKind.PROCESS_STARTED, Optional.empty(), EventDetail.of("zone", settings.zone()));
@@ -90,7 +94,9 @@
 
     /** Tells whether it takes requests. */
     public boolean isReady() {
-        return !stopping && replica.state().configuration().version() > 0;
+        return !stopping
+                && membership.isMember()
+                && replica.state().configuration().version() > 0;
     }
 
     /**
@@ -106,6 +112,8 @@
             sleep(SHUTDOWN_POLL);
         }
         int left = callers.inFlight();
+        callers.close();
+        membership.leave();
         timeline.emit(EventKind.PROCESS_STOPPED, Optional.empty(), EventDetail.of("left", left));
         close();
         return left;
@@ -114,6 +122,7 @@
     @Override
     public void close() {
         callers.close();
+        membership.close();
         follower.close();
         appender.close();
         administration.close();
@@ -123,6 +132,7 @@
     private void addRoutes() {
         Gauge.builder("cicadalead.state.offset", () -> replica.state().offset()).register(metrics);
         Gauge.builder("cicadalead.requests.in.flight", callers::inFlight).register(metrics);
+        membership.register(metrics);
         new StateRoutes(replica::state, appender).addTo(administration);
         administration.route("GET", "/healthz", exchange -> JsonExchange.answerText(exchange, OK, "ok\n"));
         administration.route("GET", "/readyz", this::answerReady);
--- /dev/null
+++ b/src/main/java/org/cicadalead/adapters/membership/MembershipService.java
@@ -0,0 +1,102 @@
+package org.cicadalead.adapters.membership;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Supplier;
+import org.cicadalead.adapters.peer.PeerIdentity;
+import org.cicadalead.adapters.replica.CommandAppender;
+import org.cicadalead.model.command.MembershipCommand;
+import org.cicadalead.model.error.CicadaleadException;
+import org.cicadalead.model.event.EventDetail;
+import org.cicadalead.model.event.EventKind;
+import org.cicadalead.model.state.Member;
+import org.cicadalead.model.state.SharedState;
+import org.cicadalead.ports.EventSink;
+import org.cicadalead.ports.TimerService;
+
+/**
+ * Keeps this process a member: appends its join until the log shows it, and its leave when everything that it placed is
+ * over. Safe for use by several threads.
+ */
+public final class MembershipService implements AutoCloseable {
+    private static final Duration PERIOD = Duration.ofMillis(250);
+    private static final Duration LEAVE_TIMEOUT = Duration.ofSeconds(3);
+
+    private final PeerIdentity self;
+    private final Supplier<SharedState> state;
+    private final CommandAppender appender;
+    private final EventSink events;
+    private final AtomicBoolean appending = new AtomicBoolean();
+    private final TimerService timers;
+    private final List<TimerService.Subscription> subscriptions = new CopyOnWriteArrayList<>();
+    private volatile boolean leaving;
+
+    /** Creates the service; {@link #start} starts joining. */
+    public MembershipService(
+            PeerIdentity self,
+            Supplier<SharedState> state,
+            CommandAppender appender,
+            TimerService timers,
+            EventSink events) {
+        this.self = self;
+        this.state = state;
+        this.appender = appender;
+        this.events = events;
+        this.timers = timers;
+    }
+
+    /** Starts joining. */
+    public void start() {
+        subscriptions.add(timers.every(PERIOD, this::joinIfNeeded));
+    }
+
+    /** Tells whether the shared state of this process holds its own membership. */
+    public boolean isMember() {
+        return membership().isPresent();
+    }
+
+    /** Leaves; to be called when nothing that this process placed is in flight. */
+    public void leave() {
+        leaving = true;
+        Optional<Member> member = membership();
+        if (member.isEmpty()) {
+            return;
+        }
+        try {
+            appender.submit(new MembershipCommand.Leave(
+                            self.process(), member.get().version()))
+                    .get(LEAVE_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
+        } catch (ExecutionException | TimeoutException | CicadaleadException notRecorded) {
+            events.emit(
+                    EventKind.LEAVE_NOT_RECORDED,
+                    Optional.empty(),
+                    EventDetail.of("failure", notRecorded.getMessage()));
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    @Override
+    public void close() {
+        subscriptions.forEach(TimerService.Subscription::close);
+    }
+
+    private Optional<Member> membership() {
+        return Optional.ofNullable(state.get().members().get(self.process()));
+    }
+
+    private void joinIfNeeded() {
+        if (leaving || isMember() || !appending.compareAndSet(false, true)) {
+            return;
+        }
+        appender.submit(new MembershipCommand.Join(self.process(), self.zone(), self.address(), Optional.empty()))
+                .orTimeout(LEAVE_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS)
+                .whenComplete((outcome, failure) -> appending.set(false));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/cicadalead/adapters/peer/PeerConnection.java
@@ -0,0 +1,322 @@
+package org.cicadalead.adapters.peer;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.AsynchronousSocketChannel;
+import java.nio.channels.CompletionHandler;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import org.cicadalead.model.error.CicadaleadException;
+import org.cicadalead.model.error.ErrorKind;
+import org.cicadalead.ports.PeerTopic;
+
+/**
+ * One TCP connection with its handshake, its queue of frames and its calls in progress. Frames are read one after the
+ * other; frames are sealed in the order in which they are queued, and no lock is held while the socket is used. Safe
+ * for use by several threads.
+ */
+final class PeerConnection {
+    /** Largest frame of an authenticated peer. */
+    static final int MAXIMUM_FRAME_BYTES = 8 * 1024 * 1024;
+
+    /** Largest frame before the handshake is over. */
+    static final int MAXIMUM_HANDSHAKE_BYTES = 1024;
+
+    private static final int MAXIMUM_QUEUED_BYTES = 2 * MAXIMUM_FRAME_BYTES;
+
+    private final AsynchronousSocketChannel channel;
+    private final PeerHandshake handshake;
+    private final Listener listener;
+    private final PeerCounters counters;
+    private final Deque<OutgoingFrame> queue = new ArrayDeque<>();
+    private final Map<Long, CompletableFuture<byte[]>> calls = new ConcurrentHashMap<>();
+    private final AtomicLong nextCorrelation = new AtomicLong();
+    private final AtomicBoolean closed = new AtomicBoolean();
+    private final ByteBuffer header = ByteBuffer.allocate(Integer.BYTES);
+    private volatile Optional<PeerHandshake.Session> session = Optional.empty();
+    private final AtomicInteger answering = new AtomicInteger();
+    private volatile long lastUsedNanoseconds;
+    private FrameSealer sealer = new FrameSealer(Optional.empty());
+    private int queuedBytes;
+    private boolean writing;
+
+    PeerConnection(
+            AsynchronousSocketChannel channel, PeerHandshake handshake, Listener listener, PeerCounters counters) {
+        this.channel = channel;
+        this.handshake = handshake;
+        this.listener = listener;
+        this.counters = counters;
+    }
+
+    /** Starts reading, and sends the first challenge if this end has dialed. */
+    void start(boolean dialer) {
+        if (dialer) {
+            send(handshake.challenge());
+        }
+        readHeader();
+    }
+
+    /** Returns the other end, once it has proven itself. */
+    Optional<PeerIdentity> peer() {
+        return session.map(PeerHandshake.Session::peer);
+    }
+
+    /** Returns the session, once the other end has proven itself. */
+    Optional<PeerHandshake.Session> session() {
+        return session;
+    }
+
+    boolean isOpen() {
+        return !closed.get();
+    }
+
+    /** Tells whether a call is in progress in either direction. */
+    boolean isBusy() {
+        return !calls.isEmpty() || answering.get() > 0;
+    }
+
+    /** Notes that a call of the other end is being answered. */
+    void beginAnswer() {
+        answering.incrementAndGet();
+    }
+
+    /** Notes that a call of the other end was answered. */
+    void endAnswer() {
+        answering.decrementAndGet();
+    }
+
+    long lastUsedNanoseconds() {
+        return lastUsedNanoseconds;
+    }
+
+    /** Notes that the connection was used for something else than idling. */
+    void touch(long nanoseconds) {
+        lastUsedNanoseconds = nanoseconds;
+    }
+
+    /** Queues a message; false when the connection is closed or its queue is full. */
+    boolean send(PeerMessage message) {
+        return enqueue(message, Optional.empty());
+    }
+
+    /** Starts a call; its result completes as {@link org.cicadalead.ports.PeerChannel#call} says, without a timeout. */
+    CompletableFuture<byte[]> call(PeerTopic topic, byte[] payload) {
+        long correlation = nextCorrelation.incrementAndGet();
+        CompletableFuture<byte[]> result = new CompletableFuture<>();
+        calls.put(correlation, result);
+        result.whenComplete((answer, failure) -> calls.remove(correlation));
+        if (!enqueue(new PeerMessage.Call(correlation, topic, payload), Optional.of(correlation))) {
+            result.completeExceptionally(notSent());
+        }
+        if (closed.get()) {
+            result.completeExceptionally(unknown());
+        }
+        return result;
+    }
+
+    /** Completes a call in progress; a late answer of a call that was given up goes to nobody. */
+    void complete(PeerMessage.Reply reply) {
+        Optional.ofNullable(calls.get(reply.correlation())).ifPresent(call -> call.complete(reply.payload()));
+    }
+
+    /** Fails a call in progress. */
+    void complete(PeerMessage.Failure failure) {
+        ErrorKind kind = failure.notRun() ? ErrorKind.NO_UPSTREAM : ErrorKind.OUTCOME_UNKNOWN;
+        Optional.ofNullable(calls.get(failure.correlation()))
+                .ifPresent(call -> call.completeExceptionally(new CicadaleadException(kind, failure.detail())));
+    }
+
+    /** Closes the connection; calls whose frame was not begun are reported as not sent. */
+    void close() {
+        if (!closed.compareAndSet(false, true)) {
+            return;
+        }
+        try {
+            channel.close();
+        } catch (IOException alreadyGone) {
+            // A socket that cannot be closed is gone already; calls are failed below in any case.
+        }
+        synchronized (queue) {
+            for (OutgoingFrame frame : queue) {
+                frame.correlation()
+                        .flatMap(correlation -> Optional.ofNullable(calls.get(correlation)))
+                        .ifPresent(call -> call.completeExceptionally(notSent()));
+            }
+            queue.clear();
+        }
+        calls.values().forEach(call -> call.completeExceptionally(unknown()));
+        listener.onClosed(this);
+    }
+
+    private boolean enqueue(PeerMessage message, Optional<Long> correlation) {
+        byte[] payload = PeerMessageCodec.encode(message);
+        Optional<OutgoingFrame> first;
+        synchronized (queue) {
+            int size = Integer.BYTES + payload.length + sealer.overhead();
+            if (closed.get()
+                    || size > MAXIMUM_FRAME_BYTES
+                    || (queuedBytes > 0 && queuedBytes + size > MAXIMUM_QUEUED_BYTES)) {
+                return false;
+            }
+            ByteBuffer frame = ByteBuffer.allocate(size).putInt(size - Integer.BYTES);
+            sealer.seal(payload, frame);
+            queue.addLast(new OutgoingFrame(frame.flip(), size, correlation));
+            queuedBytes += size;
+            first = takeNext();
+        }
+        first.ifPresent(this::write);
+        return true;
+    }
+
+    /** Takes the next frame unless one is being written; to be called while holding the queue's monitor. */
+    private Optional<OutgoingFrame> takeNext() {
+        if (writing || queue.isEmpty()) {
+            return Optional.empty();
+        }
+        writing = true;
+        return Optional.of(queue.removeFirst());
+    }
+
+    private void write(OutgoingFrame frame) {
+        channel.write(frame.bytes(), frame, new CompletionHandler<Integer, OutgoingFrame>() {
+            @Override
+            public void completed(Integer count, OutgoingFrame written) {
+                counters.bytesSent.add(count);
+                if (written.bytes().hasRemaining()) {
+                    write(written);
+                    return;
+                }
+                counters.framesSent.increment();
+                onWritten(written);
+            }
+
+            @Override
+            public void failed(Throwable failure, OutgoingFrame lost) {
+                close();
+            }
+        });
+    }
+
+    private void onWritten(OutgoingFrame written) {
+        Optional<OutgoingFrame> next;
+        synchronized (queue) {
+            queuedBytes -= written.size();
+            writing = false;
+            next = takeNext();
+        }
+        next.ifPresent(this::write);
+    }
+
+    private void readHeader() {
+        header.clear();
+        read(header, () -> {
+            int length = header.getInt(0);
+            int maximum = session.isPresent() ? MAXIMUM_FRAME_BYTES : MAXIMUM_HANDSHAKE_BYTES;
+            if (length < 1 || length > maximum) {
+                throw new MalformedFrameException("frame of " + length + " bytes");
+            }
+            ByteBuffer body = ByteBuffer.allocate(length);
+            read(body, () -> {
+                onFrame(body.array());
+                readHeader();
+            });
+        });
+    }
+
+    private void read(ByteBuffer buffer, Runnable whenFull) {
+        channel.read(buffer, buffer, new CompletionHandler<Integer, ByteBuffer>() {
+            @Override
+            public void completed(Integer count, ByteBuffer filled) {
+                if (count < 0) {
+                    close();
+                    return;
+                }
+                counters.bytesReceived.add(count);
+                if (filled.hasRemaining()) {
+                    read(filled, whenFull);
+                } else {
+                    guarded(whenFull);
+                }
+            }
+
+            @Override
+            public void failed(Throwable failure, ByteBuffer lost) {
+                close();
+            }
+        });
+    }
+
+    private void guarded(Runnable step) {
+        try {
+            step.run();
+        } catch (MalformedFrameException malformed) {
+            counters.framesRejected.increment();
+            listener.onRejected(this, malformed.getMessage());
+            close();
+        } catch (PeerHandshake.AuthenticationException unproven) {
+            counters.authenticationFailures.increment();
+            listener.onUnproven(this);
+            close();
+        }
+    }
+
+    private void onFrame(byte[] frame) {
+        counters.framesReceived.increment();
+        if (session.isPresent()) {
+            int length = session.get().receiving().open(frame);
+            listener.onMessage(this, PeerMessageCodec.decode(frame, length));
+            return;
+        }
+        PeerHandshake.Step step = handshake.next(PeerMessageCodec.decode(frame, frame.length));
+        step.reply().ifPresent(this::send);
+        if (step.session().isPresent()) {
+            synchronized (queue) {
+                sealer = step.session().get().sending();
+            }
+            session = step.session();
+            listener.onEstablished(this, step.session().get().peer());
+        }
+    }
+
+    private static CicadaleadException notSent() {
+        return new CicadaleadException(ErrorKind.NO_UPSTREAM, "The call was not sent to the entry process");
+    }
+
+    private static CicadaleadException unknown() {
+        return new CicadaleadException(ErrorKind.OUTCOME_UNKNOWN, "The connection to the entry process was lost");
+    }
+
+    /**
+     * A frame on its way.
+     *
+     * @param bytes what is left of it
+     * @param size its whole size
+     * @param correlation the call that it carries
+     */
+    private record OutgoingFrame(ByteBuffer bytes, int size, Optional<Long> correlation) {}
+
+    /** Learns what happens on connections. Called by the channel's threads; must not block. */
+    interface Listener {
+        /** The other end has proven itself. */
+        void onEstablished(PeerConnection connection, PeerIdentity peer);
+
+        /** A message came in. */
+        void onMessage(PeerConnection connection, PeerMessage message);
+
+        /** A frame broke the protocol. */
+        void onRejected(PeerConnection connection, String reason);
+
+        /** The other end did not prove a key. */
+        void onUnproven(PeerConnection connection);
+
+        /** The connection is closed; called once. */
+        void onClosed(PeerConnection connection);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/cicadalead/adapters/peer/PeerDialer.java
@@ -0,0 +1,108 @@
+package org.cicadalead.adapters.peer;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.Function;
+import java.util.function.Predicate;
+import org.cicadalead.model.configuration.NetworkAddress;
+import org.cicadalead.model.identity.ProcessIdentifier;
+import org.cicadalead.ports.TimerService;
+
+/**
+ * Dials peers, at most once at a time for each address, and after failures with exponential backoff and jitter, so that
+ * many processes do not return together. Safe for use by several threads.
+ */
+final class PeerDialer {
+    private static final Duration FIRST_BACKOFF = Duration.ofMillis(500);
+    private static final Duration MAXIMUM_BACKOFF = Duration.ofSeconds(30);
+    private static final int MAXIMUM_DOUBLINGS = 6;
+
+    private final PeerIdentity self;
+    private final PeerDirectory directory;
+    private final List<NetworkAddress> seeds;
+    private final Function<NetworkAddress, CompletableFuture<PeerConnection>> dial;
+    private final TimerService timers;
+    private final Map<NetworkAddress, CompletableFuture<PeerConnection>> inProgress = new ConcurrentHashMap<>();
+    private final Map<NetworkAddress, Failures> failures = new ConcurrentHashMap<>();
+
+    PeerDialer(
+            PeerIdentity self,
+            PeerDirectory directory,
+            List<NetworkAddress> seeds,
+            Function<NetworkAddress, CompletableFuture<PeerConnection>> dial,
+            TimerService timers) {
+        this.self = self;
+        this.directory = directory;
+        this.seeds = seeds;
+        this.dial = dial;
+        this.timers = timers;
+    }
+
+    /** Dials what is not connected and due: links, and addresses of the settings that nobody was heard from. */
+    void tick(Set<ProcessIdentifier> links, Predicate<ProcessIdentifier> connected) {
+        long now = timers.nanoTime();
+        for (ProcessIdentifier peer : links) {
+            Optional<PeerDirectory.KnownPeer> known = directory.find(peer);
+            if (known.isPresent() && !connected.test(peer)) {
+                dialWhenDue(known.get().identity().address(), now);
+            }
+        }
+        for (NetworkAddress seed : seeds) {
+            if (!seed.equals(self.address()) && !directory.isReachableAt(seed, now)) {
+                dialWhenDue(seed, now);
+            }
+        }
+        failures.values().removeIf(failed -> now - failed.retryAt() > 2 * MAXIMUM_BACKOFF.toNanos());
+    }
+
+    /** Dials an address now, or joins the dial that is in progress. */
+    CompletableFuture<PeerConnection> connect(NetworkAddress address) {
+        CompletableFuture<PeerConnection> fresh = new CompletableFuture<>();
+        CompletableFuture<PeerConnection> running = inProgress.putIfAbsent(address, fresh);
+        if (running != null) {
+            return running;
+        }
+        dial.apply(address).whenComplete((connection, failure) -> {
+            inProgress.remove(address);
+            if (failure == null) {
+                failures.remove(address);
+                fresh.complete(connection);
+            } else {
+                noteFailure(address);
+                fresh.completeExceptionally(failure);
+            }
+        });
+        return fresh;
+    }
+
+    private void dialWhenDue(NetworkAddress address, long now) {
+        Failures failed = failures.get(address);
+        if (failed == null || now - failed.retryAt() >= 0) {
+            connect(address);
+        }
+    }
+
+    private void noteFailure(NetworkAddress address) {
+        failures.compute(address, (unchanged, before) -> {
+            int count = before == null ? 1 : before.count() + 1;
+            long backoff = Math.min(
+                    MAXIMUM_BACKOFF.toNanos(), FIRST_BACKOFF.toNanos() << Math.min(MAXIMUM_DOUBLINGS, count - 1));
+            long jittered = ThreadLocalRandom.current().nextLong(backoff / 2, backoff + 1);
+            return new Failures(count, timers.nanoTime() + jittered);
+        });
+    }
+
+    /**
+     * Failed dials of an address.
+     *
+     * @param count failures since the last success
+     * @param retryAt when it may be dialed again, in monotonic nanoseconds
+     */
+    private record Failures(int count, long retryAt) {}
+}
--- /dev/null
+++ b/src/main/java/org/cicadalead/adapters/peer/PeerDirectory.java
@@ -0,0 +1,158 @@
+package org.cicadalead.adapters.peer;
+
+import java.time.Duration;
+import java.util.Collection;
+import java.util.EnumMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.concurrent.ConcurrentSkipListMap;
+import org.cicadalead.model.configuration.NetworkAddress;
+import org.cicadalead.model.identity.ProcessIdentifier;
+import org.cicadalead.model.identity.ZoneName;
+import org.cicadalead.model.state.Member;
+import org.cicadalead.ports.PeerTopic;
+
+/**
+ * What this process knows of others: from the log, from their own heartbeats and from what third processes say. News of
+ * a process counts only with a heartbeat number above the last one, so that neither a late frame nor a third process
+ * can make a dead process look alive. Safe for use by several threads.
+ */
+final class PeerDirectory {
+    /** A linked peer that was not heard of for this long does not count as reachable. */
+    static final Duration REACHABLE_FOR = Duration.ofSeconds(10);
+
+    private static final Duration FORGOTTEN_AFTER = Duration.ofMinutes(5);
+
+    private final ProcessIdentifier self;
+    private final Map<ProcessIdentifier, KnownPeer> known = new ConcurrentSkipListMap<>();
+
+    PeerDirectory(ProcessIdentifier self) {
+        this.self = self;
+    }
+
+    /** Returns all known processes but this one, ordered by identifier. */
+    List<KnownPeer> all() {
+        return List.copyOf(known.values());
+    }
+
+    Optional<KnownPeer> find(ProcessIdentifier process) {
+        return Optional.ofNullable(known.get(process));
+    }
+
+    /** Takes over members of the log, and forgets processes that are no members and were not heard of. */
+    void update(Collection<Member> members, long now) {
+        Set<ProcessIdentifier> joined = new HashSet<>();
+        for (Member member : members) {
+            joined.add(member.process());
+            learn(new PeerIdentity(member.process(), member.zone(), member.peerAddress()), now);
+        }
+        known.values().removeIf(peer -> !joined.contains(peer.identity().process()) && peer.isForgotten(now));
+    }
+
+    /** Learns that a process exists, without a sign of life. */
+    void learn(PeerIdentity identity, long now) {
+        if (!identity.process().equals(self)) {
+            known.computeIfAbsent(identity.process(), unseen -> KnownPeer.unheard(identity, now));
+        }
+    }
+
+    /** Takes a heartbeat that came from the process itself. */
+    void onHeartbeat(PeerIdentity identity, PeerMessage.Heartbeat heartbeat, long now) {
+        learn(identity, now);
+        known.computeIfPresent(identity.process(), (process, peer) -> peer.heardDirectly(heartbeat, now));
+    }
+
+    /** Takes what a third process says. */
+    void onNews(ProcessIdentifier process, PeerMessage.PeerNews news, long now) {
+        known.computeIfPresent(process, (unchanged, peer) -> peer.heardOf(news, now));
+    }
+
+    /** Returns the availability zones with a process that was heard of in time. */
+    List<ZoneName> reachableZones(long now) {
+        Set<ZoneName> zones = new TreeSet<>();
+        known.values().stream().filter(peer -> peer.isReachable(now)).forEach(peer -> zones.add(peer.zone()));
+        return List.copyOf(zones);
+    }
+
+    /** Tells whether a process with this address is known and reachable. */
+    boolean isReachableAt(NetworkAddress address, long now) {
+        return known.values().stream()
+                .anyMatch(peer -> peer.identity().address().equals(address) && peer.isReachable(now));
+    }
+
+    /**
+     * A process as it is known. Immutable.
+     *
+     * @param identity who it is
+     * @param sequence number of its newest heartbeat that was heard of; 0 for none
+     * @param appliedOffset offset of its shared state
+     * @param learnedAt when it was learned of, in monotonic nanoseconds
+     * @param heardAt when the newest heartbeat was heard by whoever heard it
+     * @param parts what its newest direct heartbeat carried
+     * @param zones availability zones that it reaches, by its own word
+     */
+    record KnownPeer(
+            PeerIdentity identity,
+            long sequence,
+            long appliedOffset,
+            long learnedAt,
+            long heardAt,
+            Map<PeerTopic, byte[]> parts,
+            List<ZoneName> zones) {
+        static KnownPeer unheard(PeerIdentity identity, long now) {
+            return new KnownPeer(identity, 0, 0, now, now, Map.of(), List.of());
+        }
+
+        ProcessIdentifier process() {
+            return identity.process();
+        }
+
+        ZoneName zone() {
+            return identity.zone();
+        }
+
+        boolean isReachable(long now) {
+            return sequence > 0 && now - heardAt < REACHABLE_FOR.toNanos();
+        }
+
+        boolean isForgotten(long now) {
+            return now - heardAt >= FORGOTTEN_AFTER.toNanos();
+        }
+
+        KnownPeer heardDirectly(PeerMessage.Heartbeat heartbeat, long now) {
+            if (heartbeat.sequence() < sequence) {
+                return this;
+            }
+            Map<PeerTopic, byte[]> newest = new EnumMap<>(PeerTopic.class);
+            newest.putAll(heartbeat.parts());
+            return new KnownPeer(
+                    identity,
+                    heartbeat.sequence(),
+                    Math.max(appliedOffset, heartbeat.appliedOffset()),
+                    learnedAt,
+                    now,
+                    newest,
+                    heartbeat.zones().orElse(zones));
+        }
+
+        KnownPeer heardOf(PeerMessage.PeerNews news, long now) {
+            if (news.sequence() <= sequence) {
+                return this;
+            }
+            long heard =
+                    now - Duration.ofMillis(Math.max(0, news.ageMilliseconds())).toNanos();
+            return new KnownPeer(
+                    identity,
+                    news.sequence(),
+                    Math.max(appliedOffset, news.appliedOffset()),
+                    learnedAt,
+                    sequence == 0 ? heard : Math.max(heardAt, heard),
+                    parts,
+                    zones);
+        }
+    }
+}
--- a/src/main/java/org/cicadalead/model/event/EventKind.java
+++ b/src/main/java/org/cicadalead/model/event/EventKind.java
@@ -31,6 +31,23 @@
     PLATFORM_LOG_UNAVAILABLE(3004, EventSeverity.WARNING, "The platform log cannot be reached"),
     /** The platform log can be reached again. */
     PLATFORM_LOG_RETURNED(3005, EventSeverity.INFORMATION, "The platform log can be reached again"),
+    /** A connection to another entry process was established. */
+    PEER_CONNECTED(4001, EventSeverity.DETAIL, "A connection to another entry process was established"),
+    /** A connection to another entry process was closed. */
+    PEER_DISCONNECTED(4002, EventSeverity.DETAIL, "A connection to another entry process was closed"),
+    /** A frame of another entry process broke the protocol; its connection was closed. */
+    PEER_FRAME_REJECTED(
+            4003,
+            EventSeverity.WARNING,
+            "A frame of another entry process broke the protocol; its connection was closed"),
+    /** A connection was closed, as the other end did not prove a shared key. */
+    PEER_AUTHENTICATION_FAILED(
+            4004, EventSeverity.WARNING, "A connection was closed, as the other end did not prove a shared key"),
+    /** A process stopped without its leave in the log; another one has to remove it. */
+    LEAVE_NOT_RECORDED(
+            4101,
+            EventSeverity.WARNING,
+            "A process stopped without its leave in the log; another one has to remove it"),
     /** The observed health of a host changed. */
     HOST_OBSERVED(5001, EventSeverity.INFORMATION, "The observed health of a host changed"),
     /** A host was withdrawn from its pool. */
