--- /dev/null
+++ b/src/main/java/org/cicadalead/logic/capacity/CapacityIndex.java
@@ -0,0 +1,157 @@
+package org.cicadalead.logic.capacity;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.cicadalead.model.configuration.HostDefinition;
+import org.cicadalead.model.configuration.PoolDefinition;
+import org.cicadalead.model.configuration.ServiceDefinition;
+import org.cicadalead.model.fleet.HostState;
+import org.cicadalead.model.fleet.MaintenanceStep;
+import org.cicadalead.model.identity.HostName;
+import org.cicadalead.model.identity.PoolName;
+import org.cicadalead.model.identity.RackName;
+import org.cicadalead.model.state.SharedState;
+import org.pcollections.HashTreePMap;
+import org.pcollections.PMap;
+
+/**
+ * All pools, counted by rack in one pass over the fleet, so that a check of a budget costs the racks of one pool. A
+ * planner keeps one through a round and takes out what it has decided. Immutable.
+ */
+public final class CapacityIndex {
+    private final SharedState state;
+    private final PMap<PoolName, PoolCapacity> pools;
+
+    private CapacityIndex(SharedState state, PMap<PoolName, PoolCapacity> pools) {
+        this.state = state;
+        this.pools = pools;
+    }
+
+    /** Counts every pool of a state. */
+    public static CapacityIndex of(SharedState state) {
+        return of(state, Set.of());
+    }
+
+    /** Counts every pool of a state; hosts that are suspected to have failed do not count as available. */
+    public static CapacityIndex of(SharedState state, Set<HostName> suspects) {
+        Map<PoolName, Counter> counters = new HashMap<>();
+        for (HostState host : state.hosts().values()) {
+            counters.computeIfAbsent(host.pool(), unused -> new Counter())
+                    .add(host, rackOf(state, host), suspects.contains(host.name()));
+            if (host.move().isPresent() && host.health().isAvailable() && !suspects.contains(host.name())) {
+                counters.computeIfAbsent(host.move().get().destination(), unused -> new Counter()).incoming++;
+            }
+        }
+        Map<PoolName, List<ServiceDefinition>> services = servicesByPool(state);
+        PMap<PoolName, PoolCapacity> pools = HashTreePMap.empty();
+        for (PoolDefinition pool : state.configuration().merged().pools().values()) {
+            Counter counter = counters.getOrDefault(pool.name(), new Counter());
+            pools = pools.plus(
+                    pool.name(), counter.counted(pool.name(), services.getOrDefault(pool.name(), List.of())));
+        }
+        return new CapacityIndex(state, pools);
+    }
+
+    /** Counts one pool of a state, without an index of the others. */
+    public static PoolCapacity onlyPool(SharedState state, PoolName pool) {
+        Counter counter = new Counter();
+        for (HostState host : state.hosts().values()) {
+            if (host.pool().equals(pool)) {
+                counter.add(host, rackOf(state, host), false);
+            } else if (host.health().isAvailable()
+                    && host.move()
+                            .filter(move -> move.destination().equals(pool))
+                            .isPresent()) {
+                counter.incoming++;
+            }
+        }
+        List<ServiceDefinition> services = state.configuration().merged().services().values().stream()
+                .filter(service -> service.pool().equals(pool))
+                .toList();
+        return counter.counted(pool, services);
+    }
+
+    /** Returns a pool; one that is not configured has no hosts. */
+    public PoolCapacity pool(PoolName name) {
+        return pools.getOrDefault(name, PoolCapacity.empty(name, List.of()));
+    }
+
+    /** Returns the configured pools. */
+    public Iterable<PoolCapacity> pools() {
+        return pools.values();
+    }
+
+    /** Returns why planned work may not take an available host; empty when every budget allows it. */
+    public Optional<String> objectionToRemoval(HostState host) {
+        return pool(host.pool()).minusAvailable(rackOf(state, host)).objection();
+    }
+
+    /** Returns this index after an available host was taken out by planned work. */
+    public CapacityIndex without(HostState host) {
+        PoolCapacity rest = pool(host.pool()).minusAvailable(rackOf(state, host));
+        return new CapacityIndex(state, pools.plus(host.pool(), rest));
+    }
+
+    /** Returns this index after a host was withdrawn from its pool for another one. */
+    public CapacityIndex moving(HostState host, PoolName destination) {
+        PoolCapacity target = pool(destination);
+        PoolCapacity expecting = target.withCounts(target.members(), target.incoming() + 1, target.returning());
+        CapacityIndex rest = host.isAvailable() ? without(host) : this;
+        return new CapacityIndex(state, rest.pools.plus(destination, expecting));
+    }
+
+    /** Returns the rack of a host. */
+    static RackName rackOf(SharedState state, HostState host) {
+        HostDefinition definition = state.configuration().merged().hosts().get(host.name());
+        return definition == null ? new RackName("unknown") : definition.rack();
+    }
+
+    private static Map<PoolName, List<ServiceDefinition>> servicesByPool(SharedState state) {
+        Map<PoolName, List<ServiceDefinition>> services = new HashMap<>();
+        for (ServiceDefinition service :
+                state.configuration().merged().services().values()) {
+            services.computeIfAbsent(service.pool(), unused -> new ArrayList<>())
+                    .add(service);
+        }
+        return services;
+    }
+
+    private static final class Counter {
+        private final Map<RackName, Integer> availableByRack = new HashMap<>();
+        private int members;
+        private int incoming;
+        private int returning;
+
+        void add(HostState host, RackName rack, boolean suspect) {
+            members++;
+            if (suspect) {
+                return;
+            }
+            if (host.isAvailable()) {
+                availableByRack.merge(rack, 1, Integer::sum);
+            } else if (isReturning(host)) {
+                returning++;
+            }
+        }
+
+        PoolCapacity counted(PoolName pool, List<ServiceDefinition> services) {
+            return new PoolCapacity(pool, services, members, incoming, returning, HashTreePMap.from(availableByRack));
+        }
+
+        private static boolean isReturning(HostState host) {
+            return switch (host.maintenance()) {
+                case DRAINING, REBOOTING, VERIFYING -> host.health().isAvailable();
+                case NONE, HELD, FAILED -> false;
+            };
+        }
+    }
+
+    /** Tells whether a host is under maintenance and has not failed. */
+    static boolean isUnderMaintenance(HostState host) {
+        return host.maintenance() != MaintenanceStep.NONE && host.maintenance() != MaintenanceStep.FAILED;
+    }
+}
--- a/src/main/java/org/cicadalead/logic/fleet/MaintenanceFold.java
+++ b/src/main/java/org/cicadalead/logic/fleet/MaintenanceFold.java
@@ -1,37 +1,139 @@
 package org.cicadalead.logic.fleet;
 
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.function.Predicate;
 import org.cicadalead.logic.capacity.BudgetLedger;
 import org.cicadalead.logic.state.FoldResult;
 import org.cicadalead.model.command.MaintenanceCommand;
 import org.cicadalead.model.error.ErrorKind;
+import org.cicadalead.model.fleet.HostHealth;
 import org.cicadalead.model.fleet.HostState;
 import org.cicadalead.model.fleet.MaintenanceStep;
+import org.cicadalead.model.fleet.WaveHost;
+import org.cicadalead.model.fleet.WaveHostProgress;
+import org.cicadalead.model.fleet.WavePhase;
+import org.cicadalead.model.identity.HostName;
+import org.cicadalead.model.identity.ProcessIdentifier;
+import org.cicadalead.model.state.Member;
 import org.cicadalead.model.state.SharedState;
+import org.cicadalead.model.state.WaveState;
+import org.pcollections.TreePMap;
 
-/** Folds grants and steps of maintenance. Stateless; safe for use by several threads. */
+/**
+ * Folds maintenance waves. A host is taken out only by a grant that every budget survives, and is stopped only after
+ * every member at its grant has confirmed the drain or has left. Stateless; safe for use by several threads.
+ */
 public final class MaintenanceFold {
+    /** Waves that are over and still shown. */
+    static final int KEPT_WAVES = 20;
+
     private MaintenanceFold() {}
 
     /** Folds one command. */
     public static FoldResult apply(SharedState state, long offset, MaintenanceCommand command) {
+        if (command instanceof MaintenanceCommand.Start start) {
+            return start(state, offset, start);
+        }
+        if (command instanceof MaintenanceCommand.Change change) {
+            return change(state, offset, change);
+        }
         if (command instanceof MaintenanceCommand.Grant grant) {
             return grant(state, offset, grant);
         }
+        if (command instanceof MaintenanceCommand.ConfirmDrain confirmation) {
+            return confirm(state, offset, confirmation);
+        }
         return advance(state, offset, (MaintenanceCommand.Advance) command);
     }
 
+    private static FoldResult start(SharedState state, long offset, MaintenanceCommand.Start start) {
+        if (state.waves().containsKey(start.wave())) {
+            return FoldResult.rejected(state, ErrorKind.CONFLICT, "There is a wave '" + start.wave() + "' already");
+        }
+        TreePMap<HostName, WaveHost> hosts = TreePMap.empty();
+        for (HostState host : state.hosts().values()) {
+            if (start.selection()
+                    .selects(host, state.configuration().merged().hosts().get(host.name()))) {
+                hosts = hosts.plus(host.name(), WaveHost.waiting());
+            }
+        }
+        if (hosts.isEmpty()) {
+            return FoldResult.rejected(state, ErrorKind.UNKNOWN_RESOURCE, "The selection takes no host of the fleet");
+        }
+        WaveState wave = new WaveState(
+                start.wave(),
+                offset,
+                WavePhase.RUNNING,
+                start.action(),
+                start.reason(),
+                start.startedMilliseconds(),
+                start.periodMilliseconds(),
+                start.maximumFailures(),
+                hosts);
+        return FoldResult.accepted(dropOldWaves(state.withWave(wave)), offset);
+    }
+
+    private static FoldResult change(SharedState state, long offset, MaintenanceCommand.Change change) {
+        WaveState wave = state.waves().get(change.wave());
+        if (wave == null || wave.version() != change.waveVersion()) {
+            return FoldResult.rejected(state, ErrorKind.CONFLICT, "The wave has changed since the command was decided");
+        }
+        Optional<WavePhase> phase = change.change().apply(wave.phase());
+        if (phase.isEmpty()) {
+            return FoldResult.rejected(state, ErrorKind.CONFLICT, "The wave is over: " + wave.phase());
+        }
+        WaveState changed = dropMissingHosts(state, wave).withPhase(offset, phase.get());
+        if (phase.get() == WavePhase.ABORTED) {
+            changed = drop(changed, entry -> entry.getValue().progress() == WaveHostProgress.WAITING);
+        }
+        if (phase.get() == WavePhase.RUNNING) {
+            int failed = changed.count(WaveHostProgress.FAILED);
+            changed = changed.withMaximumFailures(Math.max(changed.maximumFailures(), failed + 1));
+        }
+        return FoldResult.accepted(state.withWave(finishIfDone(changed, offset)), offset);
+    }
+
     private static FoldResult grant(SharedState state, long offset, MaintenanceCommand.Grant grant) {
         HostState host = state.hosts().get(grant.host());
-        if (host == null || host.version() != grant.hostVersion() || !host.isAvailable()) {
+        WaveState wave = state.waves().get(grant.wave());
+        if (host == null || host.version() != grant.hostVersion() || wave == null) {
             return conflict(state);
         }
+        WaveHost waveHost = wave.hosts().get(grant.host());
+        if (!wave.phase().isGranting() || waveHost == null || waveHost.progress() != WaveHostProgress.WAITING) {
+            return FoldResult.rejected(state, ErrorKind.CONFLICT, "The wave does not grant this host now");
+        }
+        if (host.maintenance() != MaintenanceStep.NONE
+                || host.move().isPresent()
+                || host.health() == HostHealth.LEAVING) {
+            return FoldResult.rejected(state, ErrorKind.CONFLICT, "The host is moving, leaving or under maintenance");
+        }
         Optional<String> objection = BudgetLedger.objectionToRemoval(state, host);
         if (objection.isPresent()) {
             return FoldResult.rejected(state, ErrorKind.BUDGET_EXCEEDED, objection.get());
         }
+        TreePMap<ProcessIdentifier, Long> awaited = TreePMap.empty();
+        for (Member member : state.members().values()) {
+            awaited = awaited.plus(member.process(), member.version());
+        }
+        WaveHost granted = new WaveHost(WaveHostProgress.UNDER_WAY, offset, awaited);
         HostState draining = host.withMaintenance(offset, MaintenanceStep.DRAINING, Optional.of(grant.wave()));
-        return FoldResult.accepted(state.withHost(draining), offset);
+        return FoldResult.accepted(state.withHost(draining).withWave(wave.withHost(host.name(), granted)), offset);
+    }
+
+    private static FoldResult confirm(SharedState state, long offset, MaintenanceCommand.ConfirmDrain confirmation) {
+        SharedState changed = state;
+        for (MaintenanceCommand.Drain drain : confirmation.drains()) {
+            WaveState wave = changed.waves().get(drain.wave());
+            WaveHost host = wave == null ? null : wave.hosts().get(drain.host());
+            if (host != null && host.grantVersion() == drain.grantVersion()) {
+                changed = changed.withWave(wave.withHost(drain.host(), host.confirmedBy(confirmation.process())));
+            }
+        }
+        return FoldResult.accepted(changed, offset);
     }
 
     private static FoldResult advance(SharedState state, long offset, MaintenanceCommand.Advance advance) {
@@ -41,9 +143,116 @@
                 || host.wave().isEmpty()) {
             return conflict(state);
         }
-        boolean finished = advance.step() == MaintenanceStep.NONE;
-        HostState advanced = host.withMaintenance(offset, advance.step(), finished ? Optional.empty() : host.wave());
-        return FoldResult.accepted(state.withHost(advanced), offset);
+        Optional<WaveState> wave = host.wave().map(state.waves()::get);
+        Optional<String> objection = objectionToStep(state, host, wave, advance.step());
+        if (objection.isPresent()) {
+            return FoldResult.rejected(state, ErrorKind.CONFLICT, objection.get());
+        }
+        boolean over = advance.step() == MaintenanceStep.NONE;
+        HostState advanced = host.withMaintenance(offset, advance.step(), over ? Optional.empty() : host.wave());
+        SharedState changed = state.withHost(advanced);
+        if (wave.isEmpty()) {
+            return FoldResult.accepted(changed, offset);
+        }
+        WaveState noted = note(state, wave.get(), host, advance.step(), offset);
+        return FoldResult.accepted(changed.withWave(noted), offset);
+    }
+
+    private static Optional<String> objectionToStep(
+            SharedState state, HostState host, Optional<WaveState> wave, MaintenanceStep step) {
+        boolean aborted = wave.map(found -> found.phase() == WavePhase.ABORTED).orElse(true);
+        boolean allowed =
+                switch (host.maintenance()) {
+                    case NONE -> false;
+                    case DRAINING ->
+                        aborted
+                                ? step == MaintenanceStep.NONE
+                                : step == wave.get().action().stepAfterDrain();
+                    case HELD -> aborted && step == MaintenanceStep.VERIFYING;
+                    case REBOOTING -> step == MaintenanceStep.VERIFYING || step == MaintenanceStep.FAILED;
+                    case VERIFYING ->
+                        step == MaintenanceStep.FAILED
+                                || (step == MaintenanceStep.NONE
+                                        && host.health().isAvailable());
+                    case FAILED -> step == MaintenanceStep.VERIFYING;
+                };
+        if (!allowed) {
+            return Optional.of("The host cannot go from " + host.maintenance() + " to " + step);
+        }
+        if (host.maintenance() != MaintenanceStep.DRAINING || aborted) {
+            return Optional.empty();
+        }
+        List<ProcessIdentifier> missing = wave.get().hosts().get(host.name()).awaited().keySet().stream()
+                .filter(state.members()::containsKey)
+                .toList();
+        return missing.isEmpty() ? Optional.empty() : Optional.of("Members have not confirmed the drain: " + missing);
+    }
+
+    /** Notes a step in the wave, which stops when more hosts have failed than it tolerates. */
+    private static WaveState note(
+            SharedState state, WaveState wave, HostState host, MaintenanceStep step, long offset) {
+        WaveHost waveHost = wave.hosts().get(host.name());
+        WaveHostProgress progress =
+                switch (step) {
+                    case NONE ->
+                        host.maintenance() == MaintenanceStep.DRAINING
+                                ? WaveHostProgress.DROPPED
+                                : WaveHostProgress.DONE;
+                    case FAILED -> WaveHostProgress.FAILED;
+                    case DRAINING, HELD, REBOOTING, VERIFYING -> WaveHostProgress.UNDER_WAY;
+                };
+        WaveState noted = dropMissingHosts(state, wave.withHost(host.name(), waveHost.at(progress)));
+        boolean tooMany = noted.count(WaveHostProgress.FAILED) > noted.maximumFailures();
+        if (tooMany && noted.phase() == WavePhase.RUNNING) {
+            return noted.withPhase(offset, WavePhase.STOPPED);
+        }
+        return finishIfDone(noted, offset);
+    }
+
+    private static WaveState finishIfDone(WaveState wave, long offset) {
+        boolean done =
+                wave.hosts().values().stream().allMatch(host -> host.progress().isTerminal());
+        return done && !wave.phase().isTerminal() ? wave.withPhase(offset, WavePhase.FINISHED) : wave;
+    }
+
+    /** Drops hosts that have left the fleet, and those that were declared anew while the wave held them. */
+    private static WaveState dropMissingHosts(SharedState state, WaveState wave) {
+        return drop(wave, entry -> isGone(state, wave, entry.getKey(), entry.getValue()));
+    }
+
+    private static boolean isGone(SharedState state, WaveState wave, HostName name, WaveHost waveHost) {
+        HostState host = state.hosts().get(name);
+        if (waveHost.progress().isTerminal()) {
+            return false;
+        }
+        boolean released = waveHost.progress() == WaveHostProgress.UNDER_WAY
+                && host != null
+                && !host.wave().equals(Optional.of(wave.wave()));
+        return host == null || released;
+    }
+
+    private static WaveState drop(WaveState wave, Predicate<Map.Entry<HostName, WaveHost>> dropped) {
+        TreePMap<HostName, WaveHost> rest = wave.hosts();
+        for (Map.Entry<HostName, WaveHost> entry : wave.hosts().entrySet()) {
+            if (dropped.test(entry)) {
+                rest = rest.plus(entry.getKey(), entry.getValue().at(WaveHostProgress.DROPPED));
+            }
+        }
+        return wave.withHosts(rest);
+    }
+
+    /** Forgets the oldest waves that are over and that no host needs any more. */
+    private static SharedState dropOldWaves(SharedState state) {
+        List<WaveState> over = state.waves().values().stream()
+                .filter(wave -> wave.phase().isTerminal())
+                .filter(wave -> wave.count(WaveHostProgress.UNDER_WAY) == 0)
+                .sorted(Comparator.comparingLong(WaveState::version))
+                .toList();
+        SharedState rest = state;
+        for (WaveState wave : over.subList(0, Math.max(0, over.size() - KEPT_WAVES))) {
+            rest = rest.withWaves(rest.waves().minus(wave.wave()));
+        }
+        return rest;
     }
 
     private static FoldResult conflict(SharedState state) {
--- /dev/null
+++ b/src/main/java/org/cicadalead/logic/planning/CapacityPlanner.java
@@ -0,0 +1,264 @@
+package org.cicadalead.logic.planning;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.cicadalead.logic.capacity.CapacityIndex;
+import org.cicadalead.logic.capacity.PoolCapacity;
+import org.cicadalead.logic.capacity.WorstEvent;
+import org.cicadalead.model.command.FleetCommand;
+import org.cicadalead.model.configuration.HostDefinition;
+import org.cicadalead.model.event.EventDetail;
+import org.cicadalead.model.event.EventKind;
+import org.cicadalead.model.fleet.HostState;
+import org.cicadalead.model.fleet.MaintenanceStep;
+import org.cicadalead.model.fleet.WavePhase;
+import org.cicadalead.model.identity.HostName;
+import org.cicadalead.model.identity.PoolName;
+import org.cicadalead.model.identity.RackName;
+import org.cicadalead.model.identity.ZoneName;
+import org.cicadalead.model.state.SharedState;
+
+/**
+ * Decides moves of hosts between pools: first replacements for pools below their promise, the one most at risk first;
+ * then loans to pools whose demand outlasts a move; then the refill of the spare pool. A host that is lent is called
+ * back by a later replacement. One planner plans one round; for use by one thread.
+ */
+public final class CapacityPlanner {
+    private final PlanningInput input;
+    private final SharedState state;
+    private final Set<HostName> uncounted;
+    private final Map<PoolName, List<HostState>> movable = new HashMap<>();
+    private final List<Decision> decisions = new ArrayList<>();
+    private CapacityIndex index;
+    private int movesLeft;
+
+    private CapacityPlanner(PlanningInput input) {
+        this.input = input;
+        this.state = input.state();
+        this.uncounted = input.uncounted();
+        this.index = CapacityIndex.of(state, uncounted);
+    }
+
+    /** Plans one round. */
+    public static List<Decision> plan(PlanningInput input) {
+        CapacityPlanner planner = new CapacityPlanner(input);
+        planner.collectMovable();
+        planner.replace();
+        if (input.policy().lends(input.firstMeasure())) {
+            planner.lend();
+        }
+        if (input.policy().sharesBetweenPools()) {
+            planner.refillSpare();
+        }
+        return planner.decisions;
+    }
+
+    private void collectMovable() {
+        int moving = 0;
+        for (HostState host : state.hosts().values()) {
+            if (host.move().isPresent()) {
+                moving++;
+            } else if (host.isAvailable() && !uncounted.contains(host.name())) {
+                movable.computeIfAbsent(host.pool(), unused -> new ArrayList<>())
+                        .add(host);
+            }
+        }
+        movesLeft = Math.max(0, input.policy().maximumMoves() - moving);
+    }
+
+    private void replace() {
+        List<PoolCapacity> shortPools = new ArrayList<>();
+        for (PoolCapacity pool : index.pools()) {
+            if (missing(pool) > 0) {
+                shortPools.add(pool);
+            }
+        }
+        shortPools.sort(Comparator.comparingInt(PoolCapacity::slack)
+                .thenComparing(Comparator.comparingInt(this::missing).reversed())
+                .thenComparing(PoolCapacity::pool));
+        for (PoolCapacity pool : shortPools) {
+            replaceIn(pool.pool());
+        }
+    }
+
+    private void replaceIn(PoolName pool) {
+        while (missing(index.pool(pool)) > 0) {
+            Optional<HostState> host = movesLeft > 0 ? sourceFor(pool, true) : Optional.empty();
+            if (host.isEmpty()) {
+                reportShort(index.pool(pool));
+                return;
+            }
+            move(host.get(), pool, EventKind.REPLACEMENT_PLANNED);
+        }
+    }
+
+    /** A budget that a failure has cut into is reported; a buffer that is not full is not. */
+    private void reportShort(PoolCapacity pool) {
+        int coming = pool.available() + pool.incoming() + pool.returning();
+        if (coming < pool.promised()) {
+            decisions.add(Decision.wait(
+                    EventKind.PROMISE_SHORT,
+                    pool.pool(),
+                    EventDetail.of("promised", pool.promised()),
+                    EventDetail.of("available", pool.available()),
+                    EventDetail.of("slack", pool.slack()),
+                    EventDetail.of("offset", state.offset())));
+        }
+    }
+
+    private void lend() {
+        List<PoolName> busy = new ArrayList<>();
+        for (PoolCapacity pool : index.pools()) {
+            if (pool.promised() > 0 && wantedByDemand(pool) > 0) {
+                busy.add(pool.pool());
+            }
+        }
+        busy.sort(Comparator.naturalOrder());
+        for (PoolName pool : busy) {
+            while (wantedByDemand(index.pool(pool)) > 0 && movesLeft > 0) {
+                Optional<HostState> host = sourceFor(pool, false);
+                if (host.isEmpty()) {
+                    return;
+                }
+                move(host.get(), pool, EventKind.LOAN_PLANNED);
+            }
+        }
+    }
+
+    private void refillSpare() {
+        int reserve = input.policy().idleReserve(input.firstMeasure(), WorstEvent.hosts(state));
+        for (PoolCapacity spare : sparePools()) {
+            int have = spare.available() + spare.incoming() + spare.returning();
+            for (int missing = reserve - have; missing > 0 && movesLeft > 0; missing--) {
+                Optional<HostState> host = surplusFor(spare.pool());
+                if (host.isEmpty()) {
+                    return;
+                }
+                move(host.get(), spare.pool(), EventKind.RESERVE_REFILL_PLANNED);
+            }
+        }
+    }
+
+    /** Returns the host that serves a pool best: idle spare hosts first, then hosts beyond another pool's needs. */
+    private Optional<HostState> sourceFor(PoolName pool, boolean promised) {
+        List<HostState> idle = new ArrayList<>();
+        for (PoolCapacity spare : sparePools()) {
+            int kept = promised ? 0 : input.policy().idleReserve(input.firstMeasure(), WorstEvent.hosts(state));
+            if (spare.available() > kept) {
+                idle.addAll(movable.getOrDefault(spare.pool(), List.of()));
+            }
+        }
+        Optional<HostState> best = bestPlaced(idle, pool);
+        if (best.isPresent() || !input.policy().sharesBetweenPools()) {
+            return best;
+        }
+        return surplusFor(pool);
+    }
+
+    private Optional<HostState> surplusFor(PoolName pool) {
+        List<HostState> beyond = new ArrayList<>();
+        for (PoolCapacity other : index.pools()) {
+            boolean isOther = !other.pool().equals(pool) && !isSpare(other.pool());
+            if (isOther && surplus(other) > 0) {
+                movable.getOrDefault(other.pool(), List.of()).stream()
+                        .filter(host -> index.objectionToRemoval(host).isEmpty())
+                        .forEach(beyond::add);
+            }
+        }
+        return bestPlaced(beyond, pool);
+    }
+
+    /** A host on the rack, then in the zone, that the pool has fewest hosts on keeps one rack's loss small. */
+    private Optional<HostState> bestPlaced(List<HostState> candidates, PoolName pool) {
+        PoolCapacity target = index.pool(pool);
+        Map<ZoneName, Integer> zones = new HashMap<>();
+        for (HostState member : movable.getOrDefault(pool, List.of())) {
+            definition(member).ifPresent(found -> zones.merge(found.zone(), 1, Integer::sum));
+        }
+        return candidates.stream()
+                .filter(host -> definition(host).isPresent())
+                .min(Comparator.<HostState>comparingInt(
+                                host -> target.availableByRack().getOrDefault(rack(host), 0))
+                        .thenComparingInt(host -> zones.getOrDefault(
+                                definition(host).orElseThrow().zone(), 0))
+                        .thenComparing(Comparator.comparingInt(this::crowding).reversed())
+                        .thenComparing(HostState::name));
+    }
+
+    private int crowding(HostState host) {
+        return index.pool(host.pool()).availableByRack().getOrDefault(rack(host), 0);
+    }
+
+    private void move(HostState host, PoolName destination, EventKind kind) {
+        PoolCapacity target = index.pool(destination);
+        decisions.add(Decision.append(
+                new FleetCommand.Withdraw(host.name(), host.version(), destination),
+                kind,
+                host.name(),
+                EventDetail.of("from", host.pool()),
+                EventDetail.of("to", destination),
+                EventDetail.of("promised", target.promised()),
+                EventDetail.of("available", target.available()),
+                EventDetail.of("slack", target.slack()),
+                EventDetail.of("offset", state.offset())));
+        index = index.moving(host, destination);
+        movable.get(host.pool()).remove(host);
+        movesLeft--;
+    }
+
+    private int missing(PoolCapacity pool) {
+        return input.policy().wantedHosts(pool) - effective(pool);
+    }
+
+    private int effective(PoolCapacity pool) {
+        boolean replaced = input.policy().replacesMaintained(input.firstMeasure()) && hasUrgentWave();
+        return pool.available() + pool.incoming() + (replaced ? 0 : pool.returning());
+    }
+
+    private boolean hasUrgentWave() {
+        return state.waves().values().stream()
+                .anyMatch(wave -> wave.phase() == WavePhase.RUNNING && wave.periodMilliseconds() == 0);
+    }
+
+    private int wantedByDemand(PoolCapacity pool) {
+        return input.sustainedDemand().getOrDefault(pool.pool(), 0) - pool.available() - pool.incoming();
+    }
+
+    private int surplus(PoolCapacity pool) {
+        int needed = Math.max(
+                input.policy().wantedHosts(pool), input.sustainedDemand().getOrDefault(pool.pool(), 0));
+        return pool.available() - needed;
+    }
+
+    private List<PoolCapacity> sparePools() {
+        List<PoolCapacity> spare = new ArrayList<>();
+        for (PoolCapacity pool : index.pools()) {
+            if (isSpare(pool.pool())) {
+                spare.add(pool);
+            }
+        }
+        return spare;
+    }
+
+    private boolean isSpare(PoolName pool) {
+        return state.configuration().merged().pools().get(pool).spare();
+    }
+
+    private RackName rack(HostState host) {
+        return definition(host).orElseThrow().rack();
+    }
+
+    private Optional<HostDefinition> definition(HostState host) {
+        return Optional.ofNullable(state.configuration().merged().hosts().get(host.name()));
+    }
+
+    /** Tells whether a host is at no step of maintenance. */
+    static boolean isUntouched(HostState host) {
+        return host.maintenance() == MaintenanceStep.NONE && host.move().isEmpty();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/cicadalead/logic/planning/Decision.java
@@ -0,0 +1,32 @@
+package org.cicadalead.logic.planning;
+
+import java.util.List;
+import java.util.Optional;
+import org.cicadalead.model.command.Command;
+import org.cicadalead.model.event.EventDetail;
+import org.cicadalead.model.event.EventKind;
+
+/**
+ * What a planner wants done and why. Immutable.
+ *
+ * @param command the command to append; absent when the decision is to wait
+ * @param kind the event that reports it
+ * @param cause the wave or host that it belongs to
+ * @param details the reason: budget, failure, offset
+ */
+public record Decision(Optional<Command> command, EventKind kind, Optional<String> cause, List<EventDetail> details) {
+    /** Copies the list. */
+    public Decision {
+        details = List.copyOf(details);
+    }
+
+    /** Returns a decision to append a command. */
+    public static Decision append(Command command, EventKind kind, Object cause, EventDetail... details) {
+        return new Decision(Optional.of(command), kind, Optional.of(cause.toString()), List.of(details));
+    }
+
+    /** Returns a decision to wait, for a reason. */
+    public static Decision wait(EventKind kind, Object cause, EventDetail... details) {
+        return new Decision(Optional.empty(), kind, Optional.of(cause.toString()), List.of(details));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/cicadalead/logic/planning/StepAges.java
@@ -0,0 +1,66 @@
+package org.cicadalead.logic.planning;
+
+import java.util.HashSet;
+import java.util.Set;
+import org.cicadalead.model.fleet.HostState;
+import org.cicadalead.model.fleet.MaintenanceStep;
+import org.cicadalead.model.identity.HostName;
+import org.cicadalead.model.state.SharedState;
+import org.pcollections.HashTreePMap;
+import org.pcollections.PMap;
+
+/**
+ * How long a process has seen each host at its present step of a move or of maintenance, by its own clock. The fold has
+ * no clock, so that each process measures patience by itself. Immutable.
+ */
+public final class StepAges {
+    private final PMap<HostName, Seen> seen;
+    private final long nowMilliseconds;
+
+    private StepAges(PMap<HostName, Seen> seen, long nowMilliseconds) {
+        this.seen = seen;
+        this.nowMilliseconds = nowMilliseconds;
+    }
+
+    /** Returns ages before anything was seen. */
+    public static StepAges initial() {
+        return new StepAges(HashTreePMap.empty(), 0);
+    }
+
+    /** Returns the ages after looking at a state. */
+    public StepAges at(SharedState state, long newNowMilliseconds) {
+        PMap<HostName, Seen> next = HashTreePMap.empty();
+        for (HostState host : state.hosts().values()) {
+            if (host.maintenance() == MaintenanceStep.NONE && host.move().isEmpty()) {
+                continue;
+            }
+            Step step = new Step(
+                    host.maintenance(), host.move().map(move -> move.version()).orElse(0L));
+            Seen earlier = seen.get(host.name());
+            boolean same = earlier != null && earlier.step.equals(step);
+            next = next.plus(host.name(), same ? earlier : new Seen(step, newNowMilliseconds));
+        }
+        return new StepAges(next, newNowMilliseconds);
+    }
+
+    /** Returns for how many milliseconds a host has been at its step; 0 for a host at none. */
+    public long ageMilliseconds(HostName host) {
+        Seen found = seen.get(host);
+        return found == null ? 0 : nowMilliseconds - found.sinceMilliseconds;
+    }
+
+    /** Returns the hosts whose move has taken longer than a time. */
+    public Set<HostName> movesOlderThan(long milliseconds) {
+        Set<HostName> old = new HashSet<>();
+        seen.forEach((host, found) -> {
+            if (found.step.moveVersion > 0 && ageMilliseconds(host) > milliseconds) {
+                old.add(host);
+            }
+        });
+        return old;
+    }
+
+    private record Step(MaintenanceStep maintenance, long moveVersion) {}
+
+    private record Seen(Step step, long sinceMilliseconds) {}
+}
--- a/src/main/java/org/cicadalead/model/event/EventKind.java
+++ b/src/main/java/org/cicadalead/model/event/EventKind.java
@@ -33,10 +33,39 @@
     PLATFORM_LOG_RETURNED(3005, EventSeverity.INFORMATION, "The platform log can be reached again"),
     /** The observed health of a host changed. */
     HOST_OBSERVED(5001, EventSeverity.INFORMATION, "The observed health of a host changed"),
+    /** The platform announced that a host leaves. */
+    HOST_LEAVING(5002, EventSeverity.INFORMATION, "The platform announced that a host leaves"),
+    /** A host fails locally and the log does not say so yet. */
+    HOST_SUSPECTED(5003, EventSeverity.INFORMATION, "A host fails locally and the log does not say so yet"),
     /** A host was withdrawn from its pool. */
     MOVE_STARTED(5101, EventSeverity.INFORMATION, "A host was withdrawn from its pool"),
     /** A host was assigned to its new pool. */
-    MOVE_FINISHED(5102, EventSeverity.INFORMATION, "A host was assigned to its new pool");
+    MOVE_FINISHED(5102, EventSeverity.INFORMATION, "A host was assigned to its new pool"),
+    /** A maintenance wave started. */
+    WAVE_STARTED(5201, EventSeverity.INFORMATION, "A maintenance wave started"),
+    /** The phase of a maintenance wave changed. */
+    WAVE_CHANGED(5202, EventSeverity.INFORMATION, "The phase of a maintenance wave changed"),
+    /** A host was granted to a maintenance wave. */
+    MAINTENANCE_GRANTED(5203, EventSeverity.INFORMATION, "A host was granted to a maintenance wave"),
+    /** This process has nothing in flight on granted hosts. */
+    DRAIN_CONFIRMED(5204, EventSeverity.INFORMATION, "This process has nothing in flight on granted hosts"),
+    /** A host under maintenance reached a step. */
+    MAINTENANCE_STEP(5205, EventSeverity.INFORMATION, "A host under maintenance reached a step"),
+    /** A host did not come back from maintenance. */
+    MAINTENANCE_FAILED(5206, EventSeverity.WARNING, "A host did not come back from maintenance"),
+    /** The next host of a maintenance wave has to wait. */
+    MAINTENANCE_WITHHELD(5207, EventSeverity.INFORMATION, "The next host of a maintenance wave has to wait"),
+    /** A host is to replace one that a pool is missing. */
+    REPLACEMENT_PLANNED(7001, EventSeverity.INFORMATION, "A host is to replace one that a pool is missing"),
+    /** A host is lent to a pool whose demand outlasts a move. */
+    LOAN_PLANNED(7002, EventSeverity.INFORMATION, "A host is lent to a pool whose demand outlasts a move"),
+    /** A host is to return to the spare pool. */
+    RESERVE_REFILL_PLANNED(7003, EventSeverity.INFORMATION, "A host is to return to the spare pool"),
+    /** A pool has fewer hosts than its services were promised and no host is left to send. */
+    PROMISE_SHORT(
+            7004,
+            EventSeverity.WARNING,
+            "A pool has fewer hosts than its services were promised and no host is left to send");
 
     private final int number;
     private final EventSeverity severity;
