--- a/src/main/java/org/cicadalead/adapters/codec/DomainMappers.java
+++ b/src/main/java/org/cicadalead/adapters/codec/DomainMappers.java
@@ -39,6 +39,7 @@
         mapper.enable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES);
         mapper.enable(DeserializationFeature.FAIL_ON_MISSING_CREATOR_PROPERTIES);
         mapper.enable(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES);
+        mapper.enable(DeserializationFeature.FAIL_ON_NULL_CREATOR_PROPERTIES);
         mapper.disable(DeserializationFeature.ACCEPT_FLOAT_AS_INT);
         mapper.disable(MapperFeature.AUTO_DETECT_IS_GETTERS);
         mapper.addMixIn(Command.class, TypedByName.class);
--- a/src/main/java/org/cicadalead/adapters/codec/DomainModule.java
+++ b/src/main/java/org/cicadalead/adapters/codec/DomainModule.java
@@ -44,6 +44,12 @@
         register(ZoneName.class, ZoneName::new);
     }
 
+    @Override
+    public void setupModule(SetupContext context) {
+        super.setupModule(context);
+        context.addDeserializers(new SortedPersistentMaps());
+    }
+
     private <T> void register(Class<T> type, Function<String, T> constructor) {
         addDeserializer(type, new TextDeserializer<>(type, constructor));
         addKeyDeserializer(type, new TextKeyDeserializer<>(constructor));
--- a/src/main/java/org/cicadalead/adapters/replica/CommandAppender.java
+++ b/src/main/java/org/cicadalead/adapters/replica/CommandAppender.java
@@ -31,6 +31,7 @@
     private final PlatformLog log;
     private final CommandCodec codec;
     private final ProcessIdentifier process;
+    private final SharedStateReplica replica;
     private final Map<CommandIdentifier, CompletableFuture<CommandOutcome>> pending = new ConcurrentHashMap<>();
     private final ExecutorService threads = HttpServers.daemonThreads("command-appender");
 
@@ -39,6 +40,7 @@
         this.log = log;
         this.codec = codec;
         this.process = process;
+        this.replica = replica;
         replica.addListener(this::onFolded);
     }
 
@@ -51,8 +53,12 @@
         CompletableFuture<CommandOutcome> outcome = new CompletableFuture<>();
         pending.put(identifier, outcome);
         outcome.whenComplete((value, failure) -> pending.remove(identifier));
-        byte[] payload =
-                codec.encode(new CommandEnvelope(CommandEnvelope.CURRENT_FORMAT, identifier, process, command));
+        byte[] payload = codec.encode(new CommandEnvelope(
+                CommandEnvelope.CURRENT_FORMAT,
+                identifier,
+                process,
+                replica.state().offset(),
+                command));
         threads.execute(() -> append(payload, outcome));
         return outcome;
     }
--- a/src/main/java/org/cicadalead/logic/state/ConfigurationFold.java
+++ b/src/main/java/org/cicadalead/logic/state/ConfigurationFold.java
@@ -1,8 +1,11 @@
 package org.cicadalead.logic.state;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
 import org.cicadalead.logic.configuration.ConfigurationMerger;
 import org.cicadalead.logic.configuration.ConfigurationMerger.MergeResult;
 import org.cicadalead.model.command.ConfigurationCommand;
@@ -23,6 +26,8 @@
  * merged folder is valid. Stateless; safe for use by several threads.
  */
 final class ConfigurationFold {
+    private static final int MAXIMUM_NAMED_PROBLEMS = 50;
+
     private ConfigurationFold() {}
 
     static FoldResult apply(SharedState state, long offset, ConfigurationCommand command) {
@@ -30,35 +35,73 @@
     }
 
     private static FoldResult publish(SharedState state, long offset, ConfigurationCommand.Publish publication) {
-        TreePMap<String, VersionedUnit> units = state.configuration().units();
+        TreePMap<String, VersionedUnit> current = state.configuration().units();
+        Optional<String> malformed = malformation(publication);
+        if (malformed.isPresent()) {
+            return FoldResult.rejected(state, ErrorKind.MALFORMED_REQUEST, malformed.get());
+        }
+        List<String> conflicts = conflicts(current, publication.changes());
+        if (!conflicts.isEmpty()) {
+            return FoldResult.rejected(
+                    state,
+                    ErrorKind.CONFLICT,
+                    String.join("; ", conflicts) + "; read the current folder and publish again");
+        }
+        TreePMap<String, VersionedUnit> units = current;
         for (UnitChange change : publication.changes()) {
-            Optional<String> conflict = findConflict(units, change);
-            if (conflict.isPresent()) {
-                return FoldResult.rejected(state, ErrorKind.CONFLICT, conflict.get());
-            }
             units = replaceUnit(units, offset, change);
         }
+        return acceptIfValid(state, offset, units);
+    }
+
+    private static FoldResult acceptIfValid(SharedState state, long offset, TreePMap<String, VersionedUnit> units) {
         MergeResult merged = ConfigurationMerger.merge(contents(units));
-        if (!merged.isValid()) {
-            return FoldResult.rejected(
-                    state,
-                    ErrorKind.INVALID_CONFIGURATION,
-                    merged.problems().get(0).toString());
+        List<String> problems = new ArrayList<>();
+        merged.problems().forEach(problem -> problems.add(problem.toString()));
+        problems.addAll(PoolRemovalChecker.problems(state, merged.configuration()));
+        if (!problems.isEmpty()) {
+            return FoldResult.rejected(state, ErrorKind.INVALID_CONFIGURATION, describe(problems));
         }
         ConfigurationState configuration = new ConfigurationState(offset, units, merged.configuration());
         SharedState changed = state.withConfiguration(configuration);
         return FoldResult.accepted(declareHosts(changed, offset, merged.configuration()), offset);
     }
 
-    private static Optional<String> findConflict(TreePMap<String, VersionedUnit> units, UnitChange change) {
-        VersionedUnit current = units.get(change.fileName());
-        long currentVersion = current == null ? 0 : current.version();
-        if (currentVersion == change.replacedVersion()) {
-            return Optional.empty();
+    private static String describe(List<String> problems) {
+        String named = problems.stream().limit(MAXIMUM_NAMED_PROBLEMS).collect(Collectors.joining("\n"));
+        int others = problems.size() - MAXIMUM_NAMED_PROBLEMS;
+        return others > 0 ? named + "\nand " + others + " more" : named;
+    }
+
+    private static Optional<String> malformation(ConfigurationCommand.Publish publication) {
+        if (publication.changes().isEmpty()) {
+            return Optional.of("The publication changes no file");
+        }
+        Set<String> names = new HashSet<>();
+        for (UnitChange change : publication.changes()) {
+            if (!names.add(change.fileName())) {
+                return Optional.of("The file '" + change.fileName() + "' is changed twice");
+            }
+            if (change.unit()
+                    .filter(unit -> !unit.fileName().equals(change.fileName()))
+                    .isPresent()) {
+                return Optional.of("The content of '" + change.fileName() + "' is that of another file");
+            }
+        }
+        return Optional.empty();
+    }
+
+    private static List<String> conflicts(TreePMap<String, VersionedUnit> units, List<UnitChange> changes) {
+        List<String> conflicts = new ArrayList<>();
+        for (UnitChange change : changes) {
+            VersionedUnit current = units.get(change.fileName());
+            long currentVersion = current == null ? 0 : current.version();
+            if (currentVersion != change.replacedVersion()) {
+                conflicts.add("the file '" + change.fileName() + "' has version " + currentVersion
+                        + " and not the version " + change.replacedVersion() + " that this publication replaces");
+            }
         }
-        return Optional.of("The file '" + change.fileName() + "' has version " + currentVersion
-                + " and not the version " + change.replacedVersion()
-                + " that this publication replaces; read the current one and publish again");
+        return conflicts;
     }
 
     private static TreePMap<String, VersionedUnit> replaceUnit(
--- a/src/main/java/org/cicadalead/model/state/SharedState.java
+++ b/src/main/java/org/cicadalead/model/state/SharedState.java
@@ -1,7 +1,6 @@
 package org.cicadalead.model.state;
 
 import org.cicadalead.model.fleet.HostState;
-import org.cicadalead.model.identity.CommandIdentifier;
 import org.cicadalead.model.identity.HostName;
 import org.cicadalead.model.identity.JobIdentifier;
 import org.cicadalead.model.identity.ProcessIdentifier;
@@ -17,6 +16,7 @@
  * @param hosts hosts by name
  * @param jobs long jobs by identifier
  * @param commands recently folded commands with their offsets, to drop duplicates
+ * @param checkpoint checkpoints of this state in the log
  */
 public record SharedState(
         long offset,
@@ -24,31 +24,38 @@
         TreePMap<ProcessIdentifier, Member> members,
         TreePMap<HostName, HostState> hosts,
         TreePMap<JobIdentifier, JobState> jobs,
-        TreePMap<CommandIdentifier, Long> commands) {
+        CommandWindow commands,
+        CheckpointState checkpoint) {
     /** Returns the state before the first record. */
     public static SharedState empty() {
         return new SharedState(
-                0, ConfigurationState.empty(), TreePMap.empty(), TreePMap.empty(), TreePMap.empty(), TreePMap.empty());
+                0,
+                ConfigurationState.empty(),
+                TreePMap.empty(),
+                TreePMap.empty(),
+                TreePMap.empty(),
+                CommandWindow.empty(),
+                CheckpointState.empty());
     }
 
     /** Returns this state at another offset. */
     public SharedState withOffset(long newOffset) {
-        return new SharedState(newOffset, configuration, members, hosts, jobs, commands);
+        return new SharedState(newOffset, configuration, members, hosts, jobs, commands, checkpoint);
     }
 
     /** Returns this state with another configuration. */
     public SharedState withConfiguration(ConfigurationState newConfiguration) {
-        return new SharedState(offset, newConfiguration, members, hosts, jobs, commands);
+        return new SharedState(offset, newConfiguration, members, hosts, jobs, commands, checkpoint);
     }
 
     /** Returns this state with other members. */
     public SharedState withMembers(TreePMap<ProcessIdentifier, Member> newMembers) {
-        return new SharedState(offset, configuration, newMembers, hosts, jobs, commands);
+        return new SharedState(offset, configuration, newMembers, hosts, jobs, commands, checkpoint);
     }
 
     /** Returns this state with other hosts. */
     public SharedState withHosts(TreePMap<HostName, HostState> newHosts) {
-        return new SharedState(offset, configuration, members, newHosts, jobs, commands);
+        return new SharedState(offset, configuration, members, newHosts, jobs, commands, checkpoint);
     }
 
     /** Returns this state with one host changed. */
@@ -58,11 +65,16 @@
 
     /** Returns this state with other jobs. */
     public SharedState withJobs(TreePMap<JobIdentifier, JobState> newJobs) {
-        return new SharedState(offset, configuration, members, hosts, newJobs, commands);
+        return new SharedState(offset, configuration, members, hosts, newJobs, commands, checkpoint);
     }
 
     /** Returns this state with other remembered commands. */
-    public SharedState withCommands(TreePMap<CommandIdentifier, Long> newCommands) {
-        return new SharedState(offset, configuration, members, hosts, jobs, newCommands);
+    public SharedState withCommands(CommandWindow newCommands) {
+        return new SharedState(offset, configuration, members, hosts, jobs, newCommands, checkpoint);
+    }
+
+    /** Returns this state with other checkpoints. */
+    public SharedState withCheckpoint(CheckpointState newCheckpoint) {
+        return new SharedState(offset, configuration, members, hosts, jobs, commands, newCheckpoint);
     }
 }
--- /dev/null
+++ b/src/test/java/org/cicadalead/adapters/codec/SnapshotCodecTest.java
@@ -0,0 +1,57 @@
+package org.cicadalead.adapters.codec;
+
+import static org.cicadalead.support.Commands.envelope;
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.Arrays;
+import java.util.List;
+import java.util.Optional;
+import org.cicadalead.adapters.quickstart.ExampleDeployment;
+import org.cicadalead.logic.state.SharedStateFold;
+import org.cicadalead.model.command.CheckpointCommand;
+import org.cicadalead.model.command.ConfigurationCommand.Publish;
+import org.cicadalead.model.command.ConfigurationCommand.UnitChange;
+import org.cicadalead.model.state.SharedState;
+import org.junit.jupiter.api.Test;
+
+class SnapshotCodecTest {
+    private final SnapshotCodec codec = new SnapshotCodec();
+
+    @Test
+    void decodesTheStateThatItEncoded() {
+        SharedState state = exampleState();
+        assertEquals(Optional.of(state), codec.decode(codec.encode(state)));
+    }
+
+    @Test
+    void encodesEqualStatesEqually() {
+        assertArrayEquals(codec.encode(exampleState()), codec.encode(exampleState()));
+    }
+
+    @Test
+    void givesAnotherDigestToAnotherState() {
+        SharedState state = exampleState();
+        assertNotEquals(
+                SnapshotCodec.digest(codec.encode(state)),
+                SnapshotCodec.digest(codec.encode(state.withOffset(state.offset() + 1))));
+    }
+
+    @Test
+    void refusesADamagedSnapshot() {
+        byte[] encoded = codec.encode(exampleState());
+        assertTrue(codec.decode(Arrays.copyOf(encoded, encoded.length - 1)).isEmpty());
+    }
+
+    private static SharedState exampleState() {
+        List<UnitChange> changes = ExampleDeployment.load("blue-mountain").units().stream()
+                .map(unit -> new UnitChange(unit.fileName(), 0, Optional.of(unit)))
+                .toList();
+        SharedState state = SharedStateFold.apply(SharedState.empty(), 1, envelope("a", 0, new Publish(changes)))
+                .state();
+        return SharedStateFold.apply(state, 2, envelope("b", 1, new CheckpointCommand.Begin(0, 5)))
+                .state();
+    }
+}
