--- a/src/main/java/org/cicadalead/cli/Subcommands.java
+++ b/src/main/java/org/cicadalead/cli/Subcommands.java
@@ -14,11 +14,17 @@
             ShowCommand.POOLS,
             ShowCommand.HOSTS,
             new TimelineCommand(),
+            new ReferenceCommand(),
             new PlatformStandInCommand(),
             new UpstreamStandInCommand());
 
     private Subcommands() {}
 
+    /** Returns every command. */
+    static List<Subcommand> all() {
+        return ALL;
+    }
+
     /** Finds the command whose name the arguments start with. */
     static Optional<Subcommand> find(List<String> arguments) {
         String joined = String.join(" ", arguments) + " ";
--- a/src/main/java/org/cicadalead/model/event/EventKind.java
+++ b/src/main/java/org/cicadalead/model/event/EventKind.java
@@ -29,8 +29,8 @@
     RECORD_UNREADABLE(3003, EventSeverity.WARNING, "A record of the log could not be decoded and was skipped"),
     /** The platform log cannot be reached. */
     PLATFORM_LOG_UNAVAILABLE(3004, EventSeverity.WARNING, "The platform log cannot be reached"),
-    /** The platform log can be reached again. */
-    PLATFORM_LOG_RETURNED(3005, EventSeverity.INFORMATION, "The platform log can be reached again"),
+    /** The platform log can be reached. */
+    PLATFORM_LOG_RETURNED(3005, EventSeverity.INFORMATION, "The platform log can be reached"),
     /** A connection to another entry process was established. */
     PEER_CONNECTED(4001, EventSeverity.DETAIL, "A connection to another entry process was established"),
     /** A connection to another entry process was closed. */
