Keep the shared state new: append budget, checkpoints, jumps, relay, readiness

A due checkpoint is begun by whichever process gets there first and compared by all. A reader whose records have expired jumps to the newest complete checkpoint and never folds over a gap. A process is ready only once it has reached what the log's end or a peer showed first.

--- a/src/main/java/org/cicadalead/adapters/entry/EntryProcess.java
+++ b/src/main/java/org/cicadalead/adapters/entry/EntryProcess.java
@@ -10,14 +10,12 @@
 import java.util.UUID;
 import org.cicadalead.adapters.administration.AdministrationServer;
 import org.cicadalead.adapters.administration.StateRoutes;
-import org.cicadalead.adapters.codec.MessagePackCommandCodec;
 import org.cicadalead.adapters.event.TimelineRecorder;
 import org.cicadalead.adapters.event.TimelineRoutes;
 import org.cicadalead.adapters.http.JsonExchange;
 import org.cicadalead.adapters.platform.HttpPlatform;
-import org.cicadalead.adapters.replica.CommandAppender;
-import org.cicadalead.adapters.replica.LogFollower;
 import org.cicadalead.adapters.replica.SharedStateReplica;
+import org.cicadalead.adapters.replica.SharedStateService;
 import org.cicadalead.adapters.request.CallerServer;
 import org.cicadalead.adapters.time.SystemTimerService;
 import org.cicadalead.model.configuration.NetworkAddress;
@@ -42,8 +40,7 @@
     private final SharedStateReplica replica = new SharedStateReplica();
     private final TimelineRecorder timeline;
     private final SystemTimerService timers;
-    private final LogFollower follower;
-    private final CommandAppender appender;
+    private final SharedStateService sharedState;
     private final CallerServer callers;
     private final AdministrationServer administration;
     private final PrometheusMeterRegistry metrics = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
@@ -57,13 +54,11 @@
         timers = new SystemTimerService(failure ->
                 timeline.emit(EventKind.INTERNAL_FAILURE, Optional.empty(), EventDetail.of("failure", failure)));
         HttpPlatform platform = new HttpPlatform(settings.platformAddress());
-        MessagePackCommandCodec codec = new MessagePackCommandCodec();
-        appender = new CommandAppender(platform, codec, identifier, replica);
-        follower = new LogFollower(platform, codec, replica, timeline);
+        sharedState = new SharedStateService(platform, identifier, replica, timers, timeline);
         callers = new CallerServer(settings, replica::state, timeline);
         administration = new AdministrationServer(settings);
         addRoutes();
-        follower.start();
+        sharedState.start();
         administration.start();
         timeline.emit(EventKind.PROCESS_STARTED, Optional.empty(), EventDetail.of("zone", settings.zone()));
     }
@@ -90,7 +85,7 @@
 
     /** Tells whether it takes requests. */
     public boolean isReady() {
-        return !stopping && replica.state().configuration().version() > 0;
+        return !stopping && sharedState.isReady();
     }
 
     /**
@@ -114,8 +109,7 @@
     @Override
     public void close() {
         callers.close();
-        follower.close();
-        appender.close();
+        sharedState.close();
         administration.close();
         timers.close();
     }
@@ -123,7 +117,7 @@
     private void addRoutes() {
         Gauge.builder("cicadalead.state.offset", () -> replica.state().offset()).register(metrics);
         Gauge.builder("cicadalead.requests.in.flight", callers::inFlight).register(metrics);
-        new StateRoutes(replica::state, appender).addTo(administration);
+        new StateRoutes(replica::state, sharedState.appender()).addTo(administration);
         administration.route("GET", "/healthz", exchange -> JsonExchange.answerText(exchange, OK, "ok\n"));
         administration.route("GET", "/readyz", this::answerReady);
         administration.route("GET", "/metrics", exchange -> JsonExchange.answerText(exchange, OK, metrics.scrape()));
@@ -142,7 +136,7 @@
                 identifier,
                 settings.zone().value(),
                 isReady(),
-                follower.isReachable(),
+                sharedState.follower().isReachable(),
                 state.offset(),
                 state.configuration().version(),
                 state.members().size(),
--- /dev/null
+++ b/src/main/java/org/cicadalead/adapters/replica/CheckpointWriter.java
@@ -0,0 +1,130 @@
+package org.cicadalead.adapters.replica;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.Executor;
+import java.util.function.LongSupplier;
+import org.cicadalead.adapters.codec.SnapshotCodec;
+import org.cicadalead.logic.checkpoint.CheckpointSchedule;
+import org.cicadalead.model.command.CheckpointCommand;
+import org.cicadalead.model.command.CommandEnvelope;
+import org.cicadalead.model.command.CommandOutcome;
+import org.cicadalead.model.event.EventDetail;
+import org.cicadalead.model.event.EventKind;
+import org.cicadalead.model.state.CheckpointState.CompleteCheckpoint;
+import org.cicadalead.model.state.SharedState;
+import org.cicadalead.ports.EventSink;
+import org.cicadalead.ports.TimerService;
+
+/**
+ * Writes a checkpoint when one is due and nobody else has begun it, and compares every complete checkpoint with this
+ * process's own state at its basis. Safe for use by several threads.
+ */
+public final class CheckpointWriter implements SharedStateReplica.FoldListener {
+    /** Time between two looks at whether a checkpoint is due. */
+    public static final Duration PERIOD = Duration.ofSeconds(2);
+
+    /** Largest part in bytes; a record holds it with room for what stands around it. */
+    static final int MAXIMUM_PART_BYTES = 256 << 10;
+
+    private static final int MAXIMUM_LOOKS_TO_WAIT = 5;
+
+    private final SnapshotCodec snapshots = new SnapshotCodec();
+    private final SharedStateReplica replica;
+    private final CommandAppender appender;
+    private final TimerService timers;
+    private final LongSupplier oldestOffset;
+    private final EventSink events;
+    private final Executor threads;
+    private final int looksToWait;
+    private int looksDue;
+    private volatile Optional<SharedState> basis = Optional.empty();
+
+    /** Creates a writer; {@link #look} is to be called once a {@link #PERIOD} while the log can be read. */
+    public CheckpointWriter(
+            SharedStateReplica replica,
+            CommandAppender appender,
+            TimerService timers,
+            LongSupplier oldestOffset,
+            EventSink events,
+            Executor threads,
+            double chance) {
+        this.replica = replica;
+        this.appender = appender;
+        this.timers = timers;
+        this.oldestOffset = oldestOffset;
+        this.events = events;
+        this.threads = threads;
+        this.looksToWait = (int) (chance * MAXIMUM_LOOKS_TO_WAIT);
+        replica.addListener(this);
+    }
+
+    /** Begins a checkpoint once one has been due for as many looks as this process waits before the others. */
+    public synchronized void look() {
+        SharedState state = replica.state();
+        if (!CheckpointSchedule.isDue(state, oldestOffset.getAsLong(), timers.wallClockMilliseconds())) {
+            looksDue = 0;
+            return;
+        }
+        if (looksDue++ < looksToWait) {
+            return;
+        }
+        looksDue = 0;
+        appender.submit(new CheckpointCommand.Begin(state.checkpoint().version(), timers.wallClockMilliseconds()))
+                .thenAcceptAsync(this::appendParts, threads);
+    }
+
+    @Override
+    public void onFolded(
+            SharedState before, SharedState after, Optional<CommandEnvelope> envelope, CommandOutcome outcome) {
+        if (after.checkpoint().equals(before.checkpoint())) {
+            return;
+        }
+        if (after.checkpoint().version() == after.offset()) {
+            basis = Optional.of(after);
+        }
+        Optional<CompleteCheckpoint> newest = after.checkpoint().newest();
+        if (newest.isPresent() && !newest.equals(before.checkpoint().newest())) {
+            threads.execute(() -> compare(newest.get()));
+        }
+    }
+
+    private void appendParts(CommandOutcome begun) {
+        if (begun instanceof CommandOutcome.Accepted accepted) {
+            basis.filter(state -> state.offset() == accepted.offset()).ifPresent(this::appendParts);
+        }
+    }
+
+    private void appendParts(SharedState state) {
+        byte[] whole = snapshots.encode(state);
+        appendPart(state.offset(), SnapshotCodec.digest(whole), SnapshotParts.split(whole, MAXIMUM_PART_BYTES), 0);
+    }
+
+    /** Appends the parts one after the other; a rejected one ends the attempt, as another checkpoint took over. */
+    private void appendPart(long offset, String digest, List<byte[]> parts, int index) {
+        if (index == parts.size()) {
+            return;
+        }
+        appender.submit(new CheckpointCommand.Part(offset, index, parts.size(), digest, parts.get(index)))
+                .thenAccept(outcome -> {
+                    if (outcome instanceof CommandOutcome.Accepted) {
+                        appendPart(offset, digest, parts, index + 1);
+                    }
+                });
+    }
+
+    private void compare(CompleteCheckpoint complete) {
+        Optional<SharedState> own = basis.filter(state -> state.offset() == complete.basis());
+        if (own.isEmpty()) {
+            return;
+        }
+        basis = Optional.empty();
+        boolean equal = SnapshotCodec.digest(snapshots.encode(own.get())).equals(complete.digest());
+        events.emit(
+                equal ? EventKind.CHECKPOINT_COMPLETE : EventKind.CHECKPOINT_DIFFERS,
+                Optional.empty(),
+                EventDetail.of("basis", complete.basis()),
+                EventDetail.of("parts", complete.count()));
+    }
+}
--- a/src/main/java/org/cicadalead/adapters/replica/LogFollower.java
+++ b/src/main/java/org/cicadalead/adapters/replica/LogFollower.java
@@ -2,16 +2,26 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.DoubleSupplier;
+import java.util.function.Supplier;
+import org.cicadalead.adapters.codec.SnapshotCodec;
+import org.cicadalead.logic.checkpoint.CheckpointScan;
+import org.cicadalead.model.command.CheckpointCommand;
 import org.cicadalead.model.command.CommandEnvelope;
 import org.cicadalead.model.error.CicadaleadException;
 import org.cicadalead.model.event.EventDetail;
 import org.cicadalead.model.event.EventKind;
-import org.cicadalead.ports.CommandCodec;
+import org.cicadalead.model.state.SharedState;
 import org.cicadalead.ports.EventSink;
 import org.cicadalead.ports.PlatformLog;
 
-/** Reads the platform log in a thread of its own and folds it into the replica. Safe for use by several threads. */
+/**
+ * Reads the platform log in a thread of its own and folds it into the replica. Where records that the replica lacks
+ * have expired, it looks for the newest complete checkpoint and jumps to it; it never folds over a gap. Safe for use by
+ * several threads; {@link #step} is for one thread at a time.
+ */
 public final class LogFollower implements AutoCloseable {
     private static final int BATCH_RECORDS = 500;
     private static final Duration READ_WAIT = Duration.ofSeconds(2);
@@ -19,19 +29,39 @@
     private static final long MAXIMUM_BACKOFF_MILLISECONDS = 2_000;
 
     private final PlatformLog log;
-    private final CommandCodec codec;
+    private final SnapshotCodec snapshots = new SnapshotCodec();
     private final SharedStateReplica replica;
+    private final RecordFolder folder;
     private final EventSink events;
+    private final DoubleSupplier jitter;
+    private final ReadinessGate gate = new ReadinessGate();
     private final Thread thread = new Thread(this::run, "log-follower");
+    private volatile Supplier<OptionalLong> newestPeerOffset = OptionalLong::empty;
     private volatile boolean closed;
     private volatile boolean reachable;
+    private volatile long oldestOffset = 1;
+    private long backoffMilliseconds = FIRST_BACKOFF_MILLISECONDS;
+    private long scannedTo;
+    private CheckpointScan scan = CheckpointScan.empty();
 
     /** Creates a follower; {@link #start} starts it. */
-    public LogFollower(PlatformLog log, CommandCodec codec, SharedStateReplica replica, EventSink events) {
+    LogFollower(PlatformLog log, SharedStateReplica replica, RecordFolder folder, EventSink events) {
+        this(log, replica, folder, events, () -> ThreadLocalRandom.current().nextDouble());
+    }
+
+    /** Creates a follower with given jitter, for tests that repeat. */
+    LogFollower(
+            PlatformLog log, SharedStateReplica replica, RecordFolder folder, EventSink events, DoubleSupplier jitter) {
         this.log = log;
-        this.codec = codec;
         this.replica = replica;
+        this.folder = folder;
         this.events = events;
+        this.jitter = jitter;
+    }
+
+    /** Sets where the newest offset of reachable peers is learned, which this process must reach to be ready. */
+    void usePeers(Supplier<OptionalLong> newOffsets) {
+        newestPeerOffset = newOffsets;
     }
 
     /** Starts reading. */
@@ -45,36 +75,121 @@
         return reachable;
     }
 
+    /** Tells whether the state is as new as this process could know when it started. */
+    public boolean isCaughtUp() {
+        return gate.isOpen(replica.state().offset());
+    }
+
+    /** Returns the oldest offset that the log kept at the last read. */
+    public long oldestOffset() {
+        return oldestOffset;
+    }
+
     @Override
     public void close() {
         closed = true;
         thread.interrupt();
     }
 
+    /** Reads once and folds what was read; returns how long to wait before the next step. */
+    Duration step() {
+        try {
+            boolean progress = readOnce();
+            noteReachable(true);
+            if (progress) {
+                backoffMilliseconds = FIRST_BACKOFF_MILLISECONDS;
+                return Duration.ZERO;
+            }
+        } catch (CicadaleadException failure) {
+            noteReachable(false);
+            gate.learn(newestPeerOffset.get());
+        }
+        return backoff();
+    }
+
     private void run() {
-        long backoff = FIRST_BACKOFF_MILLISECONDS;
         while (!closed) {
             try {
-                readOnce();
-                noteReachable(true);
-                backoff = FIRST_BACKOFF_MILLISECONDS;
-            } catch (CicadaleadException failure) {
-                noteReachable(false);
-                pause(backoff);
-                backoff = Math.min(MAXIMUM_BACKOFF_MILLISECONDS, backoff * 2);
+                Thread.sleep(step().toMillis());
+            } catch (InterruptedException interrupted) {
+                Thread.currentThread().interrupt();
+                return;
+            } catch (RuntimeException fault) {
+                events.emit(EventKind.INTERNAL_FAILURE, Optional.empty(), EventDetail.of("failure", fault));
+                backoff();
             }
         }
     }
 
-    private void readOnce() {
-        PlatformLog.LogBatch batch = log.read(replica.state().offset() + 1, BATCH_RECORDS, READ_WAIT);
+    /** Returns whether the next read may follow at once. */
+    private boolean readOnce() {
+        long from = gate.hasGap() ? scannedTo + 1 : replica.state().offset() + 1;
+        PlatformLog.LogBatch batch = log.read(from, BATCH_RECORDS, gate.hasGap() ? Duration.ZERO : READ_WAIT);
+        oldestOffset = batch.oldestOffset();
+        if (gate.hasGap()) {
+            return scan(batch);
+        }
+        if (batch.oldestOffset() > replica.state().offset() + 1) {
+            startScan();
+            return true;
+        }
+        gate.learn(Math.max(batch.nextOffset() - 1, newestPeerOffset.get().orElse(0)));
+        batch.records().forEach(folder::fold);
+        return true;
+    }
+
+    private void startScan() {
+        if (!gate.hasGap()) {
+            events.emit(EventKind.STATE_GAP, Optional.empty(), EventDetail.of("oldest", oldestOffset));
+        }
+        gate.setGap(true);
+        scannedTo = 0;
+        scan = CheckpointScan.empty();
+    }
+
+    private boolean scan(PlatformLog.LogBatch batch) {
+        if (replica.state().offset() + 1 >= batch.oldestOffset()) {
+            endScan();
+            return true;
+        }
         for (PlatformLog.LogRecord record : batch.records()) {
-            Optional<CommandEnvelope> envelope = codec.decode(record.payload());
-            if (envelope.isEmpty()) {
-                events.emit(EventKind.RECORD_UNREADABLE, Optional.empty(), EventDetail.of("offset", record.offset()));
-            }
-            replica.apply(record.offset(), envelope);
+            scannedTo = record.offset();
+            partOf(record).ifPresent(part -> scan = scan.with(part));
+        }
+        if (scannedTo + 1 < batch.nextOffset() && !batch.records().isEmpty()) {
+            return true;
+        }
+        if (jumpToCheckpoint(batch.oldestOffset())) {
+            endScan();
+            return true;
+        }
+        startScan();
+        return false;
+    }
+
+    private void endScan() {
+        gate.setGap(false);
+        scan = CheckpointScan.empty();
+    }
+
+    private Optional<CheckpointCommand.Part> partOf(PlatformLog.LogRecord record) {
+        return folder.decode(record)
+                .map(CommandEnvelope::command)
+                .filter(CheckpointCommand.Part.class::isInstance)
+                .map(CheckpointCommand.Part.class::cast);
+    }
+
+    /** The records after the checkpoint's basis must still be there, or the jump would end before a gap again. */
+    private boolean jumpToCheckpoint(long oldest) {
+        Optional<SharedState> found = scan.complete()
+                .filter(assembly -> assembly.basis() + 1 >= oldest)
+                .filter(assembly -> SnapshotCodec.digest(assembly.content()).equals(assembly.digest()))
+                .flatMap(assembly ->
+                        snapshots.decode(assembly.content()).filter(state -> state.offset() == assembly.basis()));
+        if (found.isEmpty() || !folder.jumpTo(found.get(), "checkpoint")) {
+            return false;
         }
+        return true;
     }
 
     private void noteReachable(boolean now) {
@@ -84,12 +199,10 @@
         }
     }
 
-    /** Waits for half to all of a delay, so that many processes do not return together. */
-    private static void pause(long milliseconds) {
-        try {
-            Thread.sleep(ThreadLocalRandom.current().nextLong(milliseconds / 2, milliseconds + 1));
-        } catch (InterruptedException interrupted) {
-            Thread.currentThread().interrupt();
-        }
+    /** Half to all of a delay that doubles, so that many processes do not return together. */
+    private Duration backoff() {
+        long delay = backoffMilliseconds;
+        backoffMilliseconds = Math.min(MAXIMUM_BACKOFF_MILLISECONDS, delay * 2);
+        return Duration.ofMillis((long) (delay * (1 + jitter.getAsDouble()) / 2));
     }
 }
--- /dev/null
+++ b/src/main/java/org/cicadalead/adapters/replica/PendingAppend.java
@@ -0,0 +1,75 @@
+package org.cicadalead.adapters.replica;
+
+import java.util.concurrent.CompletableFuture;
+import org.cicadalead.logic.append.AppendClass;
+import org.cicadalead.model.command.CommandOutcome;
+import org.cicadalead.model.error.CicadaleadException;
+import org.cicadalead.model.error.ErrorKind;
+import org.cicadalead.model.identity.CommandIdentifier;
+
+/**
+ * A command on its way into the log. It ends once: with the fold's outcome, as not appended (only if no attempt can
+ * have reached the log, and none is made afterwards), or as unknown. Safe for use by several threads.
+ */
+final class PendingAppend implements Comparable<PendingAppend> {
+    private final CommandIdentifier identifier;
+    private final byte[] payload;
+    private final AppendClass appendClass;
+    private final long sequence;
+    private final CompletableFuture<CommandOutcome> outcome = new CompletableFuture<>();
+    private int attempts;
+    private boolean mayBeAppended;
+    private boolean sending;
+
+    PendingAppend(CommandIdentifier identifier, byte[] payload, AppendClass appendClass, long sequence) {
+        this.identifier = identifier;
+        this.payload = payload;
+        this.appendClass = appendClass;
+        this.sequence = sequence;
+    }
+
+    CommandIdentifier identifier() {
+        return identifier;
+    }
+
+    byte[] payload() {
+        return payload;
+    }
+
+    AppendClass appendClass() {
+        return appendClass;
+    }
+
+    CompletableFuture<CommandOutcome> outcome() {
+        return outcome;
+    }
+
+    /** Marks the start of an attempt; false when the command has ended. */
+    synchronized boolean startSending() {
+        if (outcome.isDone()) {
+            return false;
+        }
+        attempts++;
+        sending = true;
+        return true;
+    }
+
+    /** Marks the end of an attempt; returns the number of attempts so far. */
+    synchronized int finishSending(boolean attemptMayBeAppended) {
+        sending = false;
+        mayBeAppended |= attemptMayBeAppended;
+        return attempts;
+    }
+
+    /** Ends the command without an outcome of the fold. */
+    synchronized void giveUp(String detail) {
+        ErrorKind kind = mayBeAppended || sending ? ErrorKind.LOG_OUTCOME_UNKNOWN : ErrorKind.PLATFORM_UNAVAILABLE;
+        outcome.completeExceptionally(new CicadaleadException(kind, detail));
+    }
+
+    @Override
+    public int compareTo(PendingAppend other) {
+        int byClass = appendClass.compareTo(other.appendClass);
+        return byClass != 0 ? byClass : Long.compare(sequence, other.sequence);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/cicadalead/adapters/replica/RecordFolder.java
@@ -0,0 +1,62 @@
+package org.cicadalead.adapters.replica;
+
+import java.util.List;
+import java.util.Optional;
+import org.cicadalead.model.command.CommandEnvelope;
+import org.cicadalead.model.event.EventDetail;
+import org.cicadalead.model.event.EventKind;
+import org.cicadalead.model.state.SharedState;
+import org.cicadalead.ports.CommandCodec;
+import org.cicadalead.ports.EventSink;
+import org.cicadalead.ports.PlatformLog.LogRecord;
+
+/**
+ * Folds records that come from the log and from other processes, and keeps the newest for others. A record is folded
+ * and kept in one step, so that the kept records have no gap whichever way each of them came. Safe for use by several
+ * threads.
+ */
+final class RecordFolder {
+    private final CommandCodec codec;
+    private final SharedStateReplica replica;
+    private final RecentRecords recent = new RecentRecords();
+    private final EventSink events;
+
+    RecordFolder(CommandCodec codec, SharedStateReplica replica, EventSink events) {
+        this.codec = codec;
+        this.replica = replica;
+        this.events = events;
+    }
+
+    /** Folds the record that follows the state and tells whether it did; an older one changes nothing. */
+    synchronized boolean fold(LogRecord record) {
+        Optional<CommandEnvelope> envelope = codec.decode(record.payload());
+        if (!replica.apply(record.offset(), envelope)) {
+            return false;
+        }
+        recent.add(record);
+        if (envelope.isEmpty()) {
+            events.emit(EventKind.RECORD_UNREADABLE, Optional.empty(), EventDetail.of("offset", record.offset()));
+        }
+        return true;
+    }
+
+    /** Jumps to a newer state and tells whether it did. */
+    synchronized boolean jumpTo(SharedState newer, String source) {
+        if (!replica.jumpTo(newer)) {
+            return false;
+        }
+        recent.restartAfter(newer.offset());
+        events.emit(EventKind.STATE_JUMPED, Optional.empty(), EventDetail.of("from", source));
+        return true;
+    }
+
+    /** Returns kept records from an offset on, up to a number of bytes; empty when that offset is no longer kept. */
+    Optional<List<LogRecord>> keptFrom(long offset, int maximumBytes) {
+        return recent.from(offset, maximumBytes);
+    }
+
+    /** Decodes a record without folding it. */
+    Optional<CommandEnvelope> decode(LogRecord record) {
+        return codec.decode(record.payload());
+    }
+}
--- a/src/main/java/org/cicadalead/adapters/replica/SharedStateReplica.java
+++ b/src/main/java/org/cicadalead/adapters/replica/SharedStateReplica.java
@@ -12,7 +12,7 @@
 
 /**
  * Holds the newest folded state. Readers take it without a lock; records are folded by one thread at a time, in offset
- * order. Its offset never decreases. Safe for use by several threads.
+ * order. Neither its offset nor its configuration's version ever decreases. Safe for use by several threads.
  */
 public final class SharedStateReplica {
     private final AtomicReference<SharedState> state = new AtomicReference<>(SharedState.empty());
@@ -28,17 +28,32 @@
         listeners.add(listener);
     }
 
-    /** Folds one record; one that is not newer than the state changes nothing. */
-    public synchronized void apply(long offset, Optional<CommandEnvelope> envelope) {
+    /** Folds one record and tells whether it was newer than the state; one that is not changes nothing. */
+    public synchronized boolean apply(long offset, Optional<CommandEnvelope> envelope) {
         SharedState before = state.get();
         if (offset <= before.offset()) {
-            return;
+            return false;
         }
         FoldResult result = SharedStateFold.apply(before, offset, envelope);
         state.set(result.state());
         for (FoldListener listener : listeners) {
             listener.onFolded(before, result.state(), envelope, result.outcome());
         }
+        return true;
+    }
+
+    /** Jumps to a state of a checkpoint or a peer and tells whether it did; one that is not newer changes nothing. */
+    public synchronized boolean jumpTo(SharedState newer) {
+        SharedState before = state.get();
+        if (newer.offset() <= before.offset()
+                || newer.configuration().version() < before.configuration().version()) {
+            return false;
+        }
+        state.set(newer);
+        for (FoldListener listener : listeners) {
+            listener.onJumped(before, newer);
+        }
+        return true;
     }
 
     /** Learns of each folded record. */
@@ -47,5 +62,8 @@
         /** Called after a record was folded; must not block. */
         void onFolded(
                 SharedState before, SharedState after, Optional<CommandEnvelope> envelope, CommandOutcome outcome);
+
+        /** Called after the state jumped over records that this process will never see; must not block. */
+        default void onJumped(SharedState before, SharedState after) {}
     }
 }
--- /dev/null
+++ b/src/main/java/org/cicadalead/adapters/replica/SharedStateService.java
@@ -0,0 +1,107 @@
+package org.cicadalead.adapters.replica;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.ThreadLocalRandom;
+import org.cicadalead.adapters.codec.MessagePackCommandCodec;
+import org.cicadalead.adapters.http.HttpServers;
+import org.cicadalead.model.identity.ProcessIdentifier;
+import org.cicadalead.ports.EventSink;
+import org.cicadalead.ports.PeerChannel;
+import org.cicadalead.ports.PlatformLog;
+import org.cicadalead.ports.TimerService;
+
+/**
+ * The shared state of one process with everything that keeps it new: following the log, appending, checkpoints, and the
+ * relay from other processes once there is a channel to them. Safe for use by several threads.
+ */
+public final class SharedStateService implements AutoCloseable {
+    private final SharedStateReplica replica;
+    private final RecordFolder folder;
+    private final LogFollower follower;
+    private final CommandAppender appender;
+    private final TimerService timers;
+    private final EventSink events;
+    private final ExecutorService threads = HttpServers.daemonThreads("shared-state");
+    private final List<TimerService.Subscription> subscriptions = new CopyOnWriteArrayList<>();
+    private volatile Optional<PeerChannel> peers = Optional.empty();
+
+    /** Creates the service on a replica; {@link #start} starts it. */
+    public SharedStateService(
+            PlatformLog log,
+            ProcessIdentifier process,
+            SharedStateReplica replica,
+            TimerService timers,
+            EventSink events) {
+        this.replica = replica;
+        this.timers = timers;
+        this.events = events;
+        MessagePackCommandCodec codec = new MessagePackCommandCodec();
+        appender = new CommandAppender(log, codec, process, replica, timers);
+        folder = new RecordFolder(codec, replica, events);
+        follower = new LogFollower(log, replica, folder, events);
+        replica.addListener(new StateEvents(events));
+    }
+
+    /** Starts following the log and writing checkpoints. */
+    public void start() {
+        CheckpointWriter checkpoints = new CheckpointWriter(
+                replica,
+                appender,
+                timers,
+                follower::oldestOffset,
+                events,
+                threads,
+                ThreadLocalRandom.current().nextDouble());
+        every(CheckpointWriter.PERIOD, () -> {
+            if (follower.isReachable() && follower.isCaughtUp()) {
+                checkpoints.look();
+            }
+        });
+        follower.start();
+    }
+
+    /** Relays from and to other processes from now on. */
+    public void usePeers(PeerChannel channel) {
+        peers = Optional.of(channel);
+        StateRelay relay = new StateRelay(channel, replica, folder, events, threads);
+        follower.usePeers(relay::newestReachableOffset);
+        every(StateRelay.PERIOD, relay::look);
+    }
+
+    /** Returns the channel to other processes, once there is one. */
+    public Optional<PeerChannel> peers() {
+        return peers;
+    }
+
+    /** Returns the appender. */
+    public CommandAppender appender() {
+        return appender;
+    }
+
+    /** Returns the follower of the log. */
+    public LogFollower follower() {
+        return follower;
+    }
+
+    /** Tells whether requests may be served on the state. */
+    public boolean isReady() {
+        return follower.isCaughtUp() && replica.state().configuration().version() > 0;
+    }
+
+    @Override
+    public void close() {
+        new ArrayList<>(subscriptions).forEach(TimerService.Subscription::close);
+        follower.close();
+        appender.close();
+        threads.shutdownNow();
+    }
+
+    private void every(Duration period, Runnable callback) {
+        subscriptions.add(timers.every(period, callback));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/cicadalead/adapters/replica/SnapshotParts.java
@@ -0,0 +1,27 @@
+package org.cicadalead.adapters.replica;
+
+import java.io.ByteArrayOutputStream;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+
+/** Cuts an encoded state into parts and joins them again. Stateless; safe for use by several threads. */
+final class SnapshotParts {
+    private SnapshotParts() {}
+
+    /** Returns the parts, each of at most the given number of bytes. */
+    static List<byte[]> split(byte[] whole, int maximumBytes) {
+        List<byte[]> parts = new ArrayList<>();
+        for (int start = 0; start < whole.length; start += maximumBytes) {
+            parts.add(Arrays.copyOfRange(whole, start, Math.min(whole.length, start + maximumBytes)));
+        }
+        return parts;
+    }
+
+    /** Returns the whole. */
+    static byte[] join(List<byte[]> parts) {
+        ByteArrayOutputStream whole = new ByteArrayOutputStream();
+        parts.forEach(whole::writeBytes);
+        return whole.toByteArray();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/cicadalead/adapters/replica/StateRelay.java
@@ -0,0 +1,224 @@
+package org.cicadalead.adapters.replica;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.cicadalead.adapters.codec.DomainMappers;
+import org.cicadalead.adapters.codec.SnapshotCodec;
+import org.cicadalead.model.event.EventDetail;
+import org.cicadalead.model.event.EventKind;
+import org.cicadalead.model.identity.ProcessIdentifier;
+import org.cicadalead.model.state.SharedState;
+import org.cicadalead.ports.EventSink;
+import org.cicadalead.ports.PeerChannel;
+import org.cicadalead.ports.PeerChannel.PeerStatus;
+import org.cicadalead.ports.PeerTopic;
+import org.cicadalead.ports.PlatformLog.LogRecord;
+
+/**
+ * Gives records and snapshots to other processes, and takes them from one that is ahead while this process's own way to
+ * the log brings nothing. What is taken only ever moves the state forward. Safe for use by several threads.
+ */
+final class StateRelay {
+    /** Time between two looks at whether a peer is ahead. */
+    static final Duration PERIOD = Duration.ofMillis(500);
+
+    private static final Duration CALL_TIMEOUT = Duration.ofSeconds(2);
+    private static final int MAXIMUM_ANSWER_BYTES = 256 << 10;
+
+    private final ObjectMapper mapper = DomainMappers.messagePack();
+    private final SnapshotCodec snapshots;
+    private final PeerChannel peers;
+    private final SharedStateReplica replica;
+    private final RecordFolder folder;
+    private final EventSink events;
+    private final Executor threads;
+    private final AtomicBoolean running = new AtomicBoolean();
+    private volatile long offsetAtLastLook = -1;
+    private volatile Optional<EncodedState> encodedState = Optional.empty();
+
+    /** Creates a relay and answers calls from then on; {@link #look} is to be called once a {@link #PERIOD}. */
+    StateRelay(PeerChannel peers, SharedStateReplica replica, RecordFolder folder, EventSink events, Executor threads) {
+        this.peers = peers;
+        this.replica = replica;
+        this.folder = folder;
+        this.events = events;
+        this.threads = threads;
+        this.snapshots = new SnapshotCodec();
+        peers.answer(PeerTopic.RECORDS, (caller, payload) -> answer(() -> records(payload)));
+        peers.answer(PeerTopic.SNAPSHOT, (caller, payload) -> answer(() -> snapshotPart(payload)));
+    }
+
+    /** Returns the newest offset that a reachable process has applied, if there is one with a configuration. */
+    OptionalLong newestReachableOffset() {
+        return peers.peers().stream()
+                .filter(PeerStatus::reachable)
+                .mapToLong(PeerStatus::appliedOffset)
+                .filter(offset -> offset > 0)
+                .max();
+    }
+
+    /** Takes records from a peer that is ahead, if the state has not moved since the last look. */
+    void look() {
+        long offset = replica.state().offset();
+        boolean standsStill = offset == offsetAtLastLook;
+        offsetAtLastLook = offset;
+        if (standsStill) {
+            catchUp();
+        }
+    }
+
+    /** Takes records, or a snapshot when those are gone, from the reachable peer that is furthest ahead. */
+    void catchUp() {
+        long offset = replica.state().offset();
+        Optional<ProcessIdentifier> source = peers.peers().stream()
+                .filter(peer -> peer.reachable() && peer.appliedOffset() > offset)
+                .max(Comparator.comparingLong(PeerStatus::appliedOffset))
+                .map(PeerStatus::process);
+        if (source.isEmpty() || !running.compareAndSet(false, true)) {
+            return;
+        }
+        takeRecords(source.get()).whenComplete((done, failure) -> running.set(false));
+    }
+
+    private CompletableFuture<Void> takeRecords(ProcessIdentifier source) {
+        RecordsRequest request = new RecordsRequest(replica.state().offset() + 1);
+        return peers.call(source, PeerTopic.RECORDS, encode(request), CALL_TIMEOUT)
+                .thenComposeAsync(
+                        answer -> {
+                            RecordsAnswer decoded = decode(answer, RecordsAnswer.class);
+                            if (!decoded.covered()) {
+                                return takeSnapshot(source, 0, new ArrayList<>());
+                            }
+                            decoded.records().forEach(record -> fold(source, record));
+                            return CompletableFuture.completedFuture(null);
+                        },
+                        threads);
+    }
+
+    private void fold(ProcessIdentifier source, RelayedRecord record) {
+        if (folder.fold(new LogRecord(record.offset(), record.payload()))) {
+            events.emit(
+                    EventKind.RECORD_RELAYED,
+                    Optional.empty(),
+                    EventDetail.of("from", source),
+                    EventDetail.of("offset", record.offset()));
+        }
+    }
+
+    private CompletableFuture<Void> takeSnapshot(ProcessIdentifier source, long offset, List<byte[]> parts) {
+        byte[] request = encode(new SnapshotRequest(offset, parts.size()));
+        return peers.call(source, PeerTopic.SNAPSHOT, request, CALL_TIMEOUT)
+                .thenComposeAsync(
+                        answer -> {
+                            SnapshotAnswer part = decode(answer, SnapshotAnswer.class);
+                            boolean continues = part.index() == parts.size() && part.count() > part.index();
+                            boolean sameState = offset == 0 || part.offset() == offset;
+                            if (!continues || !sameState) {
+                                return CompletableFuture.completedFuture(null);
+                            }
+                            parts.add(part.content());
+                            if (parts.size() < part.count()) {
+                                return takeSnapshot(source, part.offset(), parts);
+                            }
+                            jumpTo(source, part, parts);
+                            return CompletableFuture.completedFuture(null);
+                        },
+                        threads);
+    }
+
+    private void jumpTo(ProcessIdentifier source, SnapshotAnswer last, List<byte[]> parts) {
+        byte[] whole = SnapshotParts.join(parts);
+        if (!SnapshotCodec.digest(whole).equals(last.digest())) {
+            return;
+        }
+        snapshots.decode(whole).ifPresent(state -> folder.jumpTo(state, source.value()));
+    }
+
+    private byte[] records(byte[] payload) throws IOException {
+        RecordsRequest request = mapper.readValue(payload, RecordsRequest.class);
+        Optional<List<LogRecord>> found = folder.keptFrom(request.fromOffset(), MAXIMUM_ANSWER_BYTES);
+        List<RelayedRecord> records = found.orElse(List.of()).stream()
+                .map(record -> new RelayedRecord(record.offset(), record.payload()))
+                .toList();
+        return encode(new RecordsAnswer(found.isPresent(), records));
+    }
+
+    private byte[] snapshotPart(byte[] payload) throws IOException {
+        SnapshotRequest request = mapper.readValue(payload, SnapshotRequest.class);
+        EncodedState encoded =
+                encodedState.filter(known -> known.offset() == request.offset()).orElseGet(this::encodeState);
+        int index = Math.min(Math.max(request.index(), 0), encoded.parts().size() - 1);
+        return encode(new SnapshotAnswer(
+                encoded.offset(),
+                index,
+                encoded.parts().size(),
+                encoded.digest(),
+                encoded.parts().get(index)));
+    }
+
+    private EncodedState encodeState() {
+        SharedState state = replica.state();
+        byte[] whole = snapshots.encode(state);
+        EncodedState encoded = new EncodedState(
+                state.offset(), SnapshotCodec.digest(whole), SnapshotParts.split(whole, MAXIMUM_ANSWER_BYTES));
+        encodedState = Optional.of(encoded);
+        return encoded;
+    }
+
+    private CompletableFuture<byte[]> answer(Answer answer) {
+        return CompletableFuture.supplyAsync(
+                () -> {
+                    try {
+                        return answer.compute();
+                    } catch (IOException malformed) {
+                        throw new UncheckedIOException(malformed);
+                    }
+                },
+                threads);
+    }
+
+    private byte[] encode(Object message) {
+        try {
+            return mapper.writeValueAsBytes(message);
+        } catch (IOException failure) {
+            throw new UncheckedIOException(failure);
+        }
+    }
+
+    private <T> T decode(byte[] payload, Class<T> type) {
+        try {
+            return mapper.readValue(payload, type);
+        } catch (IOException malformed) {
+            throw new UncheckedIOException(malformed);
+        }
+    }
+
+    @FunctionalInterface
+    private interface Answer {
+        byte[] compute() throws IOException;
+    }
+
+    private record EncodedState(long offset, String digest, List<byte[]> parts) {}
+
+    private record RecordsRequest(long fromOffset) {}
+
+    private record RecordsAnswer(boolean covered, List<RelayedRecord> records) {}
+
+    @SuppressWarnings("ArrayRecordComponent")
+    private record RelayedRecord(long offset, byte[] payload) {}
+
+    private record SnapshotRequest(long offset, int index) {}
+
+    @SuppressWarnings("ArrayRecordComponent")
+    private record SnapshotAnswer(long offset, int index, int count, String digest, byte[] content) {}
+}
--- a/src/main/java/org/cicadalead/model/event/EventKind.java
+++ b/src/main/java/org/cicadalead/model/event/EventKind.java
@@ -31,6 +31,17 @@
     PLATFORM_LOG_UNAVAILABLE(3004, EventSeverity.WARNING, "The platform log cannot be reached"),
     /** The platform log can be reached again. */
     PLATFORM_LOG_RETURNED(3005, EventSeverity.INFORMATION, "The platform log can be reached again"),
+    /** A record was taken from another process. */
+    RECORD_RELAYED(3006, EventSeverity.DETAIL, "A record was taken from another process"),
+    /** Records that this process lacks have expired. */
+    STATE_GAP(3007, EventSeverity.WARNING, "Records that this process lacks have expired"),
+    /** The state was taken from a checkpoint or another process. */
+    STATE_JUMPED(3008, EventSeverity.INFORMATION, "The state was taken from a checkpoint or another process"),
+    /** A checkpoint is complete and equals this process's own state. */
+    CHECKPOINT_COMPLETE(
+            3009, EventSeverity.INFORMATION, "A checkpoint is complete and equals this process's own state"),
+    /** A checkpoint differs from this process's own state. */
+    CHECKPOINT_DIFFERS(3010, EventSeverity.ERROR, "A checkpoint differs from this process's own state"),
     /** The observed health of a host changed. */
     HOST_OBSERVED(5001, EventSeverity.INFORMATION, "The observed health of a host changed"),
     /** A host was withdrawn from its pool. */
