--- a/src/main/java/org/cicadalead/adapters/entry/EntryProcess.java
+++ b/src/main/java/org/cicadalead/adapters/entry/EntryProcess.java
@@ -13,7 +13,10 @@
 import org.cicadalead.adapters.codec.MessagePackCommandCodec;
 import org.cicadalead.adapters.event.TimelineRecorder;
 import org.cicadalead.adapters.http.JsonExchange;
+import org.cicadalead.adapters.job.JobRoutes;
+import org.cicadalead.adapters.job.JobService;
 import org.cicadalead.adapters.platform.HttpPlatform;
+import org.cicadalead.adapters.platform.HttpTaskPlatform;
 import org.cicadalead.adapters.replica.CommandAppender;
 import org.cicadalead.adapters.replica.LogFollower;
 import org.cicadalead.adapters.replica.SharedStateReplica;
@@ -44,6 +47,7 @@
     private final LogFollower follower;
     private final CommandAppender appender;
     private final CallerServer callers;
+    private final JobService jobs;
     private final AdministrationServer administration;
     private final PrometheusMeterRegistry metrics = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
     private volatile boolean stopping;
@@ -61,6 +65,15 @@
         follower = new LogFollower(platform, codec, replica, timeline);
         callers = new CallerServer(settings, replica::state, timeline);
         administration = new AdministrationServer(settings);
+        jobs = new JobService(
+                identifier,
+                replica,
+                new HttpTaskPlatform(settings.platformAddress()),
+                appender::submit,
+                timeline,
+                timers);
+        callers.addContext(JobRoutes.JOBS_PATH, jobs.routes());
+        jobs.routes().addTo(administration);
         addRoutes();
         follower.start();
         administration.start();
@@ -113,6 +126,7 @@
     @Override
     public void close() {
         callers.close();
+        jobs.close();
         follower.close();
         appender.close();
         administration.close();
--- a/src/main/java/org/cicadalead/adapters/http/JsonExchange.java
+++ b/src/main/java/org/cicadalead/adapters/http/JsonExchange.java
@@ -45,6 +45,11 @@
         answerBytes(exchange, OK, "application/json", MAPPER.writeValueAsBytes(value));
     }
 
+    /** Answers with a value as JSON under another status. */
+    public static void answer(HttpExchange exchange, int status, Object value) throws IOException {
+        answerBytes(exchange, status, "application/json", MAPPER.writeValueAsBytes(value));
+    }
+
     /** Answers with plain text. */
     public static void answerText(HttpExchange exchange, int status, String text) throws IOException {
         answerBytes(exchange, status, "text/plain; charset=utf-8", text.getBytes(StandardCharsets.UTF_8));
--- /dev/null
+++ b/src/main/java/org/cicadalead/adapters/job/BatchQueue.java
@@ -0,0 +1,107 @@
+package org.cicadalead.adapters.job;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.function.Function;
+import org.cicadalead.model.command.CommandOutcome;
+import org.cicadalead.model.command.JobCommand;
+import org.cicadalead.model.error.CicadaleadException;
+import org.cicadalead.model.error.ErrorKind;
+import org.cicadalead.ports.TimerService;
+
+/**
+ * Gathers entries for a short time and appends them as one command. Every entry is answered: by the record that was
+ * read back, by the failure of its append, or after a time by "outcome unknown". Equal entries share an answer. Safe
+ * for use by several threads.
+ *
+ * @param <T> type of an entry, with equality by value
+ */
+final class BatchQueue<T> {
+    private static final Duration OUTCOME_TIMEOUT = Duration.ofSeconds(10);
+    private static final int MAXIMUM_WAITING = 20_000;
+
+    private final CommandSink commands;
+    private final TimerService timers;
+    private final Function<List<T>, JobCommand> toCommand;
+    private final Map<T, CompletableFuture<CommandOutcome>> waiting = new HashMap<>();
+    private final List<T> gathered = new ArrayList<>();
+
+    BatchQueue(CommandSink commands, TimerService timers, Function<List<T>, JobCommand> toCommand) {
+        this.commands = commands;
+        this.timers = timers;
+        this.toCommand = toCommand;
+    }
+
+    synchronized CompletableFuture<CommandOutcome> add(T entry) {
+        CompletableFuture<CommandOutcome> known = waiting.get(entry);
+        if (known != null) {
+            return known;
+        }
+        if (waiting.size() >= MAXIMUM_WAITING) {
+            return CompletableFuture.failedFuture(new CicadaleadException(
+                    ErrorKind.QUEUE_FULL, "Too many submissions and cancellations wait for the platform log"));
+        }
+        CompletableFuture<CommandOutcome> outcome = new CompletableFuture<>();
+        waiting.put(entry, outcome);
+        gathered.add(entry);
+        if (gathered.size() == 1) {
+            timers.after(JobDesk.BATCH_DELAY, this::flush);
+        }
+        return outcome;
+    }
+
+    synchronized boolean isWaitingForAny(List<T> entries) {
+        return !waiting.isEmpty() && entries.stream().anyMatch(waiting::containsKey);
+    }
+
+    /** Answers entries of a record that was read back, also one that another process wrote. */
+    void complete(List<T> entries, List<CommandOutcome> outcomes) {
+        for (int index = 0; index < entries.size(); index++) {
+            CompletableFuture<CommandOutcome> outcome = remove(entries.get(index));
+            outcome.complete(outcomes.get(index));
+        }
+    }
+
+    private void flush() {
+        for (List<T> batch = nextBatch(); !batch.isEmpty(); batch = nextBatch()) {
+            List<T> entries = batch;
+            commands.submit(toCommand.apply(entries)).whenComplete((outcome, failure) -> {
+                if (failure != null) {
+                    fail(entries, unwrap(failure));
+                }
+            });
+            timers.after(
+                    OUTCOME_TIMEOUT,
+                    () -> fail(
+                            entries,
+                            new CicadaleadException(
+                                    ErrorKind.LOG_OUTCOME_UNKNOWN,
+                                    "The record was not read back in time; ask again with the same identifier")));
+        }
+    }
+
+    private synchronized List<T> nextBatch() {
+        int size = Math.min(JobCommand.MAXIMUM_ENTRIES, gathered.size());
+        List<T> batch = List.copyOf(gathered.subList(0, size));
+        gathered.subList(0, size).clear();
+        return batch;
+    }
+
+    private void fail(List<T> entries, Throwable failure) {
+        entries.forEach(entry -> remove(entry).completeExceptionally(failure));
+    }
+
+    private synchronized CompletableFuture<CommandOutcome> remove(T entry) {
+        CompletableFuture<CommandOutcome> outcome = waiting.remove(entry);
+        return outcome == null ? new CompletableFuture<>() : outcome;
+    }
+
+    private static Throwable unwrap(Throwable failure) {
+        return failure instanceof CompletionException && failure.getCause() != null ? failure.getCause() : failure;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/cicadalead/adapters/job/JobDesk.java
@@ -0,0 +1,88 @@
+package org.cicadalead.adapters.job;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
+import org.cicadalead.adapters.replica.SharedStateReplica;
+import org.cicadalead.logic.job.JobFold;
+import org.cicadalead.model.command.CommandEnvelope;
+import org.cicadalead.model.command.CommandOutcome;
+import org.cicadalead.model.command.JobCommand;
+import org.cicadalead.model.identity.JobIdentifier;
+import org.cicadalead.model.job.JobState;
+import org.cicadalead.model.job.JobSubmission;
+import org.cicadalead.model.state.SharedState;
+import org.cicadalead.ports.TimerService;
+
+/**
+ * Takes submissions and cancellations of callers, writes those that come close together in one record, and answers each
+ * one once the record has been read back. What this process can refuse by its own state never reaches the log. Safe for
+ * use by several threads.
+ */
+public final class JobDesk implements SharedStateReplica.FoldListener {
+    /** How long the first of a batch waits for others. */
+    public static final Duration BATCH_DELAY = Duration.ofMillis(10);
+
+    private final Supplier<SharedState> state;
+    private final BatchQueue<JobSubmission> submissions;
+    private final BatchQueue<JobIdentifier> cancellations;
+
+    /** Creates a desk; it must be added to the replica as a listener. */
+    public JobDesk(Supplier<SharedState> state, CommandSink commands, TimerService timers) {
+        this.state = state;
+        this.submissions = new BatchQueue<>(commands, timers, JobCommand.Submit::new);
+        this.cancellations = new BatchQueue<>(commands, timers, JobCommand.Cancel::new);
+    }
+
+    /**
+     * Submits a job. The result completes with the fold's outcome, or exceptionally with kind
+     * {@code PLATFORM_UNAVAILABLE} when nothing was appended, or {@code LOG_OUTCOME_UNKNOWN}.
+     */
+    public CompletableFuture<CommandOutcome> submit(JobSubmission submission) {
+        SharedState current = state.get();
+        CommandOutcome foreseen = foresee(current, new JobCommand.Submit(List.of(submission)));
+        boolean known = current.jobs().find(submission.job()).isPresent();
+        if (known || foreseen instanceof CommandOutcome.Rejected) {
+            return CompletableFuture.completedFuture(foreseen);
+        }
+        return submissions.add(submission);
+    }
+
+    /** Cancels a job; the result completes as that of {@link #submit}. */
+    public CompletableFuture<CommandOutcome> cancel(JobIdentifier job) {
+        SharedState current = state.get();
+        CommandOutcome foreseen = foresee(current, new JobCommand.Cancel(List.of(job)));
+        boolean settled =
+                current.jobs().find(job).map(JobState::cancelRequested).orElse(true);
+        if (settled || foreseen instanceof CommandOutcome.Rejected) {
+            return CompletableFuture.completedFuture(foreseen);
+        }
+        return cancellations.add(job);
+    }
+
+    @Override
+    public void onFolded(
+            SharedState before, SharedState after, Optional<CommandEnvelope> envelope, CommandOutcome outcome) {
+        if (envelope.isEmpty() || outcome instanceof CommandOutcome.Duplicate) {
+            return;
+        }
+        if (envelope.get().command() instanceof JobCommand.Submit submit
+                && submissions.isWaitingForAny(submit.submissions())) {
+            submissions.complete(submit.submissions(), outcomes(before, after, submit));
+        } else if (envelope.get().command() instanceof JobCommand.Cancel cancel
+                && cancellations.isWaitingForAny(cancel.jobs())) {
+            cancellations.complete(cancel.jobs(), outcomes(before, after, cancel));
+        }
+    }
+
+    private static CommandOutcome foresee(SharedState state, JobCommand command) {
+        return JobFold.fold(state, state.offset() + 1, command).outcomes().get(0);
+    }
+
+    private static List<CommandOutcome> outcomes(SharedState before, SharedState after, JobCommand command) {
+        return new ArrayList<>(JobFold.fold(before, after.offset(), command).outcomes());
+    }
+}
--- /dev/null
+++ b/src/main/java/org/cicadalead/adapters/job/JobRoutes.java
@@ -0,0 +1,226 @@
+package org.cicadalead.adapters.job;
+
+import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpHandler;
+import java.io.IOException;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.function.Supplier;
+import org.cicadalead.adapters.administration.AdministrationServer;
+import org.cicadalead.adapters.http.JsonExchange;
+import org.cicadalead.model.command.CommandOutcome;
+import org.cicadalead.model.error.CicadaleadException;
+import org.cicadalead.model.error.ErrorKind;
+import org.cicadalead.model.event.EventDetail;
+import org.cicadalead.model.event.EventKind;
+import org.cicadalead.model.identity.JobIdentifier;
+import org.cicadalead.model.identity.TeamName;
+import org.cicadalead.model.job.JobPhase;
+import org.cicadalead.model.job.JobState;
+import org.cicadalead.model.job.JobSubmission;
+import org.cicadalead.model.state.SharedState;
+import org.cicadalead.ports.EventSink;
+
+/**
+ * Routes for long jobs: {@code POST /jobs}, {@code GET /jobs/IDENTIFIER} and {@code DELETE /jobs/IDENTIFIER} for
+ * callers, and a list and cancellations for operators. No thread waits for the log: an exchange is answered by a small
+ * pool once its record has been read back. Safe for use by several threads.
+ */
+public final class JobRoutes implements HttpHandler, AutoCloseable {
+    /** Path of jobs on the callers' port. */
+    public static final String JOBS_PATH = "/jobs";
+
+    private static final String OFFSET_PARAMETER = "accepted-at";
+    private static final int ANSWER_THREADS = 8;
+    private static final int ACCEPTED = 202;
+    private static final int OK = 200;
+    private static final int MAXIMUM_LISTED = 10_000;
+
+    private final Supplier<SharedState> state;
+    private final JobDesk desk;
+    private final EventSink events;
+    private final ExecutorService answers = Executors.newFixedThreadPool(ANSWER_THREADS, runnable -> {
+        Thread thread = new Thread(runnable, "job-answer");
+        thread.setDaemon(true);
+        return thread;
+    });
+
+    /** Creates routes. */
+    public JobRoutes(Supplier<SharedState> state, JobDesk desk, EventSink events) {
+        this.state = state;
+        this.desk = desk;
+        this.events = events;
+    }
+
+    /** Adds the operators' routes. */
+    public void addTo(AdministrationServer server) {
+        server.route("GET", JOBS_PATH, this::list);
+        server.route("POST", "/job-cancellations", this::cancelForOperator);
+    }
+
+    /** Answers a caller. */
+    @Override
+    public void handle(HttpExchange exchange) throws IOException {
+        try {
+            if (state.get().configuration().version() == 0) {
+                throw new CicadaleadException(ErrorKind.NOT_READY, "No configuration has been published yet");
+            }
+            dispatch(exchange);
+        } catch (CicadaleadException failure) {
+            answerFailure(exchange, failure);
+        }
+    }
+
+    @Override
+    public void close() {
+        answers.shutdown();
+    }
+
+    private void dispatch(HttpExchange exchange) throws IOException {
+        Optional<JobIdentifier> job = identifierOf(exchange);
+        String method = exchange.getRequestMethod();
+        if (job.isEmpty() && method.equals("POST")) {
+            submit(exchange);
+        } else if (job.isPresent() && method.equals("GET")) {
+            JobState found = find(exchange, job.get());
+            try (exchange) {
+                JsonExchange.answer(exchange, JobView.of(found));
+            }
+        } else if (job.isPresent() && method.equals("DELETE")) {
+            cancel(exchange, job.get());
+        } else {
+            throw new CicadaleadException(
+                    ErrorKind.METHOD_NOT_ALLOWED, "Use POST /jobs, or GET or DELETE /jobs/IDENTIFIER");
+        }
+    }
+
+    private void submit(HttpExchange exchange) throws IOException {
+        JobSubmission submission = JobRequestReader.read(exchange);
+        answerWhenDone(exchange, desk.submit(submission), submission.job(), outcome -> {
+            if (outcome instanceof CommandOutcome.Accepted accepted) {
+                exchange.getResponseHeaders()
+                        .set(
+                                "Location",
+                                JOBS_PATH + "/" + submission.job() + "?" + OFFSET_PARAMETER + "=" + accepted.offset());
+            }
+        });
+    }
+
+    private void cancel(HttpExchange exchange, JobIdentifier identifier) {
+        JobState job = find(exchange, identifier);
+        TeamName team = JobRequestReader.team(exchange.getRequestHeaders());
+        if (!job.submission().team().equals(team)) {
+            throw new CicadaleadException(
+                    ErrorKind.UNKNOWN_TEAM,
+                    "The job belongs to the team '" + job.submission().team() + "'");
+        }
+        answerWhenDone(exchange, desk.cancel(identifier), identifier, outcome -> {});
+    }
+
+    /** A process that has not folded the job's record yet says so, and never that the job does not exist. */
+    private JobState find(HttpExchange exchange, JobIdentifier job) {
+        SharedState current = state.get();
+        Optional<JobState> found = current.jobs().find(job);
+        if (found.isPresent()) {
+            return found.get();
+        }
+        long acceptedAt = JsonExchange.queryParameter(exchange, OFFSET_PARAMETER)
+                .filter(text -> text.matches("[0-9]{1,18}"))
+                .map(Long::parseLong)
+                .orElse(0L);
+        if (acceptedAt > current.offset()) {
+            throw new CicadaleadException(ErrorKind.NOT_READY, "This entry process has not read the job's record yet");
+        }
+        throw new CicadaleadException(ErrorKind.UNKNOWN_JOB, "There is no job '" + job + "', or it ended long ago");
+    }
+
+    private void answerWhenDone(
+            HttpExchange exchange,
+            CompletableFuture<CommandOutcome> pending,
+            JobIdentifier job,
+            java.util.function.Consumer<CommandOutcome> headers) {
+        pending.whenCompleteAsync(
+                (outcome, failure) -> {
+                    try {
+                        if (failure != null) {
+                            throw failure instanceof CicadaleadException known
+                                    ? known
+                                    : new CicadaleadException(ErrorKind.INTERNAL, failure.toString(), failure);
+                        }
+                        requireAccepted(outcome);
+                        headers.accept(outcome);
+                        answerJob(exchange, job);
+                    } catch (CicadaleadException refusal) {
+                        events.emit(
+                                EventKind.JOB_REFUSED,
+                                Optional.of(job.value()),
+                                EventDetail.of("kind", refusal.kind().code()));
+                        answerFailure(exchange, refusal);
+                    }
+                },
+                answers);
+    }
+
+    private void answerJob(HttpExchange exchange, JobIdentifier job) {
+        JobState found = state.get()
+                .jobs()
+                .find(job)
+                .orElseThrow(() -> new CicadaleadException(ErrorKind.UNKNOWN_JOB, "The job ended long ago"));
+        int status = found.phase() == JobPhase.CANCELLED ? OK : ACCEPTED;
+        try (exchange) {
+            JsonExchange.answer(exchange, status, JobView.of(found));
+        } catch (IOException gone) {
+            exchange.close();
+        }
+    }
+
+    private static void answerFailure(HttpExchange exchange, CicadaleadException failure) {
+        try (exchange) {
+            JsonExchange.answerProblem(exchange, failure.kind(), failure.getMessage());
+        } catch (IOException gone) {
+            exchange.close();
+        }
+    }
+
+    private static void requireAccepted(CommandOutcome outcome) {
+        if (outcome instanceof CommandOutcome.Rejected rejected) {
+            throw new CicadaleadException(rejected.kind(), rejected.detail());
+        }
+    }
+
+    private static Optional<JobIdentifier> identifierOf(HttpExchange exchange) {
+        String path = exchange.getRequestURI().getPath();
+        String rest = path.substring(Math.min(path.length(), JOBS_PATH.length()));
+        if (rest.isEmpty() || rest.equals("/")) {
+            return Optional.empty();
+        }
+        try {
+            return Optional.of(new JobIdentifier(rest.substring(1)));
+        } catch (IllegalArgumentException invalid) {
+            throw new CicadaleadException(ErrorKind.UNKNOWN_JOB, invalid.getMessage(), invalid);
+        }
+    }
+
+    private void list(HttpExchange exchange) throws IOException {
+        Optional<JobIdentifier> one = identifierOf(exchange);
+        if (one.isPresent()) {
+            JsonExchange.answer(exchange, JobView.of(find(exchange, one.get())));
+            return;
+        }
+        List<JobView> views = java.util.stream.Stream.concat(
+                        state.get().jobs().unfinished().values().stream(), state.get().jobs().ended().values().stream())
+                .limit(MAXIMUM_LISTED)
+                .map(JobView::of)
+                .toList();
+        JsonExchange.answer(exchange, views);
+    }
+
+    private void cancelForOperator(HttpExchange exchange) throws IOException {
+        JobIdentifier job = JsonExchange.readBody(exchange, JobIdentifier.class);
+        requireAccepted(desk.cancel(job).join());
+        JsonExchange.answer(exchange, JobView.of(find(exchange, job)));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/cicadalead/adapters/job/JobService.java
@@ -0,0 +1,96 @@
+package org.cicadalead.adapters.job;
+
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.Semaphore;
+import java.util.concurrent.TimeUnit;
+import org.cicadalead.adapters.replica.SharedStateReplica;
+import org.cicadalead.model.command.CommandEnvelope;
+import org.cicadalead.model.command.CommandOutcome;
+import org.cicadalead.model.command.JobCommand;
+import org.cicadalead.model.event.EventDetail;
+import org.cicadalead.model.event.EventKind;
+import org.cicadalead.model.identity.HostName;
+import org.cicadalead.model.identity.ProcessIdentifier;
+import org.cicadalead.model.state.SharedState;
+import org.cicadalead.ports.EventSink;
+import org.cicadalead.ports.TaskPlatform;
+import org.cicadalead.ports.TimerService;
+
+/** The long jobs of one entry process: desk, routes, events and a thread for the runner. Safe for several threads. */
+public final class JobService implements AutoCloseable {
+    private static final Duration FIRST_RANK_PERIOD = Duration.ofMillis(500);
+    private static final Duration OTHER_RANK_PERIOD = Duration.ofSeconds(2);
+
+    private final SharedStateReplica replica;
+    private final JobRoutes routes;
+    private final JobRunner runner;
+    private final EventSink events;
+    private final Semaphore signals = new Semaphore(0);
+    private final Thread thread = new Thread(this::run, "job-runner");
+    private volatile boolean closed;
+
+    /** Creates the service and starts its runner. */
+    public JobService(
+            ProcessIdentifier self,
+            SharedStateReplica replica,
+            TaskPlatform platform,
+            CommandSink commands,
+            EventSink events,
+            TimerService timers) {
+        this.replica = replica;
+        this.events = events;
+        JobDesk desk = new JobDesk(replica::state, commands, timers);
+        this.routes = new JobRoutes(replica::state, desk, events);
+        this.runner = new JobRunner(self, replica::state, platform, commands, events, timers);
+        replica.addListener(desk);
+        replica.addListener(runner);
+        replica.addListener(new JobEvents(self, events));
+        replica.addListener(this::onFolded);
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    /** Returns the routes. */
+    public JobRoutes routes() {
+        return routes;
+    }
+
+    /** Returns the number of jobs of which a task may exist on a host; a move or reboot waits until there is none. */
+    public int jobsOn(HostName host) {
+        return replica.state().jobs().jobsOn(host);
+    }
+
+    @Override
+    public void close() {
+        closed = true;
+        thread.interrupt();
+        routes.close();
+    }
+
+    /** A step that this process may act on next wakes the runner. */
+    private void onFolded(
+            SharedState before, SharedState after, Optional<CommandEnvelope> envelope, CommandOutcome outcome) {
+        if (envelope.isPresent() && envelope.get().command() instanceof JobCommand) {
+            signals.release();
+        }
+    }
+
+    private void run() {
+        while (!closed) {
+            try {
+                Duration period = runner.rank() == 0 ? FIRST_RANK_PERIOD : OTHER_RANK_PERIOD;
+                boolean signalled = signals.tryAcquire(period.toMillis(), TimeUnit.MILLISECONDS);
+                signals.drainPermits();
+                if (!signalled || runner.rank() == 0) {
+                    runner.runOnce();
+                }
+            } catch (InterruptedException interrupted) {
+                Thread.currentThread().interrupt();
+                return;
+            } catch (RuntimeException failure) {
+                events.emit(EventKind.INTERNAL_FAILURE, Optional.empty(), EventDetail.of("failure", failure));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/cicadalead/adapters/job/RunnerTurn.java
@@ -0,0 +1,44 @@
+package org.cicadalead.adapters.job;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import org.cicadalead.model.identity.ProcessIdentifier;
+import org.cicadalead.model.state.SharedState;
+
+/**
+ * Spreads the runners of several processes over time, so that mostly one appends: the first member acts at once, others
+ * only when work has been left undone for a while. It saves appends and never decides on safety. For one thread.
+ */
+final class RunnerTurn {
+    private static final Duration STAGGER = Duration.ofSeconds(2);
+    private static final int HIGHEST_RANK = 2;
+
+    private final ProcessIdentifier self;
+    private boolean workLeft;
+    private long workSince;
+
+    RunnerTurn(ProcessIdentifier self) {
+        this.self = self;
+    }
+
+    /** Tells whether this process should act now. */
+    boolean mayAct(SharedState state, boolean hasWork, long lastActOfOthers, long now) {
+        if (!hasWork) {
+            workLeft = false;
+            return false;
+        }
+        if (!workLeft) {
+            workLeft = true;
+            workSince = now;
+        }
+        long quietSince = Math.max(workSince, lastActOfOthers);
+        return now - quietSince >= STAGGER.multipliedBy(rank(state)).toNanos();
+    }
+
+    /** Returns the place of this process among the members, 0 for the first or when it is no member. */
+    int rank(SharedState state) {
+        List<ProcessIdentifier> members = new ArrayList<>(state.members().keySet());
+        return Math.min(HIGHEST_RANK, Math.max(0, members.indexOf(self)));
+    }
+}
--- a/src/main/java/org/cicadalead/adapters/request/CallerServer.java
+++ b/src/main/java/org/cicadalead/adapters/request/CallerServer.java
@@ -2,6 +2,7 @@
 
 import com.sun.net.httpserver.Headers;
 import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpHandler;
 import com.sun.net.httpserver.HttpServer;
 import java.io.IOException;
 import java.net.ConnectException;
@@ -79,6 +80,11 @@
         return inFlight.get();
     }
 
+    /** Adds a handler that answers by itself under a path. */
+    public void addContext(String path, HttpHandler handler) {
+        server.createContext(path, handler);
+    }
+
     @Override
     public void close() {
         server.stop(0);
--- a/src/main/java/org/cicadalead/adapters/standin/PlatformStandIn.java
+++ b/src/main/java/org/cicadalead/adapters/standin/PlatformStandIn.java
@@ -28,6 +28,7 @@
 
     private final LogStandIn log = new LogStandIn();
     private final Map<HostName, HostHealth> hosts = new ConcurrentSkipListMap<>();
+    private final TaskStandIn tasks = new TaskStandIn(System::nanoTime);
     private final ExecutorService threads = HttpServers.daemonThreads("platform-stand-in");
     private final HttpServer server;
 
@@ -37,6 +38,7 @@
         server.setExecutor(threads);
         server.createContext("/log/records", JsonExchange.guarded(this::handleLog));
         server.createContext("/hosts", JsonExchange.guarded(this::handleHosts));
+        TaskStandInRoutes.addTo(server, tasks);
         server.start();
     }
 
@@ -50,6 +52,11 @@
         return log;
     }
 
+    /** Returns its tasks, to cause faults and to see what really ran. */
+    public TaskStandIn tasks() {
+        return tasks;
+    }
+
     /** Lists a host as live or leaving. */
     public void putHost(HostName host, HostHealth health) {
         hosts.put(host, health);
--- /dev/null
+++ b/src/main/java/org/cicadalead/adapters/standin/StandInTask.java
@@ -0,0 +1,127 @@
+package org.cicadalead.adapters.standin;
+
+import java.time.Duration;
+import java.util.Optional;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.cicadalead.model.identity.HostName;
+import org.cicadalead.model.job.JobSize;
+import org.cicadalead.model.job.TaskPhase;
+import org.cicadalead.model.job.TaskStatus;
+import org.cicadalead.ports.TaskPlatform.TaskStart;
+
+/** A task of the stand-in. Guarded by its {@link TaskStandIn}. */
+final class StandInTask {
+    private static final Pattern NUMBER = Pattern.compile("(run|progress)-milliseconds=([0-9]{1,9})");
+    private static final String FAILING_PAYLOAD = "always-fails";
+
+    private final TaskStart start;
+    private final Duration runTime;
+    private final boolean fails;
+    private final long startedAt;
+    private long progressNanoseconds;
+    private long progressedAt;
+    private long stopDueAt = Long.MAX_VALUE;
+    private boolean stopWithCheckpoint;
+    private boolean crashed;
+    private TaskStatus status;
+    private long revision;
+
+    StandInTask(TaskStart start, Duration defaultRunTime, boolean hostFails, long now) {
+        this.start = start;
+        this.runTime = number("run", start.submission().payload()).orElse(defaultRunTime);
+        this.fails = hostFails || start.submission().payload().contains(FAILING_PAYLOAD);
+        this.progressNanoseconds =
+                number("progress", start.checkpoint()).orElse(Duration.ZERO).toNanos();
+        this.startedAt = now;
+        this.progressedAt = now;
+        this.status = new TaskStatus(
+                start.task(),
+                Optional.of(start.host()),
+                TaskPhase.RUNNING,
+                false,
+                JobSize.NONE,
+                Optional.empty(),
+                Optional.empty());
+    }
+
+    HostName host() {
+        return start.host();
+    }
+
+    TaskStart start() {
+        return start;
+    }
+
+    long startedAt() {
+        return startedAt;
+    }
+
+    TaskStatus status() {
+        return status;
+    }
+
+    long revision() {
+        return revision;
+    }
+
+    /** Tells whether the worker executes it at this moment, whatever the platform can see. */
+    boolean executes() {
+        return !status.phase().isEnded() && !crashed;
+    }
+
+    void changed(TaskStatus newStatus, long newRevision) {
+        status = newStatus;
+        revision = newRevision;
+    }
+
+    void crash() {
+        crashed = true;
+    }
+
+    void stopAt(long due, boolean withCheckpoint) {
+        stopDueAt = Math.min(stopDueAt, due);
+        stopWithCheckpoint = withCheckpoint;
+    }
+
+    String checkpointText() {
+        return "progress-milliseconds=" + Duration.ofNanos(progressNanoseconds).toMillis();
+    }
+
+    /** Returns the status that the worker has reached at a moment. */
+    TaskStatus advance(long now, JobSize usage) {
+        if (status.phase().isEnded()) {
+            return status;
+        }
+        if (crashed) {
+            return stopDueAt <= now ? status.withPhase(TaskPhase.STOPPED, Optional.of("the worker crashed")) : status;
+        }
+        long elapsed = now - progressedAt;
+        progressedAt = now;
+        progressNanoseconds += status.throttled() ? elapsed / 2 : elapsed;
+        TaskStatus seen = status.withUsage(usage);
+        if (fails) {
+            return seen.withPhase(TaskPhase.FAILED, Optional.of("exit status 1"));
+        }
+        if (progressNanoseconds >= runTime.toNanos()) {
+            return seen.withPhase(
+                    TaskPhase.FINISHED,
+                    Optional.of("done: " + start.submission().payload()));
+        }
+        if (stopDueAt <= now) {
+            TaskStatus stopped = stopWithCheckpoint ? seen.withCheckpoint(checkpointText()) : seen;
+            return stopped.withPhase(TaskPhase.STOPPED, Optional.empty());
+        }
+        return seen.withPhase(TaskPhase.RUNNING, Optional.empty());
+    }
+
+    private static Optional<Duration> number(String name, String text) {
+        Matcher matcher = NUMBER.matcher(text);
+        while (matcher.find()) {
+            if (matcher.group(1).equals(name)) {
+                return Optional.of(Duration.ofMillis(Long.parseLong(matcher.group(2))));
+            }
+        }
+        return Optional.empty();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/cicadalead/cli/JobsCommand.java
@@ -0,0 +1,78 @@
+package org.cicadalead.cli;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.List;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.Options;
+
+/** The commands on long jobs through the administration port. */
+enum JobsCommand implements Subcommand {
+    /** Shows one job. */
+    SHOW("jobs show", "JOB ", "shows one long job", "jobs show nightly-index") {
+        @Override
+        JsonNode ask(AdministrationClient client, CommandLine arguments) {
+            return client.parse(client.get("/jobs/" + OptionReader.onlyArgument(arguments, "job")), JsonNode.class);
+        }
+    },
+    /** Cancels one job. */
+    CANCEL("jobs cancel", "JOB ", "cancels one long job", "jobs cancel nightly-index") {
+        @Override
+        JsonNode ask(AdministrationClient client, CommandLine arguments) {
+            String job = OptionReader.onlyArgument(arguments, "job");
+            return client.parse(client.post("/job-cancellations", job), JsonNode.class);
+        }
+    },
+    /** Lists jobs. */
+    LIST("jobs", "", "lists long jobs, the unfinished ones first", "jobs") {
+        @Override
+        JsonNode ask(AdministrationClient client, CommandLine arguments) {
+            return client.parse(client.get("/jobs"), JsonNode.class);
+        }
+    };
+
+    private final String words;
+    private final String argument;
+    private final String summary;
+    private final String example;
+
+    JobsCommand(String words, String argument, String summary, String example) {
+        this.words = words;
+        this.argument = argument;
+        this.summary = summary;
+        this.example = example;
+    }
+
+    abstract JsonNode ask(AdministrationClient client, CommandLine arguments);
+
+    @Override
+    public String words() {
+        return words;
+    }
+
+    @Override
+    public String argumentsUsage() {
+        return argument + "[--address ADDRESS:PORT]";
+    }
+
+    @Override
+    public String summary() {
+        return summary;
+    }
+
+    @Override
+    public List<String> examples() {
+        return List.of("cicadalead " + example + " --address 127.0.0.1:20100");
+    }
+
+    @Override
+    public Options options() {
+        return AddressOption.options();
+    }
+
+    @Override
+    public ExitCode run(CommandLine arguments, Console console) {
+        JsonNode answer = ask(AddressOption.client(arguments), arguments);
+        console.result(answer, answer.isArray() ? TextTable.ofRows(answer) : TextTable.ofFields(answer));
+        return ExitCode.DONE;
+    }
+}
--- a/src/main/java/org/cicadalead/cli/Subcommands.java
+++ b/src/main/java/org/cicadalead/cli/Subcommands.java
@@ -14,6 +14,9 @@
             ShowCommand.POOLS,
             ShowCommand.HOSTS,
             ShowCommand.TIMELINE,
+            JobsCommand.SHOW,
+            JobsCommand.CANCEL,
+            JobsCommand.LIST,
             new PlatformStandInCommand(),
             new UpstreamStandInCommand());
 
--- a/src/main/java/org/cicadalead/logic/job/JobFold.java
+++ b/src/main/java/org/cicadalead/logic/job/JobFold.java
@@ -1,41 +1,207 @@
 package org.cicadalead.logic.job;
 
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
 import org.cicadalead.logic.state.FoldResult;
+import org.cicadalead.model.command.CommandOutcome;
 import org.cicadalead.model.command.JobCommand;
+import org.cicadalead.model.configuration.TeamDefinition;
 import org.cicadalead.model.error.ErrorKind;
-import org.cicadalead.model.state.JobPhase;
-import org.cicadalead.model.state.JobState;
+import org.cicadalead.model.fleet.HostState;
+import org.cicadalead.model.identity.HostName;
+import org.cicadalead.model.identity.JobIdentifier;
+import org.cicadalead.model.job.JobHostState;
+import org.cicadalead.model.job.JobLedger;
+import org.cicadalead.model.job.JobPhase;
+import org.cicadalead.model.job.JobReport;
+import org.cicadalead.model.job.JobReportKind;
+import org.cicadalead.model.job.JobState;
+import org.cicadalead.model.job.JobSubmission;
+import org.cicadalead.model.job.StopReason;
 import org.cicadalead.model.state.SharedState;
 
-/** Folds submissions and cancellations of long jobs. Stateless; safe for use by several threads. */
+/**
+ * Folds commands on long jobs. Every entry names what it read: the version of a waiting job, or the epoch of a placed
+ * one. An entry of an old version or epoch changes nothing, so a job ends once, however many processes plan at once and
+ * however late a paused one goes on. Stateless; safe for use by several threads.
+ */
 public final class JobFold {
     private JobFold() {}
 
     /** Folds one command. */
     public static FoldResult apply(SharedState state, long offset, JobCommand command) {
+        return fold(state, offset, command).summary(offset);
+    }
+
+    /** Folds one command and tells what became of each of its entries. */
+    public static JobFoldResult fold(SharedState state, long offset, JobCommand command) {
+        Folding folding = new Folding(state, offset);
         if (command instanceof JobCommand.Submit submit) {
-            return submit(state, offset, submit);
+            submit.submissions().forEach(folding::submit);
+        } else if (command instanceof JobCommand.Cancel cancel) {
+            cancel.jobs().forEach(folding::cancel);
+        } else if (command instanceof JobCommand.Place place) {
+            place.placements().forEach(folding::place);
+        } else if (command instanceof JobCommand.RequestStop requestStop) {
+            requestStop.stops().forEach(folding::stop);
+        } else if (command instanceof JobCommand.Report report) {
+            report.reports().forEach(folding::report);
         }
-        return cancel(state, offset, (JobCommand.Cancel) command);
+        return new JobFoldResult(state.withJobs(folding.jobs.withoutForgottenHosts(state.hosts())), folding.outcomes);
     }
 
-    private static FoldResult submit(SharedState state, long offset, JobCommand.Submit submit) {
-        if (state.jobs().containsKey(submit.job())) {
-            return FoldResult.rejected(state, ErrorKind.CONFLICT, "A job of this identifier was submitted before");
+    /** The folding of one record. For use by one thread. */
+    private static final class Folding {
+        private final SharedState before;
+        private final long offset;
+        private final List<CommandOutcome> outcomes = new ArrayList<>();
+        private JobLedger jobs;
+
+        Folding(SharedState before, long offset) {
+            this.before = before;
+            this.offset = offset;
+            this.jobs = before.jobs();
+        }
+
+        void submit(JobSubmission submission) {
+            Optional<JobState> known = jobs.find(submission.job());
+            if (known.isPresent()) {
+                submitAgain(submission, known.get());
+                return;
+            }
+            TeamDefinition team = before.configuration().merged().teams().get(submission.team());
+            if (team == null) {
+                reject(ErrorKind.UNKNOWN_TEAM, "There is no team '" + submission.team() + "'");
+                return;
+            }
+            Optional<String> objection = JobFeasibility.objection(before, submission);
+            if (objection.isPresent()) {
+                reject(ErrorKind.UNRUNNABLE_JOB, objection.get());
+                return;
+            }
+            if (jobs.unfinishedOf(submission.team()) >= team.jobQuota()) {
+                reject(
+                        ErrorKind.QUOTA_EXCEEDED,
+                        "The team '" + team.name() + "' has " + team.jobQuota()
+                                + " unfinished jobs, as many as its quota allows");
+                return;
+            }
+            jobs = jobs.withAccepted(JobState.accepted(submission, offset));
+            accept();
+        }
+
+        private void submitAgain(JobSubmission submission, JobState known) {
+            if (known.submission().equals(submission)) {
+                outcomes.add(new CommandOutcome.Accepted(known.acceptedAt()));
+                return;
+            }
+            reject(
+                    ErrorKind.KEY_REUSED,
+                    "The identifier '" + submission.job() + "' belongs to a job with other content");
+        }
+
+        void cancel(JobIdentifier identifier) {
+            Optional<JobState> found = jobs.find(identifier);
+            if (found.isEmpty()) {
+                reject(ErrorKind.UNKNOWN_JOB, "There is no job '" + identifier + "'");
+                return;
+            }
+            JobState job = found.get();
+            if (job.phase().isTerminal() && job.phase() != JobPhase.CANCELLED) {
+                reject(ErrorKind.CONFLICT, "The job has already ended: " + job.phase());
+                return;
+            }
+            if (!job.cancelRequested()) {
+                JobState wished = job.withCancelRequested();
+                change(
+                        job.phase() == JobPhase.WAITING
+                                ? wished.withPhase(JobPhase.CANCELLED)
+                                : wished.stopping(StopReason.CANCELLED));
+            }
+            accept();
+        }
+
+        void place(JobCommand.Placement placement) {
+            JobState job = jobs.unfinished().get(placement.job());
+            if (job == null || job.phase() != JobPhase.WAITING || job.version() != placement.jobVersion()) {
+                reject(ErrorKind.CONFLICT, "The job has changed since the placement was decided");
+                return;
+            }
+            HostState host = before.hosts().get(placement.host());
+            if (host == null
+                    || !host.isAvailable()
+                    || !host.pool().equals(job.submission().pool())) {
+                reject(ErrorKind.CONFLICT, "The host takes no jobs of the pool any more");
+                return;
+            }
+            if (before.jobs().host(placement.host()).lastPlacement() != placement.lastPlacement()) {
+                reject(ErrorKind.CONFLICT, "Another placement on the host came first");
+                return;
+            }
+            change(job.placedOn(placement.host()));
+            changeHost(placement.host(), jobs.host(placement.host()).placedAt(offset));
+            accept();
+        }
+
+        void stop(JobCommand.Stop stop) {
+            JobState job = jobs.unfinished().get(stop.job());
+            if (job == null || !job.phase().isOnHost() || job.epoch() != stop.epoch()) {
+                rejectOldEpoch();
+                return;
+            }
+            change(mayRunAgainUnconfirmed(job, stop.reason()) ? job.waitingAgain() : job.stopping(stop.reason()));
+            accept();
         }
-        JobState job = new JobState(submit, offset, JobPhase.WAITING);
-        return FoldResult.accepted(state.withJobs(state.jobs().plus(submit.job(), job)), offset);
-    }
 
-    private static FoldResult cancel(SharedState state, long offset, JobCommand.Cancel cancel) {
-        JobState job = state.jobs().get(cancel.job());
-        if (job == null) {
-            return FoldResult.rejected(state, ErrorKind.UNKNOWN_JOB, "There is no job '" + cancel.job() + "'");
+        /** The task of an idempotent job may go on unseen; its reports then carry an old epoch. */
+        private static boolean mayRunAgainUnconfirmed(JobState job, StopReason reason) {
+            return reason == StopReason.LEASE_LAPSED && job.submission().idempotent() && !job.cancelRequested();
         }
-        if (job.phase() != JobPhase.WAITING) {
-            return FoldResult.rejected(state, ErrorKind.CONFLICT, "The job is " + job.phase());
+
+        void report(JobReport report) {
+            JobState job = jobs.unfinished().get(report.job());
+            if (job == null || !job.phase().isOnHost() || job.epoch() != report.epoch()) {
+                rejectOldEpoch();
+                return;
+            }
+            boolean failsEverything =
+                    job.host().map(host -> jobs.host(host).failsEverything()).orElse(false);
+            JobState changed = report.kind().applyTo(job, report.detail(), failsEverything);
+            job.host().ifPresent(host -> noteAtHost(host, report));
+            if (!changed.equals(job)) {
+                change(changed);
+            }
+            accept();
+        }
+
+        private void noteAtHost(HostName host, JobReport report) {
+            JobHostState known = jobs.host(host);
+            if (report.kind() == JobReportKind.FAILED) {
+                changeHost(host, known.failed(report.job(), offset));
+            } else if (report.kind() == JobReportKind.FINISHED && known.consecutiveFailures() > 0) {
+                changeHost(host, known.succeeded());
+            }
+        }
+
+        private void change(JobState job) {
+            jobs = jobs.withChanged(job.withVersion(offset));
+        }
+
+        private void changeHost(HostName host, JobHostState hostState) {
+            jobs = jobs.withHost(host, hostState);
+        }
+
+        private void accept() {
+            outcomes.add(new CommandOutcome.Accepted(offset));
+        }
+
+        private void reject(ErrorKind kind, String detail) {
+            outcomes.add(new CommandOutcome.Rejected(kind, detail));
+        }
+
+        private void rejectOldEpoch() {
+            reject(ErrorKind.CONFLICT, "The job is not on a host under this epoch any more");
         }
-        JobState cancelled = new JobState(job.submission(), offset, JobPhase.CANCELLED);
-        return FoldResult.accepted(state.withJobs(state.jobs().plus(cancel.job(), cancelled)), offset);
     }
 }
--- /dev/null
+++ b/src/main/java/org/cicadalead/logic/job/TeamQueues.java
@@ -0,0 +1,92 @@
+package org.cicadalead.logic.job;
+
+import java.util.ArrayDeque;
+import java.util.Comparator;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import org.cicadalead.model.identity.TeamName;
+import org.cicadalead.model.job.JobSize;
+import org.cicadalead.model.job.JobState;
+import org.cicadalead.model.state.SharedState;
+
+/**
+ * The waiting jobs of one pool during a planning round, given out by urgency, then to the team with the least room for
+ * its share, then by age. For use by one thread.
+ */
+final class TeamQueues {
+    private static final Comparator<JobState> WITHIN_TEAM = Comparator.comparingInt(
+                    (JobState job) -> job.submission().urgency())
+            .thenComparingLong(JobState::acceptedAt)
+            .thenComparing(job -> job.submission().job());
+
+    private final SharedState state;
+    private final JobSize poolSize;
+    private final Map<TeamName, Double> usedShares = new HashMap<>();
+    private final Map<TeamName, Deque<JobState>> waiting = new HashMap<>();
+    private final PriorityQueue<Head> heads = new PriorityQueue<>();
+
+    TeamQueues(SharedState state, JobSize poolSize, List<JobState> jobs) {
+        this.state = state;
+        this.poolSize = poolSize;
+        jobs.stream().sorted(WITHIN_TEAM).forEach(job -> waiting.computeIfAbsent(
+                        job.submission().team(), unseen -> new ArrayDeque<>())
+                .add(job));
+    }
+
+    /** Counts room that a team has already; before the first {@link #next}. */
+    void countUse(TeamName team, JobSize size) {
+        usedShares.merge(team, weighted(team, size), Double::sum);
+    }
+
+    /** Starts giving out jobs. */
+    void open() {
+        waiting.keySet().forEach(this::pushHead);
+    }
+
+    /** Returns the next job. */
+    Optional<JobState> next() {
+        Head head = heads.poll();
+        if (head == null) {
+            return Optional.empty();
+        }
+        TeamName team = head.job.submission().team();
+        waiting.get(team).removeFirst();
+        return Optional.of(head.job);
+    }
+
+    /** Lets a team take part again after {@link #next}, with what its job got. */
+    void settle(TeamName team, JobSize given) {
+        countUse(team, given);
+        pushHead(team);
+    }
+
+    private void pushHead(TeamName team) {
+        JobState first = waiting.get(team).peekFirst();
+        if (first != null) {
+            heads.add(new Head(first, usedShares.getOrDefault(team, 0.0)));
+        }
+    }
+
+    private double weighted(TeamName team, JobSize size) {
+        int share = Optional.ofNullable(state.configuration().merged().teams().get(team))
+                .map(definition -> definition.share())
+                .orElse(1);
+        return size.dominantShareOf(poolSize) / Math.max(1, share);
+    }
+
+    private record Head(JobState job, double usedShare) implements Comparable<Head> {
+        private static final Comparator<Head> ORDER = Comparator.comparingInt(
+                        (Head head) -> head.job.submission().urgency())
+                .thenComparingDouble(Head::usedShare)
+                .thenComparing(Head::job, WITHIN_TEAM);
+
+        @Override
+        public int compareTo(Head other) {
+            return ORDER.compare(this, other);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/cicadalead/logic/job/UsageHistory.java
@@ -0,0 +1,88 @@
+package org.cicadalead.logic.job;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.cicadalead.model.identity.PoolName;
+import org.cicadalead.model.identity.TeamName;
+import org.cicadalead.model.job.JobSize;
+import org.cicadalead.model.job.JobSubmission;
+import org.pcollections.TreePMap;
+
+/**
+ * How much of their declared sizes earlier tasks used, by team and pool. The estimate is a high quantile of the newest
+ * samples, so that one modest task does not hide the large ones; with few samples it is the declared size. Immutable.
+ *
+ * @param samples newest samples of each class of jobs, oldest first
+ */
+public record UsageHistory(TreePMap<JobClass, List<UsageSample>> samples) {
+    private static final int MAXIMUM_SAMPLES = 32;
+    private static final int MINIMUM_SAMPLES = 8;
+    private static final double QUANTILE = 0.9;
+    private static final double LOWEST_RATIO = 0.25;
+    private static final double HIGHEST_RATIO = 4;
+
+    /** Returns a history without samples. */
+    public static UsageHistory empty() {
+        return new UsageHistory(TreePMap.empty());
+    }
+
+    /** Returns the history with what a task used at most. */
+    public UsageHistory with(JobSubmission submission, JobSize usage) {
+        JobClass jobClass = JobClass.of(submission);
+        List<UsageSample> changed = new ArrayList<>(samples.getOrDefault(jobClass, List.of()));
+        changed.add(new UsageSample(
+                ratio(usage.processors(), submission.size().processors()),
+                ratio(usage.memoryGigabytes(), submission.size().memoryGigabytes())));
+        List<UsageSample> newest = changed.subList(Math.max(0, changed.size() - MAXIMUM_SAMPLES), changed.size());
+        return new UsageHistory(samples.plus(jobClass, List.copyOf(newest)));
+    }
+
+    /** Returns what a job is expected to use; accelerators are always taken as declared. */
+    public JobSize estimate(JobSubmission submission) {
+        List<UsageSample> known = samples.getOrDefault(JobClass.of(submission), List.of());
+        JobSize declared = submission.size();
+        if (known.size() < MINIMUM_SAMPLES) {
+            return declared;
+        }
+        double processors = quantile(
+                known.stream().mapToDouble(UsageSample::processors).sorted().toArray());
+        double memory = quantile(
+                known.stream().mapToDouble(UsageSample::memory).sorted().toArray());
+        return new JobSize(
+                declared.processors() * processors, declared.memoryGigabytes() * memory, declared.accelerators());
+    }
+
+    private static double ratio(double used, double declared) {
+        return declared <= 0 ? 1 : Math.min(HIGHEST_RATIO, Math.max(LOWEST_RATIO, used / declared));
+    }
+
+    private static double quantile(double[] sorted) {
+        return sorted[Math.min(sorted.length - 1, (int) Math.floor(QUANTILE * sorted.length))];
+    }
+
+    /**
+     * Jobs that are expected to be alike. Ordered by team and pool. Immutable.
+     *
+     * @param team the team
+     * @param pool the pool
+     */
+    public record JobClass(TeamName team, PoolName pool) implements Comparable<JobClass> {
+        static JobClass of(JobSubmission submission) {
+            return new JobClass(submission.team(), submission.pool());
+        }
+
+        @Override
+        public int compareTo(JobClass other) {
+            int byTeam = team.compareTo(other.team);
+            return byTeam == 0 ? pool.compareTo(other.pool) : byTeam;
+        }
+    }
+
+    /**
+     * Usage of one task as a ratio of what was declared.
+     *
+     * @param processors ratio of processors
+     * @param memory ratio of memory
+     */
+    public record UsageSample(double processors, double memory) {}
+}
--- a/src/main/java/org/cicadalead/model/event/EventKind.java
+++ b/src/main/java/org/cicadalead/model/event/EventKind.java
@@ -36,7 +36,37 @@
     /** A host was withdrawn from its pool. */
     MOVE_STARTED(5101, EventSeverity.INFORMATION, "A host was withdrawn from its pool"),
     /** A host was assigned to its new pool. */
-    MOVE_FINISHED(5102, EventSeverity.INFORMATION, "A host was assigned to its new pool");
+    MOVE_FINISHED(5102, EventSeverity.INFORMATION, "A host was assigned to its new pool"),
+    /** A job was accepted in the log. */
+    JOB_ACCEPTED(6001, EventSeverity.INFORMATION, "A job was accepted in the log"),
+    /** A job was refused as not run. */
+    JOB_REFUSED(6002, EventSeverity.INFORMATION, "A job was refused as not run"),
+    /** A job was placed on a host under a new epoch. */
+    JOB_PLACED(6003, EventSeverity.INFORMATION, "A job was placed on a host under a new epoch"),
+    /** A job's task runs. */
+    JOB_STARTED(6004, EventSeverity.DETAIL, "A job's task runs"),
+    /** A job's task is to be stopped. */
+    JOB_STOP_REQUESTED(6005, EventSeverity.INFORMATION, "A job's task is to be stopped"),
+    /** A job waits again for a host. */
+    JOB_RETURNED(6006, EventSeverity.INFORMATION, "A job waits again for a host"),
+    /** A job finished. */
+    JOB_FINISHED(6007, EventSeverity.INFORMATION, "A job finished"),
+    /** A job was given up. */
+    JOB_FAILED(6008, EventSeverity.WARNING, "A job was given up"),
+    /** A job was cancelled and no task of it runs. */
+    JOB_CANCELLED(6009, EventSeverity.INFORMATION, "A job was cancelled and no task of it runs"),
+    /** A job's task wrote a checkpoint or changed its speed. */
+    JOB_PROGRESSED(6010, EventSeverity.DETAIL, "A job's task wrote a checkpoint or changed its speed"),
+    /** A host gets no jobs as it fails everything. */
+    JOB_HOST_BARRED(6011, EventSeverity.WARNING, "A host gets no jobs as it fails everything"),
+    /** A host that failed everything gets jobs again. */
+    JOB_HOST_RETURNED(6012, EventSeverity.INFORMATION, "A host that failed everything gets jobs again"),
+    /** A task of an earlier epoch is being stopped. */
+    ORPHAN_TASK_STOPPED(6013, EventSeverity.WARNING, "A task of an earlier epoch is being stopped"),
+    /** The platform's tasks cannot be reached. */
+    TASK_PLATFORM_UNAVAILABLE(6014, EventSeverity.WARNING, "The platform's tasks cannot be reached"),
+    /** The platform's tasks can be reached again. */
+    TASK_PLATFORM_RETURNED(6015, EventSeverity.INFORMATION, "The platform's tasks can be reached again");
 
     private final int number;
     private final EventSeverity severity;
--- /dev/null
+++ b/src/main/java/org/cicadalead/model/job/JobState.java
@@ -0,0 +1,207 @@
+package org.cicadalead.model.job;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.cicadalead.model.identity.HostName;
+
+/**
+ * A long job in the shared state. A task of it may exist only under the present epoch, but for an idempotent job whose
+ * lease lapsed; a terminal job never changes again. Immutable.
+ *
+ * @param submission what was submitted
+ * @param acceptedAt offset of the submission
+ * @param version offset of the record that last changed it
+ * @param phase its phase
+ * @param epoch number of its placements so far; the fencing token of its task
+ * @param host host of the newest placement
+ * @param stopReason why its task was asked to stop, while it stops
+ * @param cancelRequested whether its owner cancelled it
+ * @param throttled whether its task is slowed down
+ * @param checkpoint where the next task resumes
+ * @param failedAttempts tasks that failed
+ * @param countedAttempts failed tasks that speak against the job and not against a host that fails everything
+ * @param failedHosts hosts on which it failed
+ * @param outcome result of a finished job, or the newest reason for a failure
+ */
+public record JobState(
+        JobSubmission submission,
+        long acceptedAt,
+        long version,
+        JobPhase phase,
+        int epoch,
+        Optional<HostName> host,
+        Optional<StopReason> stopReason,
+        boolean cancelRequested,
+        boolean throttled,
+        Optional<String> checkpoint,
+        int failedAttempts,
+        int countedAttempts,
+        List<HostName> failedHosts,
+        Optional<String> outcome) {
+    /** Failed tasks, on hosts that do not fail everything, after which a job is given up. */
+    public static final int MAXIMUM_COUNTED_ATTEMPTS = 3;
+
+    /** Failed tasks after which a job is given up in any case. */
+    public static final int MAXIMUM_ATTEMPTS = 10;
+
+    /** Copies the list. */
+    public JobState {
+        failedHosts = List.copyOf(failedHosts);
+    }
+
+    /** Returns a job that was just accepted. */
+    public static JobState accepted(JobSubmission submission, long offset) {
+        return new JobState(
+                submission,
+                offset,
+                offset,
+                JobPhase.WAITING,
+                0,
+                Optional.empty(),
+                Optional.empty(),
+                false,
+                false,
+                Optional.empty(),
+                0,
+                0,
+                List.of(),
+                Optional.empty());
+    }
+
+    /** Tells whether it may be tried again after its failures so far. */
+    public boolean hasAttemptsLeft() {
+        return countedAttempts < MAXIMUM_COUNTED_ATTEMPTS && failedAttempts < MAXIMUM_ATTEMPTS;
+    }
+
+    /** Returns the job on a host, under the next epoch. */
+    public JobState placedOn(HostName newHost) {
+        return copy(
+                JobPhase.PLACED, epoch + 1, Optional.of(newHost), Optional.empty(), cancelRequested, false, outcome);
+    }
+
+    /** Returns the job with its task asked to stop; the first reason stays. */
+    public JobState stopping(StopReason reason) {
+        return copy(
+                JobPhase.STOPPING,
+                epoch,
+                host,
+                stopReason.or(() -> Optional.of(reason)),
+                cancelRequested,
+                throttled,
+                outcome);
+    }
+
+    /** Returns the job waiting for its next placement. */
+    public JobState waitingAgain() {
+        return copy(JobPhase.WAITING, epoch, host, Optional.empty(), cancelRequested, false, outcome);
+    }
+
+    /** Returns the job in another phase. */
+    public JobState withPhase(JobPhase newPhase) {
+        return copy(newPhase, epoch, host, stopReason, cancelRequested, throttled, outcome);
+    }
+
+    /** Returns the job with its owner's wish to cancel it. */
+    public JobState withCancelRequested() {
+        return copy(phase, epoch, host, stopReason, true, throttled, outcome);
+    }
+
+    /** Returns the job slowed down or not. */
+    public JobState withThrottled(boolean newThrottled) {
+        return copy(phase, epoch, host, stopReason, cancelRequested, newThrottled, outcome);
+    }
+
+    /** Returns the job at its end. */
+    public JobState withOutcome(JobPhase terminal, String newOutcome) {
+        return copy(terminal, epoch, host, Optional.empty(), cancelRequested, false, Optional.of(newOutcome));
+    }
+
+    /** Returns the job at another version. */
+    public JobState withVersion(long newVersion) {
+        return new JobState(
+                submission,
+                acceptedAt,
+                newVersion,
+                phase,
+                epoch,
+                host,
+                stopReason,
+                cancelRequested,
+                throttled,
+                checkpoint,
+                failedAttempts,
+                countedAttempts,
+                failedHosts,
+                outcome);
+    }
+
+    /** Returns the job with another checkpoint. */
+    public JobState withCheckpoint(Optional<String> newCheckpoint) {
+        return new JobState(
+                submission,
+                acceptedAt,
+                version,
+                phase,
+                epoch,
+                host,
+                stopReason,
+                cancelRequested,
+                throttled,
+                newCheckpoint,
+                failedAttempts,
+                countedAttempts,
+                failedHosts,
+                outcome);
+    }
+
+    /** Returns the job with one more failed task, which speaks against the job itself or only against its host. */
+    public JobState withFailedAttempt(String reason, boolean counted) {
+        return new JobState(
+                submission,
+                acceptedAt,
+                version,
+                phase,
+                epoch,
+                host,
+                stopReason,
+                cancelRequested,
+                throttled,
+                checkpoint,
+                failedAttempts + 1,
+                counted ? countedAttempts + 1 : countedAttempts,
+                withFailedHost(),
+                Optional.of(reason));
+    }
+
+    private List<HostName> withFailedHost() {
+        List<HostName> hosts = new ArrayList<>(failedHosts);
+        host.filter(failed -> !hosts.contains(failed)).ifPresent(hosts::add);
+        return hosts;
+    }
+
+    private JobState copy(
+            JobPhase newPhase,
+            int newEpoch,
+            Optional<HostName> newHost,
+            Optional<StopReason> newReason,
+            boolean newCancelRequested,
+            boolean newThrottled,
+            Optional<String> newOutcome) {
+        return new JobState(
+                submission,
+                acceptedAt,
+                version,
+                newPhase,
+                newEpoch,
+                newHost,
+                newReason,
+                newCancelRequested,
+                newThrottled,
+                checkpoint,
+                failedAttempts,
+                countedAttempts,
+                failedHosts,
+                newOutcome);
+    }
+}
--- a/src/main/java/org/cicadalead/model/state/SharedState.java
+++ b/src/main/java/org/cicadalead/model/state/SharedState.java
@@ -3,8 +3,8 @@
 import org.cicadalead.model.fleet.HostState;
 import org.cicadalead.model.identity.CommandIdentifier;
 import org.cicadalead.model.identity.HostName;
-import org.cicadalead.model.identity.JobIdentifier;
 import org.cicadalead.model.identity.ProcessIdentifier;
+import org.cicadalead.model.job.JobLedger;
 import org.pcollections.TreePMap;
 
 /**
@@ -15,7 +15,7 @@
  * @param configuration the accepted configuration
  * @param members entry processes that may place work
  * @param hosts hosts by name
- * @param jobs long jobs by identifier
+ * @param jobs long jobs
  * @param commands recently folded commands with their offsets, to drop duplicates
  */
 public record SharedState(
@@ -23,12 +23,12 @@
         ConfigurationState configuration,
         TreePMap<ProcessIdentifier, Member> members,
         TreePMap<HostName, HostState> hosts,
-        TreePMap<JobIdentifier, JobState> jobs,
+        JobLedger jobs,
         TreePMap<CommandIdentifier, Long> commands) {
     /** Returns the state before the first record. */
     public static SharedState empty() {
         return new SharedState(
-                0, ConfigurationState.empty(), TreePMap.empty(), TreePMap.empty(), TreePMap.empty(), TreePMap.empty());
+                0, ConfigurationState.empty(), TreePMap.empty(), TreePMap.empty(), JobLedger.empty(), TreePMap.empty());
     }
 
     /** Returns this state at another offset. */
@@ -57,7 +57,7 @@
     }
 
     /** Returns this state with other jobs. */
-    public SharedState withJobs(TreePMap<JobIdentifier, JobState> newJobs) {
+    public SharedState withJobs(JobLedger newJobs) {
         return new SharedState(offset, configuration, members, hosts, newJobs, commands);
     }
 
