--- a/src/main/java/org/cicadalead/adapters/entry/EntryProcess.java
+++ b/src/main/java/org/cicadalead/adapters/entry/EntryProcess.java
@@ -12,9 +12,11 @@
 import org.cicadalead.adapters.administration.StateRoutes;
 import org.cicadalead.adapters.codec.MessagePackCommandCodec;
 import org.cicadalead.adapters.event.TimelineRecorder;
+import org.cicadalead.adapters.event.TimelineRoutes;
 import org.cicadalead.adapters.http.JsonExchange;
 import org.cicadalead.adapters.job.JobRoutes;
 import org.cicadalead.adapters.job.JobService;
+import org.cicadalead.adapters.membership.EntryMembership;
 import org.cicadalead.adapters.platform.HttpPlatform;
 import org.cicadalead.adapters.platform.HttpTaskPlatform;
 import org.cicadalead.adapters.replica.CommandAppender;
@@ -46,6 +48,7 @@
     private final SystemTimerService timers;
     private final LogFollower follower;
     private final CommandAppender appender;
+    private final EntryMembership membership;
     private final CallerServer callers;
     private final JobService jobs;
     private final AdministrationServer administration;
@@ -63,6 +66,7 @@
         MessagePackCommandCodec codec = new MessagePackCommandCodec();
         appender = new CommandAppender(platform, codec, identifier, replica);
         follower = new LogFollower(platform, codec, replica, timeline);
+        membership = new EntryMembership(settings, identifier, replica::state, appender, timers, timeline);
         callers = new CallerServer(settings, replica::state, timeline);
         administration = new AdministrationServer(settings);
         jobs = new JobService(
@@ -75,6 +79,7 @@
         callers.addContext(JobRoutes.JOBS_PATH, jobs.routes());
         jobs.routes().addTo(administration);
         addRoutes();
+        membership.start();
         follower.start();
         administration.start();
         timeline.emit(EventKind.PROCESS_STARTED, Optional.empty(), EventDetail.of("zone", settings.zone()));
@@ -102,7 +107,9 @@
 
     /** Tells whether it takes requests. */
     public boolean isReady() {
-        return !stopping && replica.state().configuration().version() > 0;
+        return !stopping
+                && membership.isMember()
+                && replica.state().configuration().version() > 0;
     }
 
     /**
@@ -114,10 +121,12 @@
         timeline.emit(EventKind.PROCESS_STOPPING, Optional.empty());
         sleep(settings.balancerDelay());
         long deadline = System.nanoTime() + settings.shutdownLimit().toNanos();
-        while (callers.inFlight() > 0 && System.nanoTime() < deadline) {
+        while (callers.inFlight() + jobs.routes().inFlight() > 0 && System.nanoTime() < deadline) {
             sleep(SHUTDOWN_POLL);
         }
-        int left = callers.inFlight();
+        int left = callers.inFlight() + jobs.routes().inFlight();
+        callers.close();
+        membership.leave();
         timeline.emit(EventKind.PROCESS_STOPPED, Optional.empty(), EventDetail.of("left", left));
         close();
         return left;
@@ -127,6 +136,7 @@
     public void close() {
         callers.close();
         jobs.close();
+        membership.close();
         follower.close();
         appender.close();
         administration.close();
@@ -136,12 +146,13 @@
     private void addRoutes() {
         Gauge.builder("cicadalead.state.offset", () -> replica.state().offset()).register(metrics);
         Gauge.builder("cicadalead.requests.in.flight", callers::inFlight).register(metrics);
+        membership.register(metrics);
         new StateRoutes(replica::state, appender).addTo(administration);
         administration.route("GET", "/healthz", exchange -> JsonExchange.answerText(exchange, OK, "ok\n"));
         administration.route("GET", "/readyz", this::answerReady);
         administration.route("GET", "/metrics", exchange -> JsonExchange.answerText(exchange, OK, metrics.scrape()));
         administration.route("GET", "/status", exchange -> JsonExchange.answer(exchange, status()));
-        administration.route("GET", "/timeline", exchange -> JsonExchange.answer(exchange, timeline.eventsFrom(0)));
+        new TimelineRoutes(timeline).addTo(administration);
     }
 
     private void answerReady(HttpExchange exchange) throws IOException {
--- a/src/main/java/org/cicadalead/adapters/job/JobRoutes.java
+++ b/src/main/java/org/cicadalead/adapters/job/JobRoutes.java
@@ -8,7 +8,10 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
+import java.util.stream.Stream;
 import org.cicadalead.adapters.administration.AdministrationServer;
 import org.cicadalead.adapters.http.JsonExchange;
 import org.cicadalead.model.command.CommandOutcome;
@@ -42,6 +45,7 @@
     private final Supplier<SharedState> state;
     private final JobDesk desk;
     private final EventSink events;
+    private final AtomicInteger inFlight = new AtomicInteger();
     private final ExecutorService answers = Executors.newFixedThreadPool(ANSWER_THREADS, runnable -> {
         Thread thread = new Thread(runnable, "job-answer");
         thread.setDaemon(true);
@@ -55,6 +59,11 @@
         this.events = events;
     }
 
+    /** Returns the number of submissions and cancellations that are not answered yet. */
+    public int inFlight() {
+        return inFlight.get();
+    }
+
     /** Adds the operators' routes. */
     public void addTo(AdministrationServer server) {
         server.route("GET", JOBS_PATH, this::list);
@@ -141,7 +150,8 @@
             HttpExchange exchange,
             CompletableFuture<CommandOutcome> pending,
             JobIdentifier job,
-            java.util.function.Consumer<CommandOutcome> headers) {
+            Consumer<CommandOutcome> headers) {
+        inFlight.incrementAndGet();
         pending.whenCompleteAsync(
                 (outcome, failure) -> {
                     try {
@@ -159,6 +169,8 @@
                                 Optional.of(job.value()),
                                 EventDetail.of("kind", refusal.kind().code()));
                         answerFailure(exchange, refusal);
+                    } finally {
+                        inFlight.decrementAndGet();
                     }
                 },
                 answers);
@@ -210,7 +222,7 @@
             JsonExchange.answer(exchange, JobView.of(find(exchange, one.get())));
             return;
         }
-        List<JobView> views = java.util.stream.Stream.concat(
+        List<JobView> views = Stream.concat(
                         state.get().jobs().unfinished().values().stream(), state.get().jobs().ended().values().stream())
                 .limit(MAXIMUM_LISTED)
                 .map(JobView::of)
