--- a/src/main/java/org/cicadalead/adapters/entry/EntryProcess.java
+++ b/src/main/java/org/cicadalead/adapters/entry/EntryProcess.java
@@ -13,8 +13,11 @@
 import org.cicadalead.adapters.event.TimelineRecorder;
 import org.cicadalead.adapters.event.TimelineRoutes;
 import org.cicadalead.adapters.http.JsonExchange;
+import org.cicadalead.adapters.job.JobRoutes;
+import org.cicadalead.adapters.job.JobService;
 import org.cicadalead.adapters.membership.EntryMembership;
 import org.cicadalead.adapters.platform.HttpPlatform;
+import org.cicadalead.adapters.platform.HttpTaskPlatform;
 import org.cicadalead.adapters.replica.SharedStateReplica;
 import org.cicadalead.adapters.replica.SharedStateService;
 import org.cicadalead.adapters.request.CallerServer;
@@ -44,6 +47,7 @@
     private final SharedStateService sharedState;
     private final EntryMembership membership;
     private final CallerServer callers;
+    private final JobService jobs;
     private final AdministrationServer administration;
     private final PrometheusMeterRegistry metrics = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
     private volatile boolean stopping;
@@ -62,6 +66,15 @@
         sharedState.usePeers(membership.channel());
         callers = new CallerServer(settings, replica::state, timeline);
         administration = new AdministrationServer(settings);
+        jobs = new JobService(
+                identifier,
+                replica,
+                new HttpTaskPlatform(settings.platformAddress()),
+                sharedState.appender()::submit,
+                timeline,
+                timers);
+        callers.addContext(JobRoutes.JOBS_PATH, jobs.routes());
+        jobs.routes().addTo(administration);
         addRoutes();
         membership.start();
         sharedState.start();
@@ -103,10 +116,10 @@
         timeline.emit(EventKind.PROCESS_STOPPING, Optional.empty());
         sleep(settings.balancerDelay());
         long deadline = System.nanoTime() + settings.shutdownLimit().toNanos();
-        while (callers.inFlight() > 0 && System.nanoTime() < deadline) {
+        while (callers.inFlight() + jobs.routes().inFlight() > 0 && System.nanoTime() < deadline) {
             sleep(SHUTDOWN_POLL);
         }
-        int left = callers.inFlight();
+        int left = callers.inFlight() + jobs.routes().inFlight();
         callers.close();
         membership.leave();
         timeline.emit(EventKind.PROCESS_STOPPED, Optional.empty(), EventDetail.of("left", left));
@@ -117,6 +130,7 @@
     @Override
     public void close() {
         callers.close();
+        jobs.close();
         membership.close();
         sharedState.close();
         administration.close();
--- a/src/main/java/org/cicadalead/model/state/SharedState.java
+++ b/src/main/java/org/cicadalead/model/state/SharedState.java
@@ -2,9 +2,9 @@
 
 import org.cicadalead.model.fleet.HostState;
 import org.cicadalead.model.identity.HostName;
-import org.cicadalead.model.identity.JobIdentifier;
 import org.cicadalead.model.identity.ProcessIdentifier;
 import org.cicadalead.model.identity.WaveIdentifier;
+import org.cicadalead.model.job.JobLedger;
 import org.pcollections.TreePMap;
 
 /**
@@ -15,7 +15,7 @@
  * @param configuration the accepted configuration
  * @param members entry processes that may place work
  * @param hosts hosts by name
- * @param jobs long jobs by identifier
+ * @param jobs long jobs
  * @param waves maintenance waves by identifier
  * @param commands recently folded commands with their offsets, to drop duplicates
  * @param checkpoint checkpoints of this state in the log
@@ -25,7 +25,7 @@
         ConfigurationState configuration,
         TreePMap<ProcessIdentifier, Member> members,
         TreePMap<HostName, HostState> hosts,
-        TreePMap<JobIdentifier, JobState> jobs,
+        JobLedger jobs,
         TreePMap<WaveIdentifier, WaveState> waves,
         CommandWindow commands,
         CheckpointState checkpoint) {
@@ -36,7 +36,7 @@
                 ConfigurationState.empty(),
                 TreePMap.empty(),
                 TreePMap.empty(),
-                TreePMap.empty(),
+                JobLedger.empty(),
                 TreePMap.empty(),
                 CommandWindow.empty(),
                 CheckpointState.empty());
@@ -68,7 +68,7 @@
     }
 
     /** Returns this state with other jobs. */
-    public SharedState withJobs(TreePMap<JobIdentifier, JobState> newJobs) {
+    public SharedState withJobs(JobLedger newJobs) {
         return new SharedState(offset, configuration, members, hosts, newJobs, waves, commands, checkpoint);
     }
 
