Move hosts by withdraw, acknowledge and assign, with view leases and removal on evidence

A host that a publication declares while there are members enters its pool by the same steps, as it may have been declared elsewhere before. Assignments come in batches and name the members of other zones that are not waited for.

--- a/src/main/java/org/cicadalead/adapters/entry/EntryProcess.java
+++ b/src/main/java/org/cicadalead/adapters/entry/EntryProcess.java
@@ -14,7 +14,9 @@
 import org.cicadalead.adapters.event.TimelineRecorder;
 import org.cicadalead.adapters.event.TimelineRoutes;
 import org.cicadalead.adapters.http.JsonExchange;
+import org.cicadalead.adapters.membership.ContactTrackingLog;
 import org.cicadalead.adapters.membership.EntryMembership;
+import org.cicadalead.adapters.membership.MembershipStatus;
 import org.cicadalead.adapters.platform.HttpPlatform;
 import org.cicadalead.adapters.replica.CommandAppender;
 import org.cicadalead.adapters.replica.LogFollower;
@@ -60,11 +62,13 @@
                 timeline.emit(EventKind.INTERNAL_FAILURE, Optional.empty(), EventDetail.of("failure", failure)));
         HttpPlatform platform = new HttpPlatform(settings.platformAddress());
         MessagePackCommandCodec codec = new MessagePackCommandCodec();
-        appender = new CommandAppender(platform, codec, identifier, replica);
-        follower = new LogFollower(platform, codec, replica, timeline);
-        membership = new EntryMembership(settings, identifier, replica::state, appender, timers, timeline);
+        ContactTrackingLog log = new ContactTrackingLog(platform, timers);
+        appender = new CommandAppender(log, codec, identifier, replica);
+        follower = new LogFollower(log, codec, replica, timeline);
+        membership = new EntryMembership(settings, identifier, replica, appender, log, timers, timeline);
         callers = new CallerServer(settings, replica::state, timeline);
         administration = new AdministrationServer(settings);
+        membership.addPlacements(callers.placements());
         addRoutes();
         membership.start();
         follower.start();
@@ -133,6 +137,7 @@
         Gauge.builder("cicadalead.state.offset", () -> replica.state().offset()).register(metrics);
         Gauge.builder("cicadalead.requests.in.flight", callers::inFlight).register(metrics);
         membership.register(metrics);
+        membership.addTo(administration);
         new StateRoutes(replica::state, appender).addTo(administration);
         administration.route("GET", "/healthz", exchange -> JsonExchange.answerText(exchange, OK, "ok\n"));
         administration.route("GET", "/readyz", this::answerReady);
@@ -155,7 +160,7 @@
                 follower.isReachable(),
                 state.offset(),
                 state.configuration().version(),
-                state.members().size(),
+                membership.status(),
                 callers.inFlight());
     }
 
@@ -176,7 +181,7 @@
      * @param platformReachable whether the last read reached the platform
      * @param offset offset that it has folded up to
      * @param configurationVersion the configuration in force here
-     * @param members entry processes that may place work
+     * @param membership entry processes that may place work, and what waits for whom
      * @param requestsInFlight requests not answered yet
      */
     public record StatusView(
@@ -186,6 +191,6 @@
             boolean platformReachable,
             long offset,
             long configurationVersion,
-            int members,
+            MembershipStatus membership,
             int requestsInFlight) {}
 }
--- a/src/main/java/org/cicadalead/adapters/membership/EntryMembership.java
+++ b/src/main/java/org/cicadalead/adapters/membership/EntryMembership.java
@@ -3,17 +3,28 @@
 import io.micrometer.core.instrument.FunctionCounter;
 import io.micrometer.core.instrument.Gauge;
 import io.micrometer.core.instrument.MeterRegistry;
+import java.time.Duration;
+import java.util.List;
+import java.util.TreeSet;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
+import org.cicadalead.adapters.administration.AdministrationServer;
 import org.cicadalead.adapters.peer.PeerChannelOptions;
 import org.cicadalead.adapters.peer.PeerCounters;
 import org.cicadalead.adapters.peer.SharedKeys;
 import org.cicadalead.adapters.peer.TcpPeerChannel;
 import org.cicadalead.adapters.replica.CommandAppender;
+import org.cicadalead.adapters.replica.SharedStateReplica;
+import org.cicadalead.model.command.Command;
 import org.cicadalead.model.identity.ProcessIdentifier;
+import org.cicadalead.model.identity.ZoneName;
 import org.cicadalead.model.settings.EntrySettings;
 import org.cicadalead.model.state.SharedState;
 import org.cicadalead.ports.EventSink;
 import org.cicadalead.ports.PeerChannel;
+import org.cicadalead.ports.PlacementControl;
+import org.cicadalead.ports.PlacementView;
 import org.cicadalead.ports.TimerService;
 
 /**
@@ -21,17 +32,29 @@
  * of moves. Safe for use by several threads.
  */
 public final class EntryMembership implements AutoCloseable {
+    private static final Duration SUBMIT_TIMEOUT = Duration.ofSeconds(5);
+
+    private final ProcessIdentifier process;
+    private final Supplier<SharedState> state;
+    private final CommandAppender appender;
     private final TcpPeerChannel channel;
     private final MembershipService membership;
+    private final ViewLeases leases;
+    private final MemberWatch watch;
+    private final MoveLoop moves;
 
     /** Binds the peer address; {@link #start} starts joining. */
     public EntryMembership(
             EntrySettings settings,
             ProcessIdentifier process,
-            Supplier<SharedState> state,
+            SharedStateReplica replica,
             CommandAppender appender,
+            ContactTrackingLog log,
             TimerService timers,
             EventSink events) {
+        this.process = process;
+        this.state = replica::state;
+        this.appender = appender;
         channel = new TcpPeerChannel(
                 new PeerChannelOptions(
                         process,
@@ -44,12 +67,19 @@
                 timers,
                 events);
         membership = new MembershipService(channel.self(), state, appender, timers, events);
+        leases = new ViewLeases(channel.self(), state, channel, timers, log::leaseFor, () -> false);
+        watch = new MemberWatch(process, state, channel, channel::probe, this::submit, timers, events);
+        moves = new MoveLoop(process, state, this::submit, watch::cutOff, move -> true, timers, events);
+        replica.addListener(new MoveEvents(process, events));
     }
 
     /** Starts talking to the others and joins. */
     public void start() {
         channel.start();
         membership.start();
+        leases.start();
+        watch.start();
+        moves.start();
     }
 
     /** Returns the channel to the other entry processes. */
@@ -57,11 +87,37 @@
         return channel;
     }
 
+    /** Returns whether work may be placed on a host now. */
+    public PlacementView view() {
+        return leases;
+    }
+
+    /** Adds a part of the process that places work; a move is acknowledged when none has work in flight on the host. */
+    public void addPlacements(PlacementControl control) {
+        moves.addControl(control);
+    }
+
     /** Tells whether this process may serve: its shared state holds its own membership. */
     public boolean isMember() {
         return membership.isMember();
     }
 
+    /** Returns members and moves as this process sees them. */
+    public MembershipStatus status() {
+        SharedState current = state.get();
+        List<MembershipStatus.MemberView> members =
+                StatusReporter.members(current, process, channel.peers(), watch::history);
+        TreeSet<ZoneName> zones = new TreeSet<>(channel.reachableZones());
+        zones.add(channel.self().zone());
+        return new MembershipStatus(
+                isMember(), "", members, List.copyOf(zones), StatusReporter.blocked(current, members));
+    }
+
+    /** Adds the operators' routes on moves and members. */
+    public void addTo(AdministrationServer administration) {
+        new MembershipRoutes(state, this::status, appender).addTo(administration);
+    }
+
     /** Registers the metrics of the channel. */
     public void register(MeterRegistry metrics) {
         PeerCounters counters = channel.counters();
@@ -79,12 +135,20 @@
 
     /** Leaves; to be called when nothing that this process placed is in flight, and before {@link #close}. */
     public void leave() {
+        leases.stopGranting();
         membership.leave();
     }
 
     @Override
     public void close() {
+        moves.close();
+        watch.close();
+        leases.close();
         membership.close();
         channel.close();
     }
+
+    private CompletableFuture<?> submit(Command command) {
+        return appender.submit(command).orTimeout(SUBMIT_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
+    }
 }
--- /dev/null
+++ b/src/main/java/org/cicadalead/adapters/membership/MemberWatch.java
@@ -0,0 +1,136 @@
+package org.cicadalead.adapters.membership;
+
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.Function;
+import java.util.function.Supplier;
+import java.util.stream.Collectors;
+import org.cicadalead.adapters.peer.PeerIdentity;
+import org.cicadalead.logic.membership.EvidenceHistory;
+import org.cicadalead.logic.membership.MemberRemoval;
+import org.cicadalead.logic.membership.PeerEvidence;
+import org.cicadalead.model.command.Command;
+import org.cicadalead.model.command.MembershipCommand;
+import org.cicadalead.model.event.EventDetail;
+import org.cicadalead.model.event.EventKind;
+import org.cicadalead.model.identity.ProcessIdentifier;
+import org.cicadalead.model.state.Member;
+import org.cicadalead.model.state.SharedState;
+import org.cicadalead.ports.EventSink;
+import org.cicadalead.ports.PeerChannel;
+import org.cicadalead.ports.TimerService;
+
+/**
+ * Collects evidence on members that are not heard of, and appends the removal of those that have ended. Safe for use by
+ * several threads.
+ */
+public final class MemberWatch implements AutoCloseable {
+    private static final Duration PERIOD = Duration.ofSeconds(3);
+
+    private final ProcessIdentifier self;
+    private final Supplier<SharedState> state;
+    private final PeerChannel channel;
+    private final Function<PeerIdentity, CompletableFuture<PeerEvidence>> probe;
+    private final Function<Command, CompletableFuture<?>> submit;
+    private final TimerService timers;
+    private final EventSink events;
+    private final Map<ProcessIdentifier, EvidenceHistory> histories = new ConcurrentHashMap<>();
+    private final Set<ProcessIdentifier> probing = ConcurrentHashMap.newKeySet();
+    private final Set<ProcessIdentifier> removing = ConcurrentHashMap.newKeySet();
+    private final List<TimerService.Subscription> subscriptions = new CopyOnWriteArrayList<>();
+
+    MemberWatch(
+            ProcessIdentifier self,
+            Supplier<SharedState> state,
+            PeerChannel channel,
+            Function<PeerIdentity, CompletableFuture<PeerEvidence>> probe,
+            Function<Command, CompletableFuture<?>> submit,
+            TimerService timers,
+            EventSink events) {
+        this.self = self;
+        this.state = state;
+        this.channel = channel;
+        this.probe = probe;
+        this.submit = submit;
+        this.timers = timers;
+        this.events = events;
+    }
+
+    void start() {
+        subscriptions.add(timers.every(PERIOD, this::tick));
+    }
+
+    /** Returns the members that have been cut off, or have ended, for long enough. */
+    Set<ProcessIdentifier> cutOff() {
+        long now = timers.nanoTime();
+        return histories.entrySet().stream()
+                .filter(entry -> entry.getValue().showsCut(now))
+                .map(Map.Entry::getKey)
+                .collect(Collectors.toUnmodifiableSet());
+    }
+
+    /** Returns what attempts to reach a member have shown, while it is not heard of. */
+    Optional<EvidenceHistory> history(ProcessIdentifier member) {
+        return Optional.ofNullable(histories.get(member));
+    }
+
+    @Override
+    public void close() {
+        subscriptions.forEach(TimerService.Subscription::close);
+    }
+
+    private void tick() {
+        SharedState current = state.get();
+        Set<ProcessIdentifier> suspects = new HashSet<>();
+        Set<ProcessIdentifier> heard = channel.peers().stream()
+                .filter(PeerChannel.PeerStatus::reachable)
+                .map(PeerChannel.PeerStatus::process)
+                .collect(Collectors.toSet());
+        for (Member member : current.members().values()) {
+            if (!member.process().equals(self) && !heard.contains(member.process())) {
+                suspects.add(member.process());
+                probe(member);
+            }
+        }
+        histories.keySet().retainAll(suspects);
+        removeEnded(current);
+    }
+
+    private void probe(Member member) {
+        if (!probing.add(member.process())) {
+            return;
+        }
+        long startedAt = timers.nanoTime();
+        probe.apply(new PeerIdentity(member.process(), member.zone(), member.peerAddress()))
+                .whenComplete((evidence, failure) -> {
+                    probing.remove(member.process());
+                    if (failure == null) {
+                        note(member.process(), evidence, startedAt);
+                    }
+                });
+    }
+
+    private void note(ProcessIdentifier member, PeerEvidence evidence, long startedAt) {
+        histories.compute(
+                member,
+                (process, before) ->
+                        before == null ? EvidenceHistory.first(evidence, startedAt) : before.with(evidence, startedAt));
+    }
+
+    private void removeEnded(SharedState current) {
+        for (MembershipCommand.Leave removal :
+                MemberRemoval.decide(current, self, Map.copyOf(histories), timers.nanoTime())) {
+            if (removing.add(removal.process())) {
+                events.emit(EventKind.MEMBER_REMOVED, Optional.empty(), EventDetail.of("member", removal.process()));
+                submit.apply(removal).whenComplete((outcome, failure) -> removing.remove(removal.process()));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/cicadalead/adapters/membership/MembershipRoutes.java
@@ -0,0 +1,123 @@
+package org.cicadalead.adapters.membership;
+
+import com.sun.net.httpserver.HttpExchange;
+import java.io.IOException;
+import java.util.Optional;
+import java.util.function.Supplier;
+import org.cicadalead.adapters.administration.AdministrationServer;
+import org.cicadalead.adapters.http.JsonExchange;
+import org.cicadalead.adapters.replica.CommandAppender;
+import org.cicadalead.model.command.CommandOutcome;
+import org.cicadalead.model.command.FleetCommand;
+import org.cicadalead.model.command.FleetCommand.HostMove;
+import org.cicadalead.model.command.MembershipCommand;
+import org.cicadalead.model.error.CicadaleadException;
+import org.cicadalead.model.error.ErrorKind;
+import org.cicadalead.model.fleet.HostMoveState;
+import org.cicadalead.model.fleet.HostState;
+import org.cicadalead.model.identity.HostName;
+import org.cicadalead.model.identity.PoolName;
+import org.cicadalead.model.identity.ProcessIdentifier;
+import org.cicadalead.model.state.Member;
+import org.cicadalead.model.state.SharedState;
+
+/** Operators' routes on moves and members. Safe for use by several threads. */
+final class MembershipRoutes {
+    private final Supplier<SharedState> state;
+    private final Supplier<MembershipStatus> status;
+    private final CommandAppender appender;
+
+    MembershipRoutes(Supplier<SharedState> state, Supplier<MembershipStatus> status, CommandAppender appender) {
+        this.state = state;
+        this.status = status;
+        this.appender = appender;
+    }
+
+    void addTo(AdministrationServer server) {
+        server.route("GET", "/members", exchange -> JsonExchange.answer(exchange, status.get()));
+        server.route("POST", "/moves", this::move);
+        server.route("POST", "/moves/cancel", this::cancel);
+        server.route("POST", "/members/remove", this::remove);
+    }
+
+    private void move(HttpExchange exchange) throws IOException {
+        MoveRequest request = JsonExchange.readBody(exchange, MoveRequest.class);
+        SharedState current = state.get();
+        HostState host = findHost(current, request.host());
+        if (!current.configuration().merged().pools().containsKey(request.destination())) {
+            throw new CicadaleadException(
+                    ErrorKind.UNKNOWN_RESOURCE, "There is no pool '" + request.destination() + "'");
+        }
+        long offset = accepted(
+                appender.submitAndWait(new FleetCommand.Withdraw(host.name(), host.version(), request.destination())));
+        JsonExchange.answer(exchange, new MoveStarted(host.name(), host.pool(), request.destination(), offset));
+    }
+
+    private void cancel(HttpExchange exchange) throws IOException {
+        CancelRequest request = JsonExchange.readBody(exchange, CancelRequest.class);
+        HostState host = findHost(state.get(), request.host());
+        HostMoveState move = host.move()
+                .orElseThrow(() ->
+                        new CicadaleadException(ErrorKind.CONFLICT, "The host '" + host.name() + "' is not moving"));
+        long offset = accepted(
+                appender.submitAndWait(new FleetCommand.CancelMove(new HostMove(host.name(), move.version()))));
+        JsonExchange.answer(exchange, new MoveStarted(host.name(), move.destination(), host.pool(), offset));
+    }
+
+    private void remove(HttpExchange exchange) throws IOException {
+        RemoveRequest request = JsonExchange.readBody(exchange, RemoveRequest.class);
+        Member member = Optional.ofNullable(state.get().members().get(request.process()))
+                .orElseThrow(() -> new CicadaleadException(
+                        ErrorKind.UNKNOWN_RESOURCE, "There is no member '" + request.process() + "'"));
+        JsonExchange.answer(
+                exchange, appender.submitAndWait(new MembershipCommand.Leave(member.process(), member.version())));
+    }
+
+    private static HostState findHost(SharedState current, HostName name) {
+        return Optional.ofNullable(current.hosts().get(name))
+                .orElseThrow(
+                        () -> new CicadaleadException(ErrorKind.UNKNOWN_RESOURCE, "There is no host '" + name + "'"));
+    }
+
+    private static long accepted(CommandOutcome outcome) {
+        if (outcome instanceof CommandOutcome.Accepted accepted) {
+            return accepted.offset();
+        }
+        if (outcome instanceof CommandOutcome.Rejected rejected) {
+            throw new CicadaleadException(rejected.kind(), rejected.detail());
+        }
+        throw new CicadaleadException(ErrorKind.CONFLICT, "The same command stands earlier in the log");
+    }
+
+    /**
+     * Asks for a move.
+     *
+     * @param host the host
+     * @param destination the pool that it goes to
+     */
+    record MoveRequest(HostName host, PoolName destination) {}
+
+    /**
+     * Asks to give a move up.
+     *
+     * @param host the host
+     */
+    record CancelRequest(HostName host) {}
+
+    /**
+     * States that a member's host was stopped for good.
+     *
+     * @param process the member
+     */
+    record RemoveRequest(ProcessIdentifier process) {}
+
+    /**
+     * A withdrawal that was accepted.
+     *
+     * @param host the host
+     * @param from the pool that it belonged to
+     * @param to the pool that it goes to
+     * @param offset offset of the record
+     */
+    record MoveStarted(HostName host, PoolName from, PoolName to, long offset) {}
+}
--- /dev/null
+++ b/src/main/java/org/cicadalead/adapters/membership/MoveLoop.java
@@ -0,0 +1,161 @@
+package org.cicadalead.adapters.membership;
+
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Function;
+import java.util.function.Supplier;
+import org.cicadalead.logic.membership.MoveCoordinator;
+import org.cicadalead.model.command.Command;
+import org.cicadalead.model.command.FleetCommand;
+import org.cicadalead.model.command.FleetCommand.HostMove;
+import org.cicadalead.model.event.EventDetail;
+import org.cicadalead.model.event.EventKind;
+import org.cicadalead.model.fleet.HostState;
+import org.cicadalead.model.identity.HostName;
+import org.cicadalead.model.identity.ProcessIdentifier;
+import org.cicadalead.model.state.SharedState;
+import org.cicadalead.ports.EventSink;
+import org.cicadalead.ports.PlacementControl;
+import org.cicadalead.ports.TimerService;
+import org.pcollections.TreePMap;
+
+/**
+ * Drives {@link MoveCoordinator} in one process: acknowledges withdrawals once nothing is in flight and the connections
+ * are closed, and appends assignments. {@link #tick} is called by one thread at a time; the rest is safe for use by
+ * several threads.
+ */
+public final class MoveLoop implements AutoCloseable {
+    private static final Duration PERIOD = Duration.ofMillis(200);
+
+    private final ProcessIdentifier self;
+    private final Supplier<SharedState> state;
+    private final Function<Command, CompletableFuture<?>> submit;
+    private final Supplier<Set<ProcessIdentifier>> cutOff;
+    private final Function<HostMove, Boolean> covered;
+    private final TimerService timers;
+    private final EventSink events;
+    private final List<PlacementControl> controls = new CopyOnWriteArrayList<>();
+    private final List<TimerService.Subscription> subscriptions = new CopyOnWriteArrayList<>();
+    private final AtomicBoolean acknowledging = new AtomicBoolean();
+    private final AtomicBoolean assigning = new AtomicBoolean();
+    private final AtomicBoolean cancelling = new AtomicBoolean();
+    private TreePMap<HostName, MoveCoordinator.Watch> watches = TreePMap.empty();
+
+    MoveLoop(
+            ProcessIdentifier self,
+            Supplier<SharedState> state,
+            Function<Command, CompletableFuture<?>> submit,
+            Supplier<Set<ProcessIdentifier>> cutOff,
+            Function<HostMove, Boolean> covered,
+            TimerService timers,
+            EventSink events) {
+        this.self = self;
+        this.state = state;
+        this.submit = submit;
+        this.cutOff = cutOff;
+        this.covered = covered;
+        this.timers = timers;
+        this.events = events;
+    }
+
+    void start() {
+        subscriptions.add(timers.every(PERIOD, this::tick));
+    }
+
+    /** Adds a part of the process that places work; without any part nothing is acknowledged. */
+    void addControl(PlacementControl control) {
+        controls.add(control);
+    }
+
+    @Override
+    public void close() {
+        subscriptions.forEach(TimerService.Subscription::close);
+    }
+
+    /** Decides once. */
+    void tick() {
+        SharedState current = state.get();
+        if (!current.members().containsKey(self)) {
+            return;
+        }
+        MoveCoordinator.Facts facts =
+                new MoveCoordinator.Facts(self, timers.nanoTime(), busyHosts(current), cutOff.get());
+        MoveCoordinator.Decision decision = MoveCoordinator.decide(current, watches, facts);
+        watches = decision.watches();
+        acknowledge(decision.acknowledged());
+        assign(current, decision);
+        for (FleetCommand.CancelMove cancel : decision.cancelled()) {
+            append(cancelling, cancel);
+        }
+    }
+
+    /**
+     * Returns whether a move can be acknowledged as far as this process and those that it vouches for are concerned.
+     */
+    boolean isQuiet(HostMove move) {
+        return isQuiet(move.host()) && covered.apply(move);
+    }
+
+    private Set<HostName> busyHosts(SharedState current) {
+        Set<HostName> busy = new HashSet<>();
+        for (HostState host : current.hosts().values()) {
+            if (host.move().isPresent()
+                    && host.move().get().awaited().containsKey(self)
+                    && !isQuiet(new HostMove(host.name(), host.move().get().version()))) {
+                busy.add(host.name());
+            }
+        }
+        return busy;
+    }
+
+    private boolean isQuiet(HostName host) {
+        return !controls.isEmpty() && controls.stream().allMatch(control -> control.inFlight(host) == 0);
+    }
+
+    /** Connections are closed before the count is read once more: nothing that was chosen earlier can use them now. */
+    private void acknowledge(List<HostMove> moves) {
+        List<HostMove> quiet = moves.stream()
+                .filter(move -> {
+                    controls.forEach(control -> control.closeConnections(move.host()));
+                    return isQuiet(move.host());
+                })
+                .toList();
+        if (!quiet.isEmpty()) {
+            append(acknowledging, new FleetCommand.Acknowledge(self, quiet));
+        }
+    }
+
+    private void assign(SharedState current, MoveCoordinator.Decision decision) {
+        if (decision.assigned().isEmpty()) {
+            return;
+        }
+        if (append(assigning, new FleetCommand.Assign(decision.assigned(), decision.lapsed()))) {
+            for (HostMove move : decision.assigned()) {
+                events.emit(
+                        EventKind.MOVE_ASSIGNING,
+                        Optional.of(causeOf(move)),
+                        EventDetail.of("pool", current.hosts().get(move.host()).pool()),
+                        EventDetail.of("lapsed", decision.lapsed()));
+            }
+        }
+    }
+
+    private boolean append(AtomicBoolean running, Command command) {
+        if (!running.compareAndSet(false, true)) {
+            return false;
+        }
+        submit.apply(command).whenComplete((outcome, failure) -> running.set(false));
+        return true;
+    }
+
+    /** Returns the causal identifier of a move on the time line. */
+    static String causeOf(HostMove move) {
+        return "move-" + move.host() + "-" + move.moveVersion();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/cicadalead/adapters/membership/StatusReporter.java
@@ -0,0 +1,104 @@
+package org.cicadalead.adapters.membership;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeSet;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+import org.cicadalead.adapters.membership.MembershipStatus.BlockedMove;
+import org.cicadalead.adapters.membership.MembershipStatus.Liveness;
+import org.cicadalead.adapters.membership.MembershipStatus.MemberView;
+import org.cicadalead.logic.fleet.MoveProgress;
+import org.cicadalead.logic.membership.EvidenceHistory;
+import org.cicadalead.model.fleet.HostMoveState;
+import org.cicadalead.model.fleet.HostState;
+import org.cicadalead.model.identity.ProcessIdentifier;
+import org.cicadalead.model.state.Member;
+import org.cicadalead.model.state.SharedState;
+import org.cicadalead.ports.PeerChannel;
+
+/** Describes members and moves for operators. Stateless; safe for use by several threads. */
+final class StatusReporter {
+    private StatusReporter() {}
+
+    static List<MemberView> members(
+            SharedState state,
+            ProcessIdentifier self,
+            List<PeerChannel.PeerStatus> peers,
+            Function<ProcessIdentifier, Optional<EvidenceHistory>> history) {
+        Map<ProcessIdentifier, PeerChannel.PeerStatus> known =
+                peers.stream().collect(Collectors.toMap(PeerChannel.PeerStatus::process, peer -> peer));
+        List<MemberView> views = new ArrayList<>();
+        for (Member member : state.members().values()) {
+            Optional<PeerChannel.PeerStatus> peer = Optional.ofNullable(known.get(member.process()));
+            boolean own = member.process().equals(self);
+            long offset = own
+                    ? state.offset()
+                    : peer.map(PeerChannel.PeerStatus::appliedOffset).orElse(0L);
+            Liveness liveness = own ? Liveness.SELF : liveness(peer, history.apply(member.process()));
+            views.add(new MemberView(
+                    member.process(), member.zone(), member.peerAddress(), member.version(), offset, liveness));
+        }
+        views.sort(Comparator.comparing(MemberView::zone).thenComparing(MemberView::process));
+        return views;
+    }
+
+    static List<BlockedMove> blocked(SharedState state, List<MemberView> members) {
+        Map<ProcessIdentifier, Liveness> liveness =
+                members.stream().collect(Collectors.toMap(MemberView::process, MemberView::liveness));
+        List<BlockedMove> blocked = new ArrayList<>();
+        for (HostState host : state.hosts().values()) {
+            host.move().ifPresent(move -> blocked.add(blockedMove(state, host, move, liveness)));
+        }
+        return blocked;
+    }
+
+    private static BlockedMove blockedMove(
+            SharedState state, HostState host, HostMoveState move, Map<ProcessIdentifier, Liveness> liveness) {
+        MoveProgress progress = MoveProgress.of(state, host.name(), move);
+        TreeSet<ProcessIdentifier> waitingFor = new TreeSet<>(progress.awaitedInZone());
+        waitingFor.addAll(progress.awaitedElsewhere());
+        return new BlockedMove(
+                host.name(),
+                host.pool(),
+                move.destination(),
+                move.version(),
+                List.copyOf(waitingFor),
+                reason(progress, liveness));
+    }
+
+    private static String reason(MoveProgress progress, Map<ProcessIdentifier, Liveness> liveness) {
+        if (progress.isComplete()) {
+            return "every member has acknowledged; a member assigns it next";
+        }
+        Optional<Liveness> worst =
+                progress.awaitedInZone().stream().map(liveness::get).max(Comparator.naturalOrder());
+        if (worst.isEmpty()) {
+            return "members of other availability zones finish their work there, or their view leases lapse";
+        }
+        return switch (worst.get()) {
+            case SELF, ALIVE, NEW -> "members finish their work in flight on the host";
+            case SILENT -> "a member of the host's availability zone is silent: resume or end it";
+            case CUT_OFF ->
+                "a member of the host's availability zone is cut off and may still serve: mend the network,"
+                        + " or stop its host and run 'cicadalead members remove'";
+            case ENDED -> "a member of the host's availability zone has ended and is about to be removed";
+        };
+    }
+
+    private static Liveness liveness(Optional<PeerChannel.PeerStatus> peer, Optional<EvidenceHistory> history) {
+        if (peer.filter(PeerChannel.PeerStatus::reachable).isPresent()) {
+            return Liveness.ALIVE;
+        }
+        return history.map(seen -> switch (seen.evidence()) {
+                    case REACHABLE -> Liveness.NEW;
+                    case SILENT -> Liveness.SILENT;
+                    case CUT_OFF -> Liveness.CUT_OFF;
+                    case ENDED -> Liveness.ENDED;
+                })
+                .orElse(Liveness.NEW);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/cicadalead/adapters/membership/ViewLeases.java
@@ -0,0 +1,159 @@
+package org.cicadalead.adapters.membership;
+
+import java.nio.ByteBuffer;
+import java.time.Duration;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.BooleanSupplier;
+import java.util.function.LongFunction;
+import java.util.function.Supplier;
+import org.cicadalead.adapters.peer.PeerIdentity;
+import org.cicadalead.logic.membership.PlacementRule;
+import org.cicadalead.logic.membership.ViewLease;
+import org.cicadalead.model.configuration.HostDefinition;
+import org.cicadalead.model.error.CicadaleadException;
+import org.cicadalead.model.error.ErrorKind;
+import org.cicadalead.model.fleet.HostState;
+import org.cicadalead.model.identity.ProcessIdentifier;
+import org.cicadalead.model.identity.ZoneName;
+import org.cicadalead.model.state.SharedState;
+import org.cicadalead.ports.PeerChannel;
+import org.cicadalead.ports.PeerTopic;
+import org.cicadalead.ports.PlacementView;
+import org.cicadalead.ports.TimerService;
+
+/**
+ * The view leases of this process, and those that it grants on its own availability zone's hosts. While the log is in
+ * reach its answers are lease enough and nothing is asked of peers. Safe for use by several threads.
+ */
+public final class ViewLeases implements PlacementView, AutoCloseable {
+    private static final Duration PERIOD = Duration.ofSeconds(1);
+    private static final Duration LOG_IS_QUIET_AFTER = Duration.ofSeconds(4);
+    private static final Duration GRANT_TIMEOUT = Duration.ofSeconds(2);
+
+    private final PeerIdentity self;
+    private final Supplier<SharedState> state;
+    private final PeerChannel channel;
+    private final TimerService timers;
+    private final LongFunction<Optional<ViewLease>> logLease;
+    private final BooleanSupplier sponsored;
+    private final Map<ZoneName, ViewLease> zoneLeases = new ConcurrentHashMap<>();
+    private final List<TimerService.Subscription> subscriptions = new CopyOnWriteArrayList<>();
+    private volatile boolean granting = true;
+
+    /** Creates leases; {@link #start} starts asking for them. */
+    ViewLeases(
+            PeerIdentity self,
+            Supplier<SharedState> state,
+            PeerChannel channel,
+            TimerService timers,
+            LongFunction<Optional<ViewLease>> logLease,
+            BooleanSupplier sponsored) {
+        this.self = self;
+        this.state = state;
+        this.channel = channel;
+        this.timers = timers;
+        this.logLease = logLease;
+        this.sponsored = sponsored;
+    }
+
+    void start() {
+        channel.answer(PeerTopic.VIEW_LEASE, (caller, payload) -> grant());
+        subscriptions.add(timers.every(PERIOD, this::renew));
+    }
+
+    /** Grants no leases any more; to be called before the process leaves. */
+    void stopGranting() {
+        granting = false;
+    }
+
+    @Override
+    public boolean mayPlace(HostState chosen) {
+        return objection(chosen).isEmpty();
+    }
+
+    /** Tells why work may not be sent to a host now; empty when it may. */
+    public Optional<PlacementRule.Refusal> objection(HostState chosen) {
+        SharedState current = state.get();
+        Optional<ViewLease> zoneLease = Optional.ofNullable(
+                        current.configuration().merged().hosts().get(chosen.name()))
+                .map(HostDefinition::zone)
+                .map(zoneLeases::get);
+        PlacementRule.View view = new PlacementRule.View(
+                self.process(),
+                self.zone(),
+                sponsored.getAsBoolean(),
+                logLease.apply(current.offset()),
+                zoneLease,
+                timers.nanoTime());
+        return PlacementRule.objection(current, chosen, view);
+    }
+
+    @Override
+    public void close() {
+        subscriptions.forEach(TimerService.Subscription::close);
+    }
+
+    /** Tells the newest offset at which a host of this availability zone changed, as this member has folded it. */
+    private CompletableFuture<byte[]> grant() {
+        SharedState current = state.get();
+        if (!granting || !current.members().containsKey(self.process())) {
+            return CompletableFuture.failedFuture(
+                    new CicadaleadException(ErrorKind.NOT_READY, "This process grants no view leases"));
+        }
+        long newest = current.hosts().values().stream()
+                .filter(host -> isInOwnZone(current, host))
+                .mapToLong(HostState::version)
+                .max()
+                .orElse(0);
+        return CompletableFuture.completedFuture(
+                ByteBuffer.allocate(Long.BYTES).putLong(newest).array());
+    }
+
+    private boolean isInOwnZone(SharedState current, HostState host) {
+        HostDefinition definition = current.configuration().merged().hosts().get(host.name());
+        return definition != null && definition.zone().equals(self.zone());
+    }
+
+    private void renew() {
+        long now = timers.nanoTime();
+        SharedState current = state.get();
+        boolean quiet = logLease.apply(current.offset())
+                .map(lease -> now - lease.askedAtNanoseconds() > LOG_IS_QUIET_AFTER.toNanos())
+                .orElse(true);
+        if (!quiet) {
+            return;
+        }
+        channel.peers().stream()
+                .map(PeerChannel.PeerStatus::zone)
+                .distinct()
+                .filter(zone -> !zone.equals(self.zone()))
+                .forEach(zone -> ask(zone, now));
+    }
+
+    private void ask(ZoneName zone, long now) {
+        Optional<ProcessIdentifier> grantor = channel.peers().stream()
+                .filter(peer -> peer.zone().equals(zone) && peer.reachable())
+                .max(Comparator.comparing(PeerChannel.PeerStatus::appliedOffset)
+                        .thenComparing(PeerChannel.PeerStatus::process))
+                .map(PeerChannel.PeerStatus::process);
+        grantor.ifPresent(process -> channel.call(process, PeerTopic.VIEW_LEASE, new byte[0], GRANT_TIMEOUT)
+                .thenAccept(answer -> hold(zone, now, answer)));
+    }
+
+    private void hold(ZoneName zone, long askedAt, byte[] answer) {
+        if (answer.length != Long.BYTES) {
+            return;
+        }
+        ViewLease lease = new ViewLease(askedAt, ByteBuffer.wrap(answer).getLong());
+        zoneLeases.merge(zone, lease, (before, after) -> {
+            boolean newer = after.askedAtNanoseconds() - before.askedAtNanoseconds() > 0;
+            return newer ? after : before;
+        });
+    }
+}
--- a/src/main/java/org/cicadalead/adapters/peer/TcpPeerChannel.java
+++ b/src/main/java/org/cicadalead/adapters/peer/TcpPeerChannel.java
@@ -21,8 +21,10 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ThreadFactory;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Supplier;
+import org.cicadalead.logic.membership.PeerEvidence;
 import org.cicadalead.model.configuration.NetworkAddress;
 import org.cicadalead.model.error.CicadaleadException;
 import org.cicadalead.model.error.ErrorKind;
@@ -125,6 +127,24 @@
         return directory.find(peer).map(PeerDirectory.KnownPeer::zones).orElse(List.of());
     }
 
+    /** Tries to reach a process, whatever heartbeats say. */
+    public CompletableFuture<PeerEvidence> probe(PeerIdentity peer) {
+        if (newestConnection(peer.process()).isPresent()
+                && directory
+                        .find(peer.process())
+                        .filter(known -> known.isReachable(timers.nanoTime()))
+                        .isPresent()) {
+            return CompletableFuture.completedFuture(PeerEvidence.REACHABLE);
+        }
+        return dial(peer.address()).handle((connection, failure) -> {
+            if (failure != null) {
+                return DialException.evidenceOf(failure);
+            }
+            boolean expected = connection.peer().map(PeerIdentity::process).equals(Optional.of(peer.process()));
+            return expected ? PeerEvidence.REACHABLE : PeerEvidence.ENDED;
+        });
+    }
+
     @Override
     public void answer(PeerTopic topic, CallHandler handler) {
         handlers.put(topic, handler);
@@ -291,28 +311,29 @@
 
     private CompletableFuture<PeerConnection> dial(NetworkAddress address) {
         CompletableFuture<PeerConnection> established = new CompletableFuture<>();
+        AtomicBoolean connected = new AtomicBoolean();
         try {
             AsynchronousSocketChannel channel = AsynchronousSocketChannel.open(group);
-            timers.after(HANDSHAKE_TIMEOUT, () -> {
-                if (established.completeExceptionally(new IOException("no connection in time"))) {
+            TimerService.Subscription deadline = timers.after(HANDSHAKE_TIMEOUT, () -> {
+                if (established.completeExceptionally(DialException.timeout(connected.get()))) {
+                    closeQuietly(channel);
+                }
+            });
+            established.whenComplete((connection, failure) -> deadline.close());
+            InetSocketAddress target = new InetSocketAddress(address.address(), address.port());
+            channel.connect(target, connected, new CompletionHandler<Void, AtomicBoolean>() {
+                @Override
+                public void completed(Void done, AtomicBoolean reached) {
+                    reached.set(true);
+                    open(channel, true, established);
+                }
+
+                @Override
+                public void failed(Throwable failure, AtomicBoolean reached) {
                     closeQuietly(channel);
+                    established.completeExceptionally(DialException.of(failure));
                 }
             });
-            channel.connect(
-                    new InetSocketAddress(address.address(), address.port()),
-                    null,
-                    new CompletionHandler<Void, Object>() {
-                        @Override
-                        public void completed(Void done, Object unused) {
-                            open(channel, true, established);
-                        }
-
-                        @Override
-                        public void failed(Throwable failure, Object unused) {
-                            closeQuietly(channel);
-                            established.completeExceptionally(failure);
-                        }
-                    });
         } catch (IOException | RuntimeException failure) {
             established.completeExceptionally(failure);
         }
@@ -420,7 +441,7 @@
                         open.remove(connection);
                         return open.isEmpty() ? null : open;
                     }));
-            established.completeExceptionally(new IOException("the connection was closed"));
+            established.completeExceptionally(DialException.timeout(true));
             events.emit(EventKind.PEER_DISCONNECTED, Optional.empty(), EventDetail.of("peer", nameOf(connection)));
         }
 
--- a/src/main/java/org/cicadalead/adapters/request/CallerServer.java
+++ b/src/main/java/org/cicadalead/adapters/request/CallerServer.java
@@ -30,6 +30,7 @@
 import org.cicadalead.model.settings.EntrySettings;
 import org.cicadalead.model.state.SharedState;
 import org.cicadalead.ports.EventSink;
+import org.cicadalead.ports.PlacementControl;
 
 /** Takes callers' requests and forwards each to one upstream. Safe for use by several threads. */
 public final class CallerServer implements AutoCloseable {
@@ -79,6 +80,11 @@
         return inFlight.get();
     }
 
+    /** Returns what this server has placed on hosts. */
+    public PlacementControl placements() {
+        return selector;
+    }
+
     @Override
     public void close() {
         server.stop(0);
--- a/src/main/java/org/cicadalead/adapters/request/UpstreamSelector.java
+++ b/src/main/java/org/cicadalead/adapters/request/UpstreamSelector.java
@@ -10,12 +10,13 @@
 import org.cicadalead.model.identity.HostName;
 import org.cicadalead.model.identity.ZoneName;
 import org.cicadalead.model.state.SharedState;
+import org.cicadalead.ports.PlacementControl;
 
 /**
  * Chooses the available host of a service's pool with the fewest requests in flight from this process, own availability
  * zone first, and never more than its slots. Safe for use by several threads.
  */
-final class UpstreamSelector {
+final class UpstreamSelector implements PlacementControl {
     private final ZoneName ownZone;
     private final Map<HostName, AtomicInteger> inFlight = new ConcurrentHashMap<>();
 
@@ -45,6 +46,17 @@
         counter(host).decrementAndGet();
     }
 
+    @Override
+    public int inFlight(HostName host) {
+        return counter(host).get();
+    }
+
+    /** The client's pool offers no way to close the connections to one host. */
+    @Override
+    public void closeConnections(HostName host) {
+        counter(host);
+    }
+
     private long cost(HostDefinition host) {
         int used = counter(host.name()).get();
         if (used >= host.slots()) {
--- a/src/main/java/org/cicadalead/logic/fleet/FleetFold.java
+++ b/src/main/java/org/cicadalead/logic/fleet/FleetFold.java
@@ -1,6 +1,8 @@
 package org.cicadalead.logic.fleet;
 
+import java.util.List;
 import java.util.Optional;
+import java.util.TreeSet;
 import org.cicadalead.logic.capacity.BudgetLedger;
 import org.cicadalead.logic.state.FoldResult;
 import org.cicadalead.model.command.FleetCommand;
@@ -11,13 +13,12 @@
 import org.cicadalead.model.fleet.HostState;
 import org.cicadalead.model.fleet.MaintenanceStep;
 import org.cicadalead.model.identity.ProcessIdentifier;
-import org.cicadalead.model.state.Member;
 import org.cicadalead.model.state.SharedState;
-import org.pcollections.TreePMap;
 
 /**
  * Folds observations of hosts and moves between pools. A host changes its pool only by an assignment, which needs the
- * acknowledgement of every process that was a member at the withdrawal. Stateless; safe for use by several threads.
+ * acknowledgement of every process that was a member at the withdrawal, but for members that have left since, and
+ * members of other availability zones whose view leases have lapsed. Stateless; safe for use by several threads.
  */
 public final class FleetFold {
     private FleetFold() {}
@@ -67,11 +68,7 @@
         if (objection.isPresent()) {
             return FoldResult.rejected(state, ErrorKind.BUDGET_EXCEEDED, objection.get());
         }
-        TreePMap<ProcessIdentifier, Long> awaited = TreePMap.empty();
-        for (Member member : state.members().values()) {
-            awaited = awaited.plus(member.process(), member.version());
-        }
-        HostMoveState move = new HostMoveState(offset, withdraw.destination(), awaited);
+        HostMoveState move = HostDeclaration.moveTo(state, offset, withdraw.destination());
         return FoldResult.accepted(state.withHost(host.withMove(offset, Optional.of(move))), offset);
     }
 
@@ -79,38 +76,62 @@
         SharedState changed = state;
         for (HostMove named : acknowledge.hosts()) {
             HostState host = state.hosts().get(named.host());
-            Optional<HostMoveState> move = currentMove(state, named);
-            if (move.isPresent()) {
-                HostMoveState rest = new HostMoveState(
-                        move.get().version(),
-                        move.get().destination(),
-                        move.get().awaited().minus(acknowledge.process()));
-                changed = changed.withHost(host.withMove(offset, Optional.of(rest)));
+            Optional<HostMoveState> rest = currentMove(state, named)
+                    .filter(move -> move.awaited().containsKey(acknowledge.process()))
+                    .map(move -> move.acknowledgedBy(acknowledge.process()));
+            if (rest.isPresent()) {
+                changed = changed.withHost(host.withMove(offset, rest));
             }
         }
-        return FoldResult.accepted(changed, offset);
+        return changed.equals(state) ? conflict(state) : FoldResult.accepted(changed, offset);
     }
 
+    /** Assigns each host that is not waited for any more; the others stay withdrawn. */
     private static FoldResult assign(SharedState state, long offset, FleetCommand.Assign assign) {
-        Optional<HostMoveState> move = currentMove(state, assign.move());
+        SharedState changed = state;
+        Optional<String> objection = Optional.empty();
+        for (HostMove named : assign.moves()) {
+            Optional<String> found = objectionToAssignment(state, named, assign.lapsed());
+            if (found.isPresent()) {
+                objection = found;
+                continue;
+            }
+            HostState host = state.hosts().get(named.host());
+            changed = changed.withHost(
+                    host.inPool(offset, host.move().orElseThrow().destination()));
+        }
+        return changed.equals(state)
+                ? FoldResult.rejected(state, ErrorKind.CONFLICT, objection.orElse("No move is named"))
+                : FoldResult.accepted(changed, offset);
+    }
+
+    private static Optional<String> objectionToAssignment(
+            SharedState state, HostMove named, List<ProcessIdentifier> lapsed) {
+        Optional<HostMoveState> move = currentMove(state, named);
         if (move.isEmpty()) {
-            return conflict(state);
+            return Optional.of("The host has changed since the command was decided");
         }
-        if (move.get().awaited().keySet().stream().anyMatch(state.members()::containsKey)) {
-            return FoldResult.rejected(
-                    state,
-                    ErrorKind.CONFLICT,
-                    "Members have not acknowledged: " + move.get().awaited().keySet());
+        if (!state.configuration().merged().pools().containsKey(move.get().destination())) {
+            return Optional.of("The pool '" + move.get().destination() + "' is not configured any more");
         }
-        HostState host = state.hosts().get(assign.move().host());
-        return FoldResult.accepted(state.withHost(host.inPool(offset, move.get().destination())), offset);
+        MoveProgress progress = MoveProgress.of(state, named.host(), move.get());
+        TreeSet<ProcessIdentifier> missing = new TreeSet<>(progress.awaitedElsewhere());
+        lapsed.forEach(missing::remove);
+        missing.addAll(progress.awaitedInZone());
+        return missing.isEmpty() ? Optional.empty() : Optional.of("Members have not acknowledged: " + missing);
     }
 
+    /** A host that is still entering its first pool has no other one to go back to. */
     private static FoldResult cancel(SharedState state, long offset, FleetCommand.CancelMove cancel) {
-        if (currentMove(state, cancel.move()).isEmpty()) {
+        Optional<HostMoveState> move = currentMove(state, cancel.move());
+        if (move.isEmpty()) {
             return conflict(state);
         }
         HostState host = state.hosts().get(cancel.move().host());
+        if (host.pool().equals(move.get().destination())
+                || !state.configuration().merged().pools().containsKey(host.pool())) {
+            return FoldResult.rejected(state, ErrorKind.CONFLICT, "The host has no other pool to stay in");
+        }
         return FoldResult.accepted(state.withHost(host.withMove(offset, Optional.empty())), offset);
     }
 
--- /dev/null
+++ b/src/main/java/org/cicadalead/logic/fleet/HostDeclaration.java
@@ -0,0 +1,63 @@
+package org.cicadalead.logic.fleet;
+
+import java.util.Optional;
+import org.cicadalead.logic.configuration.ConfigurationMerger;
+import org.cicadalead.model.configuration.FleetConfiguration;
+import org.cicadalead.model.configuration.PoolDefinition;
+import org.cicadalead.model.fleet.HostMoveState;
+import org.cicadalead.model.fleet.HostState;
+import org.cicadalead.model.identity.HostName;
+import org.cicadalead.model.identity.PoolName;
+import org.cicadalead.model.identity.ProcessIdentifier;
+import org.cicadalead.model.state.Member;
+import org.cicadalead.model.state.SharedState;
+import org.pcollections.TreePMap;
+
+/**
+ * Brings hosts in line with a configuration. A host that is declared while there are members enters its pool like a
+ * moved one, by acknowledgements and an assignment: it may have been declared in another pool before, and a member that
+ * lags may still place that pool's work on it. Stateless; safe for use by several threads.
+ */
+public final class HostDeclaration {
+    private HostDeclaration() {}
+
+    /** Returns the state with the hosts of a configuration, accepted at an offset. */
+    public static SharedState reconcile(SharedState state, long offset, FleetConfiguration configuration) {
+        TreePMap<HostName, PoolDefinition> declaredPools = ConfigurationMerger.declaredPools(configuration);
+        TreePMap<HostName, HostState> hosts = TreePMap.empty();
+        for (HostName name : declaredPools.keySet()) {
+            PoolName declared = declaredPools.get(name).name();
+            HostState known = state.hosts().get(name);
+            HostState reconciled = known == null
+                    ? entering(state, offset, name, declared)
+                    : withExistingPool(state, offset, known, declared, configuration);
+            hosts = hosts.plus(name, reconciled);
+        }
+        return state.withHosts(hosts);
+    }
+
+    /** Returns a move that waits for every member. */
+    static HostMoveState moveTo(SharedState state, long offset, PoolName destination) {
+        TreePMap<ProcessIdentifier, Long> awaited = TreePMap.empty();
+        for (Member member : state.members().values()) {
+            awaited = awaited.plus(member.process(), member.version());
+        }
+        return new HostMoveState(offset, destination, awaited);
+    }
+
+    private static HostState entering(SharedState state, long offset, HostName name, PoolName pool) {
+        HostState host = HostState.declared(name, offset, pool);
+        return state.members().isEmpty() ? host : host.withMove(offset, Optional.of(moveTo(state, offset, pool)));
+    }
+
+    /** A host whose pool is not configured any more goes to the pool that declares it. */
+    private static HostState withExistingPool(
+            SharedState state, long offset, HostState host, PoolName declared, FleetConfiguration configuration) {
+        Optional<PoolName> destination = host.move().map(HostMoveState::destination);
+        if (configuration.pools().containsKey(destination.orElse(host.pool()))
+                || (destination.isPresent() && configuration.pools().containsKey(host.pool()))) {
+            return host;
+        }
+        return host.withMove(offset, Optional.of(moveTo(state, offset, declared)));
+    }
+}
--- a/src/main/java/org/cicadalead/logic/state/ConfigurationFold.java
+++ b/src/main/java/org/cicadalead/logic/state/ConfigurationFold.java
@@ -5,14 +5,11 @@
 import java.util.Optional;
 import org.cicadalead.logic.configuration.ConfigurationMerger;
 import org.cicadalead.logic.configuration.ConfigurationMerger.MergeResult;
+import org.cicadalead.logic.fleet.HostDeclaration;
 import org.cicadalead.model.command.ConfigurationCommand;
 import org.cicadalead.model.command.ConfigurationCommand.UnitChange;
 import org.cicadalead.model.configuration.ConfigurationUnit;
-import org.cicadalead.model.configuration.FleetConfiguration;
-import org.cicadalead.model.configuration.PoolDefinition;
 import org.cicadalead.model.error.ErrorKind;
-import org.cicadalead.model.fleet.HostState;
-import org.cicadalead.model.identity.HostName;
 import org.cicadalead.model.state.ConfigurationState;
 import org.cicadalead.model.state.ConfigurationState.VersionedUnit;
 import org.cicadalead.model.state.SharedState;
@@ -47,7 +44,7 @@
         }
         ConfigurationState configuration = new ConfigurationState(offset, units, merged.configuration());
         SharedState changed = state.withConfiguration(configuration);
-        return FoldResult.accepted(declareHosts(changed, offset, merged.configuration()), offset);
+        return FoldResult.accepted(HostDeclaration.reconcile(changed, offset, merged.configuration()), offset);
     }
 
     private static Optional<String> findConflict(TreePMap<String, VersionedUnit> units, UnitChange change) {
@@ -73,22 +70,4 @@
         units.values().forEach(versioned -> contents.add(versioned.unit()));
         return contents;
     }
-
-    /** A host that is new starts in its declared pool; one that is known stays where it is; others are removed. */
-    private static SharedState declareHosts(SharedState state, long offset, FleetConfiguration configuration) {
-        TreePMap<HostName, PoolDefinition> declaredPools = ConfigurationMerger.declaredPools(configuration);
-        TreePMap<HostName, HostState> hosts = state.hosts();
-        for (HostName known : state.hosts().keySet()) {
-            if (!declaredPools.containsKey(known)) {
-                hosts = hosts.minus(known);
-            }
-        }
-        for (HostName declared : declaredPools.keySet()) {
-            if (!hosts.containsKey(declared)) {
-                PoolDefinition pool = declaredPools.get(declared);
-                hosts = hosts.plus(declared, HostState.declared(declared, offset, pool.name()));
-            }
-        }
-        return state.withHosts(hosts);
-    }
 }
--- a/src/main/java/org/cicadalead/model/command/FleetCommand.java
+++ b/src/main/java/org/cicadalead/model/command/FleetCommand.java
@@ -60,11 +60,19 @@
     record HostMove(HostName host, long moveVersion) {}
 
     /**
-     * Last step of a move: the host belongs to its new pool.
+     * Last step of moves: each host belongs to its new pool.
      *
-     * @param move the move
+     * @param moves the moves
+     * @param lapsed members of other availability zones that are cut off and whose view leases on the hosts have
+     *     lapsed; they are not waited for
      */
-    record Assign(HostMove move) implements FleetCommand {}
+    record Assign(List<HostMove> moves, List<ProcessIdentifier> lapsed) implements FleetCommand {
+        /** Copies the lists. */
+        public Assign {
+            moves = List.copyOf(moves);
+            lapsed = List.copyOf(lapsed);
+        }
+    }
 
     /**
      * Gives a move up: the host stays in its pool.
--- a/src/main/java/org/cicadalead/model/event/EventKind.java
+++ b/src/main/java/org/cicadalead/model/event/EventKind.java
@@ -48,12 +48,26 @@
             4101,
             EventSeverity.WARNING,
             "A process stopped without its leave in the log; another one has to remove it"),
+    /** A member that has ended without leaving is being removed. */
+    MEMBER_REMOVED(4102, EventSeverity.WARNING, "A member that has ended without leaving is being removed"),
+    /** A process became a member. */
+    MEMBER_JOINED(4103, EventSeverity.INFORMATION, "A process became a member"),
+    /** A process is no member any more. */
+    MEMBER_LEFT(4104, EventSeverity.INFORMATION, "A process is no member any more"),
     /** The observed health of a host changed. */
     HOST_OBSERVED(5001, EventSeverity.INFORMATION, "The observed health of a host changed"),
     /** A host was withdrawn from its pool. */
     MOVE_STARTED(5101, EventSeverity.INFORMATION, "A host was withdrawn from its pool"),
     /** A host was assigned to its new pool. */
-    MOVE_FINISHED(5102, EventSeverity.INFORMATION, "A host was assigned to its new pool");
+    MOVE_FINISHED(5102, EventSeverity.INFORMATION, "A host was assigned to its new pool"),
+    /** A move waits for nobody any more, and its assignment is being appended. */
+    MOVE_ASSIGNING(
+            5103, EventSeverity.DETAIL, "A move waits for nobody any more, and its assignment is being appended"),
+    /** A process has nothing in flight on a withdrawn host and has acknowledged. */
+    MOVE_ACKNOWLEDGED(
+            5104, EventSeverity.DETAIL, "A process has nothing in flight on a withdrawn host and has acknowledged"),
+    /** A move was given up; the host stays in its pool. */
+    MOVE_CANCELLED(5105, EventSeverity.INFORMATION, "A move was given up; the host stays in its pool");
 
     private final int number;
     private final EventSeverity severity;
--- a/src/main/java/org/cicadalead/model/fleet/HostMoveState.java
+++ b/src/main/java/org/cicadalead/model/fleet/HostMoveState.java
@@ -11,4 +11,9 @@
  * @param destination the pool that the host goes to
  * @param awaited members that must still acknowledge, with the version of their membership
  */
-public record HostMoveState(long version, PoolName destination, TreePMap<ProcessIdentifier, Long> awaited) {}
+public record HostMoveState(long version, PoolName destination, TreePMap<ProcessIdentifier, Long> awaited) {
+    /** Returns this move without waiting for a process. */
+    public HostMoveState acknowledgedBy(ProcessIdentifier process) {
+        return new HostMoveState(version, destination, awaited.minus(process));
+    }
+}
