--- a/src/main/java/org/cicadalead/cli/ShowCommand.java
+++ b/src/main/java/org/cicadalead/cli/ShowCommand.java
@@ -7,8 +7,6 @@
 
 /** The commands that show a part of the state through the administration port. */
 enum ShowCommand implements Subcommand {
-    /** Shows one process's view: offset, configuration, members. */
-    STATUS("status", "shows an entry process's view of the whole"),
     /** Shows pools with their budgets. */
     POOLS("pools", "shows pools, their capacity and budgets"),
     /** Shows hosts. */
