--- a/src/main/java/org/cicadalead/adapters/standin/TaskStandIn.java
+++ b/src/main/java/org/cicadalead/adapters/standin/TaskStandIn.java
@@ -46,6 +46,7 @@
     private long revision;
     private int repliesToLose;
     private boolean available = true;
+    private boolean fencing = true;
 
     /** Creates an empty stand-in on a monotonic clock. */
     public TaskStandIn(LongSupplier nanoTime) {
@@ -57,8 +58,9 @@
         requireAvailable();
         JobIdentifier job = start.task().job();
         tasksOf(job).forEach(this::advance);
-        if (fences.getOrDefault(job, 0) < start.task().epoch()) {
-            fences.put(job, start.task().epoch());
+        boolean unfenced = !fencing && !tasks.containsKey(start.task());
+        if (unfenced || fences.getOrDefault(job, 0) < start.task().epoch()) {
+            fences.merge(job, start.task().epoch(), Math::max);
             StandInTask task =
                     new StandInTask(start, runTime, failingHosts.contains(start.host()), nanoTime.getAsLong());
             tasks.put(start.task(), task);
@@ -134,6 +136,11 @@
         available = newAvailable;
     }
 
+    /** Turns the fencing by epochs off, as on a platform that breaks the contract, or on. */
+    public synchronized void setFencing(boolean newFencing) {
+        fencing = newFencing;
+    }
+
     /** Takes the effect of the next calls that change something, but loses their replies. */
     public synchronized void loseReplies(int count) {
         repliesToLose = count;
--- a/src/main/java/org/cicadalead/logic/job/JobFold.java
+++ b/src/main/java/org/cicadalead/logic/job/JobFold.java
@@ -87,6 +87,12 @@
                                 + " unfinished jobs, as many as its quota allows");
                 return;
             }
+            if (jobs.unfinished().size() >= JobLedger.MAXIMUM_UNFINISHED) {
+                reject(
+                        ErrorKind.QUEUE_FULL,
+                        "There are " + JobLedger.MAXIMUM_UNFINISHED + " unfinished jobs, as many as are kept");
+                return;
+            }
             jobs = jobs.withAccepted(JobState.accepted(submission, offset));
             accept();
         }
--- a/src/main/java/org/cicadalead/model/job/JobLedger.java
+++ b/src/main/java/org/cicadalead/model/job/JobLedger.java
@@ -24,7 +24,10 @@
         TreePMap<TeamName, Integer> unfinishedByTeam,
         TreePMap<HostName, JobHostState> hosts) {
     /** Ended jobs that are kept. */
-    public static final int MAXIMUM_ENDED = 20_000;
+    public static final int MAXIMUM_ENDED = 10_000;
+
+    /** Most unfinished jobs of all teams together, which bounds the memory of every process. */
+    public static final int MAXIMUM_UNFINISHED = 30_000;
 
     private static final int HOSTS_KEPT_BEYOND_DECLARED = 64;
 
--- a/src/main/java/org/cicadalead/model/job/JobReport.java
+++ b/src/main/java/org/cicadalead/model/job/JobReport.java
@@ -13,7 +13,7 @@
  */
 public record JobReport(JobIdentifier job, int epoch, JobReportKind kind, Optional<String> detail) {
     /** Longest detail that is kept, in characters. */
-    public static final int MAXIMUM_DETAIL_LENGTH = 1_024;
+    public static final int MAXIMUM_DETAIL_LENGTH = 256;
 
     /** Cuts an overlong detail. */
     public JobReport {
--- a/src/main/java/org/cicadalead/model/job/JobSubmission.java
+++ b/src/main/java/org/cicadalead/model/job/JobSubmission.java
@@ -30,7 +30,7 @@
     public static final int LEAST_URGENT = 7;
 
     /** Longest payload, in characters; larger inputs are named by a reference. */
-    public static final int MAXIMUM_PAYLOAD_LENGTH = 1_024;
+    public static final int MAXIMUM_PAYLOAD_LENGTH = 512;
 
     /** Checks urgency and length. */
     public JobSubmission {
--- a/src/test/java/org/cicadalead/adapters/codec/SnapshotCodecTest.java
+++ b/src/test/java/org/cicadalead/adapters/codec/SnapshotCodecTest.java
@@ -14,7 +14,9 @@
 import org.cicadalead.model.command.CheckpointCommand;
 import org.cicadalead.model.command.ConfigurationCommand.Publish;
 import org.cicadalead.model.command.ConfigurationCommand.UnitChange;
+import org.cicadalead.model.job.JobReportKind;
 import org.cicadalead.model.state.SharedState;
+import org.cicadalead.support.JobFleet;
 import org.junit.jupiter.api.Test;
 
 class SnapshotCodecTest {
@@ -26,6 +28,18 @@
         assertEquals(Optional.of(state), codec.decode(codec.encode(state)));
     }
 
+    @Test
+    void decodesLongJobs() {
+        JobFleet fleet = new JobFleet(2);
+        for (int job = 1; job <= 3; job++) {
+            fleet.submit(JobFleet.submission(job, false));
+            fleet.place(job, 0);
+        }
+        fleet.report(1, 1, JobReportKind.FAILED);
+        fleet.report(2, 1, JobReportKind.FINISHED);
+        assertEquals(Optional.of(fleet.state()), codec.decode(codec.encode(fleet.state())));
+    }
+
     @Test
     void encodesEqualStatesEqually() {
         assertArrayEquals(codec.encode(exampleState()), codec.encode(exampleState()));
--- /dev/null
+++ b/src/test/java/org/cicadalead/logic/job/JobFoldTest.java
@@ -0,0 +1,194 @@
+package org.cicadalead.logic.job;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.cicadalead.model.command.CommandOutcome;
+import org.cicadalead.model.command.CommandOutcome.Accepted;
+import org.cicadalead.model.command.CommandOutcome.Rejected;
+import org.cicadalead.model.command.JobCommand;
+import org.cicadalead.model.error.ErrorKind;
+import org.cicadalead.model.fleet.HostHealth;
+import org.cicadalead.model.job.JobLedger;
+import org.cicadalead.model.job.JobPhase;
+import org.cicadalead.model.job.JobReportKind;
+import org.cicadalead.model.job.JobSize;
+import org.cicadalead.model.job.JobState;
+import org.cicadalead.model.job.StopReason;
+import org.cicadalead.support.JobFleet;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+class JobFoldTest {
+    private final JobFleet fleet = new JobFleet(4);
+
+    @Test
+    void givesTheSameJobToASubmissionThatComesTwice() {
+        CommandOutcome first = fleet.submit(JobFleet.submission(1, false));
+        assertEquals(first, fleet.submit(JobFleet.submission(1, false)));
+        assertEquals(1, fleet.state().jobs().unfinished().size());
+    }
+
+    @Test
+    void refusesOtherContentUnderAUsedIdentifier() {
+        fleet.submit(JobFleet.submission(1, false));
+        assertRejected(ErrorKind.KEY_REUSED, fleet.submit(JobFleet.submission(1, true)));
+    }
+
+    @Test
+    void refusesAJobAboveTheTeamsQuotaUntilOneEnds() {
+        for (int number = 0; number < JobFleet.QUOTA; number++) {
+            fleet.submit(JobFleet.submission(number, false));
+        }
+        assertRejected(ErrorKind.QUOTA_EXCEEDED, fleet.submit(JobFleet.submission(100, false)));
+        fleet.cancel(0);
+        assertInstanceOf(Accepted.class, fleet.submit(JobFleet.submission(100, false)));
+    }
+
+    @Test
+    void refusesAJobThatFitsNoHostOfItsPool() {
+        JobSize size = new JobSize(JobFleet.PROCESSORS + 1, 1, 0);
+        CommandOutcome outcome = fleet.submit(JobFleet.submission(1, "red", size, 3, false));
+        assertRejected(ErrorKind.UNRUNNABLE_JOB, outcome);
+        assertTrue(((Rejected) outcome).detail().contains("9.0 processors"));
+    }
+
+    @Test
+    void letsOnlyOneOfTwoRacingPlacementsOfAJobWin() {
+        fleet.submit(JobFleet.submission(1, false));
+        JobState read = fleet.jobState(1);
+        fleet.place(1, 0);
+        CommandOutcome second = fleet.first(new JobCommand.Place(
+                List.of(new JobCommand.Placement(JobFleet.job(1), read.version(), JobFleet.host(1), 0))));
+        assertRejected(ErrorKind.CONFLICT, second);
+        assertEquals(JobFleet.host(0), fleet.jobState(1).host().orElseThrow());
+    }
+
+    @Test
+    void letsOnlyOneOfTwoPlannersFillTheRoomOfAHost() {
+        fleet.submit(JobFleet.submission(1, false));
+        fleet.submit(JobFleet.submission(2, false));
+        long version = fleet.jobState(2).version();
+        fleet.place(1, 0);
+        CommandOutcome second = fleet.first(
+                new JobCommand.Place(List.of(new JobCommand.Placement(JobFleet.job(2), version, JobFleet.host(0), 0))));
+        assertRejected(ErrorKind.CONFLICT, second);
+    }
+
+    @Test
+    void placesNothingOnAHostThatLeaves() {
+        fleet.submit(JobFleet.submission(1, false));
+        fleet.observe(0, HostHealth.LEAVING);
+        assertRejected(ErrorKind.CONFLICT, fleet.place(1, 0));
+    }
+
+    @ParameterizedTest
+    @EnumSource(JobReportKind.class)
+    void ignoresAReportOfAnOldEpoch(JobReportKind kind) {
+        fleet.submit(JobFleet.submission(1, false));
+        fleet.place(1, 0);
+        fleet.report(1, 1, JobReportKind.STOPPED);
+        fleet.place(1, 1);
+        JobState before = fleet.jobState(1);
+        assertRejected(ErrorKind.CONFLICT, fleet.report(1, 1, kind));
+        assertEquals(before, fleet.jobState(1));
+    }
+
+    @ParameterizedTest
+    @EnumSource(JobReportKind.class)
+    void neverChangesAFinishedJob(JobReportKind kind) {
+        fleet.submit(JobFleet.submission(1, false));
+        fleet.place(1, 0);
+        fleet.report(1, 1, JobReportKind.FINISHED);
+        JobState finished = fleet.jobState(1);
+        fleet.report(1, 1, kind);
+        fleet.cancel(1);
+        assertEquals(finished, fleet.jobState(1));
+        assertEquals(JobPhase.FINISHED, finished.phase());
+    }
+
+    @Test
+    void keepsANonIdempotentJobWhoseLeaseLapsedUntilTheStopIsConfirmed() {
+        fleet.submit(JobFleet.submission(1, false));
+        fleet.place(1, 0);
+        fleet.stop(1, 1, StopReason.LEASE_LAPSED);
+        assertEquals(JobPhase.STOPPING, fleet.jobState(1).phase());
+        assertRejected(ErrorKind.CONFLICT, fleet.place(1, 1));
+        fleet.report(1, 1, JobReportKind.STOPPED);
+        assertEquals(JobPhase.WAITING, fleet.jobState(1).phase());
+    }
+
+    @Test
+    void letsAnIdempotentJobWhoseLeaseLapsedRunAgainAtOnce() {
+        fleet.submit(JobFleet.submission(1, true));
+        fleet.place(1, 0);
+        fleet.stop(1, 1, StopReason.LEASE_LAPSED);
+        assertInstanceOf(Accepted.class, fleet.place(1, 1));
+        assertEquals(2, fleet.jobState(1).epoch());
+    }
+
+    @Test
+    void cancelsAWaitingJobAtOnceAndARunningOneOnceItHasStopped() {
+        fleet.submit(JobFleet.submission(1, false));
+        fleet.submit(JobFleet.submission(2, false));
+        fleet.place(2, 0);
+        fleet.cancel(1);
+        fleet.cancel(2);
+        assertEquals(JobPhase.CANCELLED, fleet.jobState(1).phase());
+        assertEquals(JobPhase.STOPPING, fleet.jobState(2).phase());
+        fleet.report(2, 1, JobReportKind.STOPPED);
+        assertEquals(JobPhase.CANCELLED, fleet.jobState(2).phase());
+    }
+
+    @Test
+    void resumesFromTheCheckpointThatTheStopNamed() {
+        fleet.submit(JobFleet.submission(1, false));
+        fleet.place(1, 0);
+        fleet.stop(1, 1, StopReason.HOST_LEAVING);
+        fleet.report(1, 1, JobReportKind.STOPPED);
+        assertEquals("detail", fleet.jobState(1).checkpoint().orElseThrow());
+    }
+
+    @Test
+    void givesAJobUpAfterItFailedOnSeveralHosts() {
+        fleet.submit(JobFleet.submission(1, false));
+        for (int attempt = 1; attempt <= JobState.MAXIMUM_COUNTED_ATTEMPTS; attempt++) {
+            fleet.place(1, attempt);
+            fleet.report(1, attempt, JobReportKind.FAILED);
+        }
+        assertEquals(JobPhase.FAILED, fleet.jobState(1).phase());
+        assertTrue(fleet.jobState(1).outcome().orElseThrow().contains("3 times"));
+    }
+
+    @Test
+    void holdsAFailureOnAHostThatFailsEverythingAgainstTheHost() {
+        for (int job = 1; job <= 4; job++) {
+            fleet.submit(JobFleet.submission(job, false));
+            fleet.place(job, 0);
+            fleet.report(job, 1, JobReportKind.FAILED);
+        }
+        assertTrue(fleet.state().jobs().host(JobFleet.host(0)).failsEverything());
+        assertEquals(1, fleet.jobState(1).countedAttempts());
+        assertEquals(0, fleet.jobState(4).countedAttempts());
+    }
+
+    @Test
+    void dropsTheOldestEndedJobsBeyondTheLimit() {
+        JobLedger ledger = JobLedger.empty();
+        for (int number = 0; number <= JobLedger.MAXIMUM_ENDED; number++) {
+            JobState job = JobState.accepted(JobFleet.submission(number, false), number);
+            ledger = ledger.withAccepted(job).withChanged(job.withPhase(JobPhase.CANCELLED));
+        }
+        assertTrue(ledger.find(JobFleet.job(0)).isEmpty());
+        assertTrue(ledger.find(JobFleet.job(JobLedger.MAXIMUM_ENDED)).isPresent());
+        assertEquals(JobLedger.MAXIMUM_ENDED, ledger.ended().size());
+        assertTrue(ledger.unfinishedByTeam().isEmpty());
+    }
+
+    private static void assertRejected(ErrorKind kind, CommandOutcome outcome) {
+        assertEquals(kind, assertInstanceOf(Rejected.class, outcome).kind());
+    }
+}
--- /dev/null
+++ b/src/test/java/org/cicadalead/logic/job/JobPlannerTest.java
@@ -0,0 +1,219 @@
+package org.cicadalead.logic.job;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.Optional;
+import org.cicadalead.model.command.JobCommand;
+import org.cicadalead.model.fleet.HostHealth;
+import org.cicadalead.model.identity.HostName;
+import org.cicadalead.model.identity.JobIdentifier;
+import org.cicadalead.model.job.JobReportKind;
+import org.cicadalead.model.job.JobSize;
+import org.cicadalead.model.job.StopReason;
+import org.cicadalead.model.job.TaskActionKind;
+import org.cicadalead.model.job.TaskPhase;
+import org.cicadalead.model.job.TaskReference;
+import org.cicadalead.model.job.TaskStatus;
+import org.cicadalead.model.job.TaskTable;
+import org.cicadalead.support.JobFleet;
+import org.junit.jupiter.api.Test;
+
+class JobPlannerTest {
+    private static final JobSize WHOLE_HOST = new JobSize(JobFleet.PROCESSORS, JobFleet.MEMORY_GIGABYTES, 0);
+    private static final JobSize HALF_HOST = new JobSize(4, 16, 0);
+    private static final long LONG_AFTER = Long.MAX_VALUE / 4;
+
+    private UsageHistory usage = UsageHistory.empty();
+    private TaskTable tasks = TaskTable.empty();
+
+    @Test
+    void placesTheMostUrgentJobFirst() {
+        JobFleet fleet = new JobFleet(1);
+        fleet.submit(JobFleet.submission(1, "red", WHOLE_HOST, 5, false));
+        fleet.submit(JobFleet.submission(2, "red", WHOLE_HOST, 2, false));
+        assertEquals(List.of(JobFleet.job(2)), placed(fleet));
+    }
+
+    @Test
+    void sharesRoomByTheTeamsWeights() {
+        JobFleet fleet = new JobFleet(4);
+        for (int number = 0; number < 8; number++) {
+            fleet.submit(JobFleet.submission(number, "red", HALF_HOST, 3, false));
+            fleet.submit(JobFleet.submission(100 + number, "blue", HALF_HOST, 3, false));
+        }
+        long blue = placed(fleet).stream()
+                .filter(job -> job.value().startsWith("job-10"))
+                .count();
+        assertEquals(6, blue);
+    }
+
+    @Test
+    void doesNotLetSmallJobsKeepALargeOneWaiting() {
+        JobFleet fleet = new JobFleet(1);
+        fleet.submit(JobFleet.submission(0, "red", HALF_HOST, 3, false));
+        fleet.place(0, 0);
+        fleet.submit(JobFleet.submission(1, "red", WHOLE_HOST, 3, false));
+        fleet.submit(JobFleet.submission(2, "red", HALF_HOST, 3, false));
+        assertEquals(List.of(), placed(fleet));
+    }
+
+    @Test
+    void passesOverAJobThatFitsNoPresentHost() {
+        JobFleet fleet = new JobFleet(2);
+        fleet.submit(JobFleet.submission(1, "red", WHOLE_HOST, 3, false));
+        fleet.submit(JobFleet.submission(2, "red", HALF_HOST, 3, false));
+        fleet.submit(JobFleet.submission(3, "red", HALF_HOST, 3, false));
+        fleet.place(3, 0);
+        fleet.observe(1, HostHealth.DOWN);
+        fleet.report(3, 1, JobReportKind.FAILED);
+        assertTrue(placed(fleet).contains(JobFleet.job(2)) || placed(fleet).contains(JobFleet.job(1)));
+    }
+
+    @Test
+    void asksLowWorkToStopForUrgentWork() {
+        JobFleet fleet = new JobFleet(1);
+        fleet.submit(JobFleet.submission(1, "red", WHOLE_HOST, 7, false));
+        fleet.place(1, 0);
+        fleet.report(1, 1, JobReportKind.STARTED);
+        fleet.submit(JobFleet.submission(2, "blue", HALF_HOST, 0, false));
+        assertEquals(
+                List.of(new JobCommand.Stop(JobFleet.job(1), 1, StopReason.PREEMPTED)),
+                plan(fleet, LONG_AFTER).stops());
+    }
+
+    @Test
+    void asksNobodyElseWhileTheFirstStillStops() {
+        JobFleet fleet = new JobFleet(2);
+        for (int number = 0; number < 2; number++) {
+            fleet.submit(JobFleet.submission(number, "red", WHOLE_HOST, 7, false));
+            fleet.place(number, number);
+            fleet.report(number, 1, JobReportKind.STARTED);
+        }
+        fleet.submit(JobFleet.submission(2, "blue", HALF_HOST, 0, false));
+        fleet.stop(0, 1, StopReason.PREEMPTED);
+        assertEquals(List.of(), plan(fleet, LONG_AFTER).stops());
+    }
+
+    @Test
+    void keepsWorkAwayFromAHostRightAfterAFailure() {
+        JobFleet fleet = new JobFleet(1);
+        fleet.submit(JobFleet.submission(1, false));
+        fleet.place(1, 0);
+        fleet.report(1, 1, JobReportKind.FAILED);
+        fleet.submit(JobFleet.submission(2, false));
+        HostBackoff backoff = HostBackoff.empty().observe(fleet.state().jobs(), 0);
+        long after = HostBackoff.FIRST_DELAY.toNanos();
+        assertTrue(plan(fleet, backoff, after - 1).placements().isEmpty());
+        assertFalse(plan(fleet, backoff, after).placements().isEmpty());
+    }
+
+    @Test
+    void givesOneProbeToAHostThatFailsEverything() {
+        JobFleet fleet = new JobFleet(3);
+        failEverythingOn(fleet, 0);
+        for (int number = 20; number < 50; number++) {
+            fleet.submit(JobFleet.submission(number, "blue", new JobSize(1, 1, 0), 3, false));
+        }
+        JobPlan plan = plan(fleet, LONG_AFTER);
+        assertEquals(List.of(JobFleet.host(0)), plan.barredHosts());
+        assertEquals(1, placementsOn(plan, JobFleet.host(0)));
+    }
+
+    @Test
+    void barsNotMoreThanHalfOfAPool() {
+        JobFleet fleet = new JobFleet(3);
+        for (int host = 0; host < 3; host++) {
+            failEverythingOn(fleet, host);
+        }
+        assertEquals(1, plan(fleet, LONG_AFTER).barredHosts().size());
+    }
+
+    @Test
+    void doesNotRetryAJobOnTheHostWhereItFailed() {
+        JobFleet fleet = new JobFleet(2);
+        fleet.submit(JobFleet.submission(1, "red", WHOLE_HOST, 3, false));
+        fleet.place(1, 0);
+        fleet.report(1, 1, JobReportKind.FAILED);
+        assertEquals(
+                JobFleet.host(1), plan(fleet, LONG_AFTER).placements().get(0).host());
+    }
+
+    @Test
+    void packsByWhatEarlierTasksUsed() {
+        JobFleet fleet = new JobFleet(1);
+        for (int sample = 0; sample < 8; sample++) {
+            usage = usage.with(JobFleet.submission(0, "red", WHOLE_HOST, 3, false), new JobSize(4, 8, 0));
+        }
+        fleet.submit(JobFleet.submission(1, "red", WHOLE_HOST, 3, false));
+        fleet.submit(JobFleet.submission(2, "red", WHOLE_HOST, 3, false));
+        assertEquals(2, placed(fleet).size());
+    }
+
+    @Test
+    void leavesNoRoomWhereATaskUsesMoreThanItDeclared() {
+        JobFleet fleet = new JobFleet(1);
+        fleet.submit(JobFleet.submission(1, "red", HALF_HOST, 3, false));
+        fleet.place(1, 0);
+        report(1, new JobSize(4, 30, 0));
+        fleet.submit(JobFleet.submission(2, "red", HALF_HOST, 3, false));
+        assertEquals(List.of(), placed(fleet));
+    }
+
+    @Test
+    void slowsTheLeastUrgentTaskWhereProcessorsAreShort() {
+        JobFleet fleet = new JobFleet(1);
+        for (int number = 1; number <= 2; number++) {
+            fleet.submit(JobFleet.submission(number, "red", HALF_HOST, 2 + number, false));
+            fleet.place(number, 0);
+            fleet.report(number, 1, JobReportKind.STARTED);
+            report(number, new JobSize(6, 4, 0));
+        }
+        var action = plan(fleet, LONG_AFTER).actions().get(0);
+        assertEquals(TaskActionKind.THROTTLE, action.kind());
+        assertEquals(JobFleet.job(2), action.task().job());
+    }
+
+    private void report(int job, JobSize used) {
+        tasks = tasks.with(List.of(new TaskStatus(
+                new TaskReference(JobFleet.job(job), 1),
+                Optional.of(JobFleet.host(0)),
+                TaskPhase.RUNNING,
+                false,
+                used,
+                Optional.empty(),
+                Optional.empty())));
+    }
+
+    private static void failEverythingOn(JobFleet fleet, int host) {
+        for (int job = 0; job < 3; job++) {
+            int number = 1_000 + host * 10 + job;
+            fleet.submit(JobFleet.submission(number, false));
+            fleet.place(number, host);
+            fleet.report(number, 1, JobReportKind.FAILED);
+            fleet.cancel(number);
+        }
+    }
+
+    private static long placementsOn(JobPlan plan, HostName host) {
+        return plan.placements().stream()
+                .filter(placement -> placement.host().equals(host))
+                .count();
+    }
+
+    private List<JobIdentifier> placed(JobFleet fleet) {
+        return plan(fleet, LONG_AFTER).placements().stream()
+                .map(JobCommand.Placement::job)
+                .toList();
+    }
+
+    private JobPlan plan(JobFleet fleet, long now) {
+        return plan(fleet, HostBackoff.empty(), now);
+    }
+
+    private JobPlan plan(JobFleet fleet, HostBackoff backoff, long now) {
+        return JobPlanner.plan(new PlanningInput(fleet.state(), tasks, usage, backoff, now));
+    }
+}
