--- a/src/main/java/org/cicadalead/logic/job/HostRoom.java
+++ b/src/main/java/org/cicadalead/logic/job/HostRoom.java
@@ -5,6 +5,7 @@
 import org.cicadalead.model.identity.HostName;
 import org.cicadalead.model.job.JobSize;
 import org.cicadalead.model.job.JobState;
+import org.cicadalead.model.job.JobSubmission;
 
 /** Room on one host during a planning round. For use by one thread. */
 final class HostRoom {
@@ -47,17 +48,19 @@
         taken = taken.plus(limited);
     }
 
-    /** Tells whether there is room; more than the whole host is taken as the whole host. */
+    /** Returns what a job takes here: an estimate above the whole host is cut if the declared size fits. */
+    JobSize sizeHere(JobSubmission submission, JobSize estimate) {
+        return submission.size().fitsInto(total) ? estimate.atMost(total) : estimate;
+    }
+
+    /** Tells whether there is room now. */
     boolean takes(JobSize size) {
-        return !reserved
-                && !closed
-                && !(probeOnly && !uses.isEmpty())
-                && size.atMost(total).fitsInto(total.minus(taken));
+        return !reserved && !closed && !(probeOnly && !uses.isEmpty()) && size.fitsInto(total.minus(taken));
     }
 
     /** Tells whether the size fits once the given room is free. */
     boolean takesAfter(JobSize size, JobSize freed) {
-        return !reserved && !closed && !probeOnly && size.atMost(total).fitsInto(total.minus(taken.minus(freed)));
+        return !reserved && !closed && !probeOnly && size.fitsInto(total.minus(taken.minus(freed)));
     }
 
     /** Keeps the room that comes free for a job that was passed over, for the rest of the round. */
--- a/src/main/java/org/cicadalead/logic/job/PoolPlanner.java
+++ b/src/main/java/org/cicadalead/logic/job/PoolPlanner.java
@@ -70,8 +70,9 @@
     private JobSize planJob(JobState job) {
         JobSize size = input.usage().estimate(job.submission());
         Optional<HostRoom> best = rooms.stream()
-                .filter(room -> mayRun(job, room) && room.takes(size))
-                .min(Comparator.comparingDouble((HostRoom room) -> room.leftAfter(size))
+                .filter(room -> mayRun(job, room) && room.takes(room.sizeHere(job.submission(), size)))
+                .min(Comparator.comparingDouble(
+                                (HostRoom room) -> room.leftAfter(room.sizeHere(job.submission(), size)))
                         .thenComparing(HostRoom::host));
         if (best.isPresent()) {
             HostRoom room = best.get();
@@ -114,7 +115,7 @@
     private boolean preemptFor(JobState job, JobSize size) {
         Optional<Preemption> cheapest = rooms.stream()
                 .filter(room -> mayRun(job, room))
-                .flatMap(room -> preemption(room, size).stream())
+                .flatMap(room -> preemption(room, room.sizeHere(job.submission(), size)).stream())
                 .min(Comparator.comparingInt(
                                 (Preemption found) -> found.victims().size())
                         .thenComparing(found -> found.room().host()));
--- a/src/test/java/org/cicadalead/logic/job/JobPlannerTest.java
+++ b/src/test/java/org/cicadalead/logic/job/JobPlannerTest.java
@@ -61,15 +61,12 @@
     }
 
     @Test
-    void passesOverAJobThatFitsNoPresentHost() {
-        JobFleet fleet = new JobFleet(2);
+    void passesOverAJobWhoseOnlyHostsAreDown() {
+        JobFleet fleet = new JobFleet(2, 1);
         fleet.submit(JobFleet.submission(1, "red", WHOLE_HOST, 3, false));
-        fleet.submit(JobFleet.submission(2, "red", HALF_HOST, 3, false));
-        fleet.submit(JobFleet.submission(3, "red", HALF_HOST, 3, false));
-        fleet.place(3, 0);
-        fleet.observe(1, HostHealth.DOWN);
-        fleet.report(3, 1, JobReportKind.FAILED);
-        assertTrue(placed(fleet).contains(JobFleet.job(2)) || placed(fleet).contains(JobFleet.job(1)));
+        fleet.submit(JobFleet.submission(2, "red", new JobSize(2, 8, 0), 3, false));
+        fleet.observe(0, HostHealth.DOWN);
+        assertEquals(List.of(JobFleet.job(2)), placed(fleet));
     }
 
     @Test
--- a/src/test/java/org/cicadalead/support/JobFleet.java
+++ b/src/test/java/org/cicadalead/support/JobFleet.java
@@ -33,10 +33,15 @@
     private SharedState state = SharedState.empty();
 
     public JobFleet(int hosts) {
-        accept(configuration(hosts));
+        this(hosts, hosts);
     }
 
-    public static Publish configuration(int hosts) {
+    /** Creates a pool whose hosts from a number on have a quarter of the size. */
+    public JobFleet(int hosts, int firstSmallHost) {
+        accept(configuration(hosts, firstSmallHost));
+    }
+
+    public static Publish configuration(int hosts, int firstSmallHost) {
         StringBuilder text = new StringBuilder();
         text.append("[[zone]]\nname = \"zone\"\nregion = \"region\"\n");
         List<String> names = new ArrayList<>();
@@ -44,7 +49,9 @@
             names.add("\"" + host(number) + "\"");
             text.append("[[host]]\nname = \"").append(host(number)).append("\"\nzone = \"zone\"\nrack = \"rack-");
             text.append(number / 4).append("\"\naddress = \"127.0.0.1:").append(21_000 + number);
-            text.append("\"\nprocessors = 8\nmemory-gigabytes = 32\n");
+            int part = number < firstSmallHost ? 1 : 4;
+            text.append("\"\nprocessors = ").append(PROCESSORS / part);
+            text.append("\nmemory-gigabytes = ").append(MEMORY_GIGABYTES / part).append("\n");
         }
         text.append("[[pool]]\nname = \"batch\"\nhosts = [")
                 .append(String.join(", ", names))
