--- a/src/main/java/org/cicadalead/adapters/entry/EntryProcess.java
+++ b/src/main/java/org/cicadalead/adapters/entry/EntryProcess.java
@@ -10,7 +10,6 @@
 import java.util.UUID;
 import org.cicadalead.adapters.administration.AdministrationServer;
 import org.cicadalead.adapters.administration.StateRoutes;
-import org.cicadalead.adapters.codec.MessagePackCommandCodec;
 import org.cicadalead.adapters.event.TimelineRecorder;
 import org.cicadalead.adapters.event.TimelineRoutes;
 import org.cicadalead.adapters.http.JsonExchange;
@@ -19,9 +18,8 @@
 import org.cicadalead.adapters.membership.EntryMembership;
 import org.cicadalead.adapters.platform.HttpPlatform;
 import org.cicadalead.adapters.platform.HttpTaskPlatform;
-import org.cicadalead.adapters.replica.CommandAppender;
-import org.cicadalead.adapters.replica.LogFollower;
 import org.cicadalead.adapters.replica.SharedStateReplica;
+import org.cicadalead.adapters.replica.SharedStateService;
 import org.cicadalead.adapters.request.CallerServer;
 import org.cicadalead.adapters.time.SystemTimerService;
 import org.cicadalead.model.configuration.NetworkAddress;
@@ -46,8 +44,7 @@
     private final SharedStateReplica replica = new SharedStateReplica();
     private final TimelineRecorder timeline;
     private final SystemTimerService timers;
-    private final LogFollower follower;
-    private final CommandAppender appender;
+    private final SharedStateService sharedState;
     private final EntryMembership membership;
     private final CallerServer callers;
     private final JobService jobs;
@@ -63,24 +60,24 @@
         timers = new SystemTimerService(failure ->
                 timeline.emit(EventKind.INTERNAL_FAILURE, Optional.empty(), EventDetail.of("failure", failure)));
         HttpPlatform platform = new HttpPlatform(settings.platformAddress());
-        MessagePackCommandCodec codec = new MessagePackCommandCodec();
-        appender = new CommandAppender(platform, codec, identifier, replica);
-        follower = new LogFollower(platform, codec, replica, timeline);
-        membership = new EntryMembership(settings, identifier, replica::state, appender, timers, timeline);
+        sharedState = new SharedStateService(platform, identifier, replica, timers, timeline);
+        membership =
+                new EntryMembership(settings, identifier, replica::state, sharedState.appender(), timers, timeline);
+        sharedState.usePeers(membership.channel());
         callers = new CallerServer(settings, replica::state, timeline);
         administration = new AdministrationServer(settings);
         jobs = new JobService(
                 identifier,
                 replica,
                 new HttpTaskPlatform(settings.platformAddress()),
-                appender::submit,
+                sharedState.appender()::submit,
                 timeline,
                 timers);
         callers.addContext(JobRoutes.JOBS_PATH, jobs.routes());
         jobs.routes().addTo(administration);
         addRoutes();
         membership.start();
-        follower.start();
+        sharedState.start();
         administration.start();
         timeline.emit(EventKind.PROCESS_STARTED, Optional.empty(), EventDetail.of("zone", settings.zone()));
     }
@@ -107,9 +104,7 @@
 
     /** Tells whether it takes requests. */
     public boolean isReady() {
-        return !stopping
-                && membership.isMember()
-                && replica.state().configuration().version() > 0;
+        return !stopping && membership.isMember() && sharedState.isReady();
     }
 
     /**
@@ -137,8 +132,7 @@
         callers.close();
         jobs.close();
         membership.close();
-        follower.close();
-        appender.close();
+        sharedState.close();
         administration.close();
         timers.close();
     }
@@ -147,7 +141,7 @@
         Gauge.builder("cicadalead.state.offset", () -> replica.state().offset()).register(metrics);
         Gauge.builder("cicadalead.requests.in.flight", callers::inFlight).register(metrics);
         membership.register(metrics);
-        new StateRoutes(replica::state, appender).addTo(administration);
+        new StateRoutes(replica::state, sharedState.appender()).addTo(administration);
         administration.route("GET", "/healthz", exchange -> JsonExchange.answerText(exchange, OK, "ok\n"));
         administration.route("GET", "/readyz", this::answerReady);
         administration.route("GET", "/metrics", exchange -> JsonExchange.answerText(exchange, OK, metrics.scrape()));
@@ -166,7 +160,7 @@
                 identifier,
                 settings.zone().value(),
                 isReady(),
-                follower.isReachable(),
+                sharedState.follower().isReachable(),
                 state.offset(),
                 state.configuration().version(),
                 state.members().size(),
--- a/src/main/java/org/cicadalead/adapters/time/SystemTimerService.java
+++ b/src/main/java/org/cicadalead/adapters/time/SystemTimerService.java
@@ -1,21 +1,22 @@
 package org.cicadalead.adapters.time;
 
 import java.time.Duration;
-import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.ThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.cicadalead.ports.TimerService;
 
-/** The timer service on the monotonic clock, with one thread for callbacks. Safe for use by several threads. */
+/**
+ * The timer service on the monotonic clock, with one thread for callbacks. After it was closed, subscriptions are
+ * accepted and never called back, as parts may still be ending. Safe for use by several threads.
+ */
 public final class SystemTimerService implements TimerService, AutoCloseable {
     private final Consumer<Throwable> failureListener;
-    private final ScheduledExecutorService executor = Executors.newSingleThreadScheduledExecutor(runnable -> {
-        Thread thread = new Thread(runnable, "timer");
-        thread.setDaemon(true);
-        return thread;
-    });
+    private final ScheduledExecutorService executor = new ScheduledThreadPoolExecutor(
+            1, SystemTimerService::daemonThread, new ThreadPoolExecutor.DiscardPolicy());
 
     /** Creates a service that reports callbacks which throw. */
     public SystemTimerService(Consumer<Throwable> failureListener) {
@@ -49,6 +50,12 @@
         executor.shutdownNow();
     }
 
+    private static Thread daemonThread(Runnable runnable) {
+        Thread thread = new Thread(runnable, "timer");
+        thread.setDaemon(true);
+        return thread;
+    }
+
     private static Subscription cancelling(Future<?> future) {
         return () -> future.cancel(false);
     }
--- a/src/main/java/org/cicadalead/cli/Subcommands.java
+++ b/src/main/java/org/cicadalead/cli/Subcommands.java
@@ -14,6 +14,7 @@
             ShowCommand.POOLS,
             ShowCommand.HOSTS,
             new TimelineCommand(),
+            new ReferenceCommand(),
             JobsCommand.SHOW,
             JobsCommand.CANCEL,
             JobsCommand.LIST,
@@ -22,6 +23,11 @@
 
     private Subcommands() {}
 
+    /** Returns every command. */
+    static List<Subcommand> all() {
+        return ALL;
+    }
+
     /** Finds the command whose name the arguments start with. */
     static Optional<Subcommand> find(List<String> arguments) {
         String joined = String.join(" ", arguments) + " ";
--- a/src/main/java/org/cicadalead/model/event/EventKind.java
+++ b/src/main/java/org/cicadalead/model/event/EventKind.java
@@ -29,8 +29,19 @@
     RECORD_UNREADABLE(3003, EventSeverity.WARNING, "A record of the log could not be decoded and was skipped"),
     /** The platform log cannot be reached. */
     PLATFORM_LOG_UNAVAILABLE(3004, EventSeverity.WARNING, "The platform log cannot be reached"),
-    /** The platform log can be reached again. */
-    PLATFORM_LOG_RETURNED(3005, EventSeverity.INFORMATION, "The platform log can be reached again"),
+    /** The platform log can be reached. */
+    PLATFORM_LOG_RETURNED(3005, EventSeverity.INFORMATION, "The platform log can be reached"),
+    /** A record was taken from another process. */
+    RECORD_RELAYED(3006, EventSeverity.DETAIL, "A record was taken from another process"),
+    /** Records that this process lacks have expired. */
+    STATE_GAP(3007, EventSeverity.WARNING, "Records that this process lacks have expired"),
+    /** The state was taken from a checkpoint or another process. */
+    STATE_JUMPED(3008, EventSeverity.INFORMATION, "The state was taken from a checkpoint or another process"),
+    /** A checkpoint is complete and equals this process's own state. */
+    CHECKPOINT_COMPLETE(
+            3009, EventSeverity.INFORMATION, "A checkpoint is complete and equals this process's own state"),
+    /** A checkpoint differs from this process's own state. */
+    CHECKPOINT_DIFFERS(3010, EventSeverity.ERROR, "A checkpoint differs from this process's own state"),
     /** A connection to another entry process was established. */
     PEER_CONNECTED(4001, EventSeverity.DETAIL, "A connection to another entry process was established"),
     /** A connection to another entry process was closed. */
