--- a/src/main/java/org/cicadalead/adapters/entry/EntryProcess.java
+++ b/src/main/java/org/cicadalead/adapters/entry/EntryProcess.java
@@ -13,6 +13,7 @@
 import org.cicadalead.adapters.event.TimelineRecorder;
 import org.cicadalead.adapters.event.TimelineRoutes;
 import org.cicadalead.adapters.http.JsonExchange;
+import org.cicadalead.adapters.membership.EntryMembership;
 import org.cicadalead.adapters.platform.HttpPlatform;
 import org.cicadalead.adapters.replica.SharedStateReplica;
 import org.cicadalead.adapters.replica.SharedStateService;
@@ -41,6 +42,7 @@
     private final TimelineRecorder timeline;
     private final SystemTimerService timers;
     private final SharedStateService sharedState;
+    private final EntryMembership membership;
     private final CallerServer callers;
     private final AdministrationServer administration;
     private final PrometheusMeterRegistry metrics = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
@@ -55,9 +57,12 @@
                 timeline.emit(EventKind.INTERNAL_FAILURE, Optional.empty(), EventDetail.of("failure", failure)));
         HttpPlatform platform = new HttpPlatform(settings.platformAddress());
         sharedState = new SharedStateService(platform, identifier, replica, timers, timeline);
+        membership =
+                new EntryMembership(settings, identifier, replica::state, sharedState.appender(), timers, timeline);
         callers = new CallerServer(settings, replica::state, timeline);
         administration = new AdministrationServer(settings);
         addRoutes();
+        membership.start();
         sharedState.start();
         administration.start();
         timeline.emit(EventKind.PROCESS_STARTED, Optional.empty(), EventDetail.of("zone", settings.zone()));
@@ -85,7 +90,7 @@
 
     /** Tells whether it takes requests. */
     public boolean isReady() {
-        return !stopping && sharedState.isReady();
+        return !stopping && membership.isMember() && sharedState.isReady();
     }
 
     /**
@@ -101,6 +106,8 @@
             sleep(SHUTDOWN_POLL);
         }
         int left = callers.inFlight();
+        callers.close();
+        membership.leave();
         timeline.emit(EventKind.PROCESS_STOPPED, Optional.empty(), EventDetail.of("left", left));
         close();
         return left;
@@ -109,6 +116,7 @@
     @Override
     public void close() {
         callers.close();
+        membership.close();
         sharedState.close();
         administration.close();
         timers.close();
@@ -117,6 +125,7 @@
     private void addRoutes() {
         Gauge.builder("cicadalead.state.offset", () -> replica.state().offset()).register(metrics);
         Gauge.builder("cicadalead.requests.in.flight", callers::inFlight).register(metrics);
+        membership.register(metrics);
         new StateRoutes(replica::state, sharedState.appender()).addTo(administration);
         administration.route("GET", "/healthz", exchange -> JsonExchange.answerText(exchange, OK, "ok\n"));
         administration.route("GET", "/readyz", this::answerReady);
