--- a/src/main/java/org/cicadalead/adapters/entry/EntryProcess.java
+++ b/src/main/java/org/cicadalead/adapters/entry/EntryProcess.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.UUID;
 import org.cicadalead.adapters.administration.AdministrationServer;
+import org.cicadalead.adapters.administration.ConfigurationRoutes;
 import org.cicadalead.adapters.administration.StateRoutes;
 import org.cicadalead.adapters.event.TimelineRecorder;
 import org.cicadalead.adapters.event.TimelineRoutes;
@@ -62,6 +63,7 @@
         callers = new CallerServer(settings, replica::state, timeline);
         administration = new AdministrationServer(settings);
         addRoutes();
+        sharedState.usePeers(membership.channel());
         membership.start();
         sharedState.start();
         administration.start();
@@ -127,6 +129,7 @@
         Gauge.builder("cicadalead.requests.in.flight", callers::inFlight).register(metrics);
         membership.register(metrics);
         new StateRoutes(replica::state, sharedState.appender()).addTo(administration);
+        new ConfigurationRoutes(identifier, replica::state, sharedState::peers).addTo(administration);
         administration.route("GET", "/healthz", exchange -> JsonExchange.answerText(exchange, OK, "ok\n"));
         administration.route("GET", "/readyz", this::answerReady);
         administration.route("GET", "/metrics", exchange -> JsonExchange.answerText(exchange, OK, metrics.scrape()));
--- a/src/main/java/org/cicadalead/cli/PublishCommand.java
+++ b/src/main/java/org/cicadalead/cli/PublishCommand.java
@@ -2,22 +2,30 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.nio.file.Path;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.Option;
 import org.apache.commons.cli.Options;
 import org.cicadalead.adapters.toml.ConfigurationFolderReader;
 import org.cicadalead.adapters.toml.ConfigurationFolderReader.Folder;
+import org.cicadalead.logic.state.ConfigurationProgress;
 import org.cicadalead.model.command.CommandOutcome;
 import org.cicadalead.model.command.ConfigurationCommand;
 import org.cicadalead.model.command.ConfigurationCommand.UnitChange;
 import org.cicadalead.model.configuration.ConfigurationUnit;
+import org.cicadalead.model.error.CicadaleadException;
+import org.cicadalead.model.error.ErrorKind;
 
 /** Publishes the changed files of a configuration folder. Stateless. */
 final class PublishCommand implements Subcommand {
+    private static final Duration DEFAULT_LIMIT = Duration.ofSeconds(30);
+    private static final Duration POLL = Duration.ofMillis(100);
+
     @Override
     public String words() {
         return "publish";
@@ -25,7 +33,7 @@
 
     @Override
     public String argumentsUsage() {
-        return "FOLDER [--address ADDRESS:PORT]";
+        return "FOLDER [--address ADDRESS:PORT] [--wait] [--limit DURATION]";
     }
 
     @Override
@@ -35,12 +43,24 @@
 
     @Override
     public List<String> examples() {
-        return List.of("cicadalead publish examples/blue-mountain --address 127.0.0.1:20100");
+        return List.of(
+                "cicadalead publish examples/blue-mountain --address 127.0.0.1:20100",
+                "cicadalead publish examples/blue-mountain --wait --limit 20s");
     }
 
     @Override
     public Options options() {
-        return AddressOption.options();
+        return AddressOption.options()
+                .addOption(Option.builder()
+                        .longOpt("wait")
+                        .desc("waits until the configuration is in force in every entry process")
+                        .build())
+                .addOption(Option.builder()
+                        .longOpt("limit")
+                        .hasArg()
+                        .argName("DURATION")
+                        .desc("how long to wait at most (" + DEFAULT_LIMIT.toSeconds() + "s)")
+                        .build());
     }
 
     @Override
@@ -59,7 +79,13 @@
             return ExitCode.DONE;
         }
         String answer = client.post("/configuration", new ConfigurationCommand.Publish(changes));
-        return report(client.parse(answer, CommandOutcome.class), changes.size(), console);
+        CommandOutcome outcome = client.parse(answer, CommandOutcome.class);
+        if (!arguments.hasOption("wait") || !(outcome instanceof CommandOutcome.Accepted accepted)) {
+            return report(outcome, changes.size(), console);
+        }
+        console.progress(changes.size() + " files accepted as version " + accepted.offset());
+        Duration limit = OptionReader.duration(arguments, "limit").orElse(DEFAULT_LIMIT);
+        return reportInForce(awaitInForce(client, accepted.offset(), limit), limit, console);
     }
 
     private static List<UnitChange> changes(List<ConfigurationUnit> units, JsonNode published) {
@@ -82,6 +108,39 @@
         return changes;
     }
 
+    private static ConfigurationProgress awaitInForce(AdministrationClient client, long version, Duration limit) {
+        long deadline = System.nanoTime() + limit.toNanos();
+        while (true) {
+            ConfigurationProgress progress =
+                    client.parse(client.get("/configuration/progress?version=" + version), ConfigurationProgress.class);
+            if (progress.inForceEverywhere() || System.nanoTime() >= deadline) {
+                return progress;
+            }
+            pause();
+        }
+    }
+
+    private static void pause() {
+        try {
+            Thread.sleep(POLL.toMillis());
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+            throw new CicadaleadException(ErrorKind.CANCELLED, "Interrupted while waiting", interrupted);
+        }
+    }
+
+    private static ExitCode reportInForce(ConfigurationProgress progress, Duration limit, Console console) {
+        if (progress.inForceEverywhere()) {
+            console.result(progress, "Version " + progress.version() + " is in force in every entry process");
+            return ExitCode.DONE;
+        }
+        console.result(
+                progress,
+                "Version " + progress.version() + " is accepted and stays so, but after " + limit.toSeconds()
+                        + " s it is not yet in force in the availability zones " + progress.zonesMissing());
+        return ExitCode.FAILED;
+    }
+
     private static ExitCode report(CommandOutcome outcome, int changes, Console console) {
         if (outcome instanceof CommandOutcome.Accepted accepted) {
             console.result(outcome, changes + " files accepted as version " + accepted.offset());
