--- /dev/null
+++ b/src/test/java/org/cicadalead/adapters/replica/FaultyLog.java
@@ -0,0 +1,140 @@
+package org.cicadalead.adapters.replica;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import org.cicadalead.model.error.CicadaleadException;
+import org.cicadalead.model.error.ErrorKind;
+import org.cicadalead.ports.PlatformLog;
+
+/** A log in memory whose faults are caused step by step. Reads never wait. For use by one thread. */
+final class FaultyLog {
+    private final List<PlatformLog.LogRecord> records = new ArrayList<>();
+    private final Deque<byte[]> delayedAppends = new ArrayDeque<>();
+    private long nextOffset = 1;
+    private long oldestOffset = 1;
+    private boolean outage;
+    private int repliesToLose;
+    private int appendsToDelay;
+    private int readsToRepeat;
+    private int readsToDelay;
+
+    void setOutage(boolean now) {
+        outage = now;
+    }
+
+    void loseReplies(int count) {
+        repliesToLose += count;
+    }
+
+    void delayAppends(int count) {
+        appendsToDelay += count;
+    }
+
+    void repeatReads(int count) {
+        readsToRepeat += count;
+    }
+
+    void delayReads(int count) {
+        readsToDelay += count;
+    }
+
+    /** Lets the oldest delayed append take effect, long after its writer was told that its outcome is unknown. */
+    void landDelayedAppend() {
+        if (!delayedAppends.isEmpty()) {
+            store(delayedAppends.removeFirst());
+        }
+    }
+
+    void expireBefore(long offset) {
+        oldestOffset = Math.max(oldestOffset, Math.min(offset, nextOffset));
+    }
+
+    void heal() {
+        outage = false;
+        repliesToLose = 0;
+        appendsToDelay = 0;
+        readsToRepeat = 0;
+        readsToDelay = 0;
+        while (!delayedAppends.isEmpty()) {
+            landDelayedAppend();
+        }
+    }
+
+    long endOffset() {
+        return nextOffset - 1;
+    }
+
+    long oldestOffset() {
+        return oldestOffset;
+    }
+
+    /** Returns every record ever stored, expired ones included, as the oracle sees them. */
+    List<PlatformLog.LogRecord> everything() {
+        return records;
+    }
+
+    /** Returns the log as one process reaches it while the way is not cut. */
+    PlatformLog seenBy(java.util.function.BooleanSupplier cut) {
+        return new PlatformLog() {
+            @Override
+            public long append(byte[] payload) {
+                requireWay(cut.getAsBoolean());
+                return FaultyLog.this.append(payload);
+            }
+
+            @Override
+            public LogBatch read(long fromOffset, int maximumRecords, Duration maximumWait) {
+                requireWay(cut.getAsBoolean());
+                return FaultyLog.this.read(fromOffset, maximumRecords);
+            }
+        };
+    }
+
+    private void requireWay(boolean cut) {
+        if (cut || outage) {
+            throw new CicadaleadException(ErrorKind.PLATFORM_UNAVAILABLE, "no way to the log");
+        }
+    }
+
+    private long append(byte[] payload) {
+        if (appendsToDelay > 0) {
+            appendsToDelay--;
+            delayedAppends.addLast(payload);
+            throw new CicadaleadException(ErrorKind.LOG_OUTCOME_UNKNOWN, "no reply yet");
+        }
+        long offset = store(payload);
+        if (repliesToLose > 0) {
+            repliesToLose--;
+            throw new CicadaleadException(ErrorKind.LOG_OUTCOME_UNKNOWN, "reply lost");
+        }
+        return offset;
+    }
+
+    private long store(byte[] payload) {
+        records.add(new PlatformLog.LogRecord(nextOffset, payload));
+        return nextOffset++;
+    }
+
+    private PlatformLog.LogBatch read(long fromOffset, int maximumRecords) {
+        long from = fromOffset;
+        if (readsToRepeat > 0) {
+            readsToRepeat--;
+            from = Math.max(1, fromOffset - 3);
+        }
+        long visibleEnd = nextOffset;
+        if (readsToDelay > 0) {
+            readsToDelay--;
+            visibleEnd = Math.max(oldestOffset, nextOffset - 2);
+        }
+        List<PlatformLog.LogRecord> found = new ArrayList<>();
+        for (long offset = Math.max(from, oldestOffset); offset < visibleEnd; offset++) {
+            if (found.size() < maximumRecords) {
+                found.add(records.get((int) offset - 1));
+            }
+        }
+        return new PlatformLog.LogBatch(oldestOffset, visibleEnd, found);
+    }
+}
--- /dev/null
+++ b/src/test/java/org/cicadalead/adapters/replica/Publication.java
@@ -0,0 +1,9 @@
+package org.cicadalead.adapters.replica;
+
+import java.util.concurrent.CompletableFuture;
+import org.cicadalead.model.command.CommandOutcome;
+import org.cicadalead.model.identity.CommandIdentifier;
+import org.cicadalead.model.identity.ProcessIdentifier;
+
+/** A publication that an operator waits for. */
+record Publication(ProcessIdentifier writer, CommandIdentifier identifier, CompletableFuture<CommandOutcome> outcome) {}
--- /dev/null
+++ b/src/test/java/org/cicadalead/adapters/replica/ReplicaWorld.java
@@ -0,0 +1,249 @@
+package org.cicadalead.adapters.replica;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.CompletionException;
+import java.util.function.UnaryOperator;
+import org.cicadalead.adapters.codec.SnapshotCodec;
+import org.cicadalead.model.command.CommandOutcome;
+import org.cicadalead.model.command.ConfigurationCommand.UnitChange;
+import org.cicadalead.model.configuration.ConfigurationUnit;
+import org.cicadalead.model.error.CicadaleadException;
+import org.cicadalead.model.error.ErrorKind;
+import org.cicadalead.model.identity.ProcessIdentifier;
+import org.cicadalead.model.state.ConfigurationState.VersionedUnit;
+import org.cicadalead.model.state.SharedState;
+import org.cicadalead.ports.PlatformLog;
+import org.cicadalead.support.Commands;
+
+/** Several replicas, operators, one log, faults, and the checks that must hold after every step. */
+final class ReplicaWorld {
+    private static final int REPLICAS = 3;
+    private static final int FILES = 3;
+    private static final int STEPS_TO_HEAL = 400;
+
+    private final Random random = new Random(1);
+    private final FaultyLog log = new FaultyLog();
+    private final Set<Integer> cutLinks = new HashSet<>();
+    private final FakeNetwork network = new FakeNetwork(this::connected);
+    private final List<ReplicaUnderTest> replicas = new ArrayList<>();
+    private final AcceptedCommandsOracle oracle = new AcceptedCommandsOracle();
+    private final Map<ProcessIdentifier, Long> highestVersion = new HashMap<>();
+    private final Map<Long, String> stateDigests = new HashMap<>();
+    private final List<Publication> publications = new ArrayList<>();
+    private final UnaryOperator<PlatformLog> mutationOfFirst;
+    private int processesStarted;
+    private int textsWritten;
+
+    ReplicaWorld(UnaryOperator<PlatformLog> mutationOfFirst) {
+        this.mutationOfFirst = mutationOfFirst;
+        for (int index = 0; index < REPLICAS; index++) {
+            replicas.add(start(index == 0 ? mutationOfFirst : UnaryOperator.identity()));
+        }
+    }
+
+    void run(List<WorldStep> steps) {
+        for (WorldStep step : steps) {
+            step.action().perform(this, step.first(), step.second());
+            check();
+        }
+        healAndCheckConvergence();
+    }
+
+    void read(int replica) {
+        replica(replica).read();
+    }
+
+    void advance(int replica, int halfSeconds) {
+        replica(replica).advance(Duration.ofMillis(500L * (1 + halfSeconds % 8)));
+    }
+
+    void publish(int replica, int file) {
+        ReplicaUnderTest operatorsEntry = replica(replica);
+        String name = "file-" + file % FILES + ".toml";
+        VersionedUnit current = operatorsEntry.state().configuration().units().get(name);
+        ConfigurationUnit unit = Commands.team(name, 1 + ++textsWritten);
+        submit(operatorsEntry, Commands.change(unit, current == null ? 0 : current.version()));
+    }
+
+    void remove(int replica, int file) {
+        ReplicaUnderTest operatorsEntry = replica(replica);
+        String name = "file-" + file % FILES + ".toml";
+        VersionedUnit current = operatorsEntry.state().configuration().units().get(name);
+        if (current != null) {
+            submit(operatorsEntry, Commands.removal(name, current.version()));
+        }
+    }
+
+    void replace(int replica) {
+        int index = Math.floorMod(replica, REPLICAS);
+        network.leave(replicas.get(index).process());
+        replicas.set(index, start(index == 0 ? mutationOfFirst : UnaryOperator.identity()));
+    }
+
+    void setOutage(boolean outage) {
+        log.setOutage(outage);
+    }
+
+    void setCutFromPlatform(int replica, boolean cut) {
+        replica(replica).setCutFromPlatform(cut);
+    }
+
+    void setPaused(int replica, boolean paused) {
+        replica(replica).setPaused(paused);
+    }
+
+    void toggleLink(int first, int second) {
+        int link = link(Math.floorMod(first, REPLICAS), Math.floorMod(second, REPLICAS));
+        if (!cutLinks.remove(link)) {
+            cutLinks.add(link);
+        }
+    }
+
+    FaultyLog log() {
+        return log;
+    }
+
+    FakeNetwork network() {
+        return network;
+    }
+
+    /** Expires what the newest complete checkpoint holds, as a platform with a sensible retention would. */
+    void expire() {
+        long basis = 0;
+        for (ReplicaUnderTest replica : replicas) {
+            basis = Math.max(
+                    basis,
+                    replica.state()
+                            .checkpoint()
+                            .newest()
+                            .map(newest -> newest.basis())
+                            .orElse(0L));
+        }
+        log.expireBefore(basis + 1);
+    }
+
+    private void check() {
+        oracle.read(log.everything());
+        replicas.forEach(this::checkReplica);
+        publications.forEach(this::checkPublication);
+    }
+
+    private void checkReplica(ReplicaUnderTest replica) {
+        SharedState state = replica.state();
+        Map<String, String> digests = new TreeMap<>();
+        state.configuration()
+                .units()
+                .forEach((name, unit) -> digests.put(name, unit.unit().textDigest()));
+        assertEquals(oracle.digestsAfter(state.offset()), digests, "files at offset " + state.offset());
+        long version = state.configuration().version();
+        assertEquals(oracle.versionAfter(state.offset()), version, "version at offset " + state.offset());
+        long highest = highestVersion.merge(replica.process(), version, Math::max);
+        assertEquals(highest, version, "a process went back to an earlier configuration");
+        assertFalse(replica.sawDifferentCheckpoint(), "a checkpoint differs from the state at its basis");
+    }
+
+    private void checkPublication(Publication publication) {
+        if (!publication.outcome().isDone()) {
+            return;
+        }
+        Optional<Boolean> accepted = oracle.accepted(publication.identifier());
+        try {
+            CommandOutcome outcome = publication.outcome().join();
+            assertEquals(Optional.of(outcome instanceof CommandOutcome.Accepted), accepted);
+        } catch (CompletionException failure) {
+            ErrorKind kind = ((CicadaleadException) failure.getCause()).kind();
+            boolean toldNotRun = kind == ErrorKind.PLATFORM_UNAVAILABLE;
+            assertFalse(toldNotRun && accepted.isPresent(), "told as not appended, and it stands in the log");
+        }
+    }
+
+    private void healAndCheckConvergence() {
+        log.heal();
+        network.heal();
+        cutLinks.clear();
+        for (ReplicaUnderTest replica : replicas) {
+            replica.setPaused(false);
+            replica.setCutFromPlatform(false);
+        }
+        for (int step = 0; step < STEPS_TO_HEAL; step++) {
+            for (ReplicaUnderTest replica : replicas) {
+                replica.read();
+                replica.advance(Duration.ofMillis(100));
+            }
+            check();
+        }
+        for (ReplicaUnderTest replica : replicas) {
+            replica.read();
+            assertEquals(log.endOffset(), replica.state().offset(), "a replica did not reach the end of the log");
+            assertTrue(replica.isReady(), "a replica that reached the end is not ready");
+            checkDigest(replica.state());
+        }
+        assertTrue(
+                publications.stream()
+                        .filter(publication -> isLive(publication.writer()))
+                        .allMatch(publication -> publication.outcome().isDone()),
+                "a publication of a live process was never answered");
+    }
+
+    private void checkDigest(SharedState state) {
+        String digest = SnapshotCodec.digest(new SnapshotCodec().encode(state));
+        assertEquals(stateDigests.computeIfAbsent(state.offset(), offset -> digest), digest);
+    }
+
+    private void submit(ReplicaUnderTest replica, UnitChange change) {
+        if (replica.isPaused()) {
+            return;
+        }
+        publications.add(replica.submitTracked(Commands.publish(change)));
+    }
+
+    private ReplicaUnderTest start(UnaryOperator<PlatformLog> mutation) {
+        ProcessIdentifier process = new ProcessIdentifier("process-" + processesStarted++);
+        ReplicaUnderTest replica = new ReplicaUnderTest(process, log, mutation, random);
+        replica.connect(network.join(process, () -> replica.state().offset()));
+        return replica;
+    }
+
+    private ReplicaUnderTest replica(int index) {
+        return replicas.get(Math.floorMod(index, REPLICAS));
+    }
+
+    private boolean connected(ProcessIdentifier from, ProcessIdentifier to) {
+        int first = indexOf(from);
+        int second = indexOf(to);
+        return first >= 0
+                && second >= 0
+                && !cutLinks.contains(link(first, second))
+                && !replicas.get(second).isPaused();
+    }
+
+    private boolean isLive(ProcessIdentifier process) {
+        return indexOf(process) >= 0;
+    }
+
+    private int indexOf(ProcessIdentifier process) {
+        for (int index = 0; index < replicas.size(); index++) {
+            if (replicas.get(index).process().equals(process)) {
+                return index;
+            }
+        }
+        return -1;
+    }
+
+    private static int link(int first, int second) {
+        return Math.min(first, second) * REPLICAS + Math.max(first, second);
+    }
+}
--- /dev/null
+++ b/src/test/java/org/cicadalead/adapters/replica/ReplicasAgainstOracleTest.java
@@ -0,0 +1,86 @@
+package org.cicadalead.adapters.replica;
+
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.function.UnaryOperator;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Combinators;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import org.cicadalead.ports.PlatformLog;
+import org.junit.jupiter.api.Test;
+
+class ReplicasAgainstOracleTest {
+    private static final int STEPS = 150;
+
+    @Property(tries = 150, seed = "-4962768465676381896")
+    void replicasAgreeWithTheListOfAcceptedCommands(@ForAll("steps") List<WorldStep> steps) {
+        new ReplicaWorld(UnaryOperator.identity()).run(steps);
+    }
+
+    /**
+     * Long runs: {@code mvn test -Dtest=ReplicasAgainstOracleTest -Dcicadalead.fuzz.seed=7 -Dcicadalead.fuzz.runs=9}.
+     */
+    @Test
+    void replicasAgreeOnSeedsGivenFromOutside() {
+        long firstSeed = Long.getLong("cicadalead.fuzz.seed", 1);
+        int runs = Integer.getInteger("cicadalead.fuzz.runs", 20);
+        for (long seed = firstSeed; seed < firstSeed + runs; seed++) {
+            runSeed(seed, UnaryOperator.identity());
+        }
+    }
+
+    @Test
+    void findsAReplicaThatSkipsARecord() {
+        assertThrows(AssertionError.class, () -> {
+            for (long seed = 1; seed <= 20; seed++) {
+                runSeed(seed, SkippingLog::new);
+            }
+        });
+    }
+
+    @Provide
+    Arbitrary<List<WorldStep>> steps() {
+        Arbitrary<Integer> numbers = Arbitraries.integers().between(0, 63);
+        return Combinators.combine(Arbitraries.of(WorldStep.Action.class), numbers, numbers)
+                .as(WorldStep::new)
+                .list()
+                .ofMaxSize(STEPS);
+    }
+
+    private static void runSeed(long seed, UnaryOperator<PlatformLog> mutation) {
+        Random random = new Random(seed);
+        List<WorldStep> steps = new ArrayList<>();
+        for (int count = 0; count < STEPS; count++) {
+            steps.add(WorldStep.random(random));
+        }
+        try {
+            new ReplicaWorld(mutation).run(steps);
+        } catch (AssertionError failure) {
+            throw new AssertionError("seed " + seed + ": " + failure.getMessage(), failure);
+        }
+    }
+
+    /** A faulty reader, to show that the checks can fail: it drops every fifth record that it reads. */
+    private record SkippingLog(PlatformLog log) implements PlatformLog {
+        @Override
+        public long append(byte[] payload) {
+            return log.append(payload);
+        }
+
+        @Override
+        public LogBatch read(long fromOffset, int maximumRecords, Duration maximumWait) {
+            LogBatch batch = log.read(fromOffset, maximumRecords, maximumWait);
+            List<LogRecord> kept = batch.records().stream()
+                    .filter(record -> record.offset() % 5 != 0)
+                    .toList();
+            return new LogBatch(batch.oldestOffset(), batch.nextOffset(), kept);
+        }
+    }
+}
