--- a/src/main/java/org/cicadalead/adapters/entry/EntryProcess.java
+++ b/src/main/java/org/cicadalead/adapters/entry/EntryProcess.java
@@ -18,11 +18,13 @@
 import org.cicadalead.adapters.replica.LogFollower;
 import org.cicadalead.adapters.replica.SharedStateReplica;
 import org.cicadalead.adapters.request.CallerServer;
+import org.cicadalead.adapters.request.RequestPorts;
 import org.cicadalead.adapters.time.SystemTimerService;
 import org.cicadalead.model.configuration.NetworkAddress;
 import org.cicadalead.model.event.EventDetail;
 import org.cicadalead.model.event.EventKind;
 import org.cicadalead.model.identity.ProcessIdentifier;
+import org.cicadalead.model.request.RequestLimits;
 import org.cicadalead.model.settings.EntrySettings;
 import org.cicadalead.model.state.SharedState;
 
@@ -59,7 +61,7 @@
         MessagePackCommandCodec codec = new MessagePackCommandCodec();
         appender = new CommandAppender(platform, codec, identifier, replica);
         follower = new LogFollower(platform, codec, replica, timeline);
-        callers = new CallerServer(settings, replica::state, timeline);
+        callers = new CallerServer(settings, RequestLimits.DEFAULT, requestPorts());
         administration = new AdministrationServer(settings);
         addRoutes();
         follower.start();
@@ -99,7 +101,9 @@
     public int stopGracefully() {
         stopping = true;
         timeline.emit(EventKind.PROCESS_STOPPING, Optional.empty());
+        callers.closeConnectionsAfterAnswers();
         sleep(settings.balancerDelay());
+        callers.stopAccepting();
         long deadline = System.nanoTime() + settings.shutdownLimit().toNanos();
         while (callers.inFlight() > 0 && System.nanoTime() < deadline) {
             sleep(SHUTDOWN_POLL);
@@ -119,6 +123,17 @@
         timers.close();
     }
 
+    private RequestPorts requestPorts() {
+        return new RequestPorts(
+                identifier,
+                replica::state,
+                RequestPorts.viewOf(replica::state),
+                Optional.empty(),
+                timers,
+                timeline,
+                metrics);
+    }
+
     private void addRoutes() {
         Gauge.builder("cicadalead.state.offset", () -> replica.state().offset()).register(metrics);
         Gauge.builder("cicadalead.requests.in.flight", callers::inFlight).register(metrics);
--- a/src/main/java/org/cicadalead/adapters/http/HttpServers.java
+++ b/src/main/java/org/cicadalead/adapters/http/HttpServers.java
@@ -13,14 +13,27 @@
 /** Creates HTTP servers of the JDK. Stateless; safe for use by several threads. */
 public final class HttpServers {
     private static final int BACKLOG = 1_024;
+    private static final String CLIENT_IDLE_SECONDS = "5";
+    private static final String REQUEST_SECONDS = "60";
+    private static final String IDLE_CONNECTIONS = "10000";
+    private static final String DRAINED_BYTES = "65536";
 
     private HttpServers() {}
 
-    /** Sets the system properties that the JDK reads once; to be called before the first server or client. */
+    /**
+     * Sets the system properties that the JDK reads once; to be called before the first server or client. The client
+     * must not send a request a second time by itself; the server ends senders that take too long, and keeps as many
+     * idle connections as a balancer opens.
+     */
     public static void configureProcess() {
-        System.setProperty("sun.net.httpserver.nodelay", "true");
         System.setProperty("jdk.httpclient.disableRetryConnect", "true");
+        System.setProperty("jdk.httpclient.enableAllMethodRetry", "false");
         System.setProperty("jdk.httpclient.redirects.retrylimit", "1");
+        System.setProperty("jdk.httpclient.keepalive.timeout", CLIENT_IDLE_SECONDS);
+        System.setProperty("sun.net.httpserver.nodelay", "true");
+        System.setProperty("sun.net.httpserver.maxReqTime", REQUEST_SECONDS);
+        System.setProperty("sun.net.httpserver.maxIdleConnections", IDLE_CONNECTIONS);
+        System.setProperty("sun.net.httpserver.drainAmount", DRAINED_BYTES);
     }
 
     /** Binds a server; port 0 takes any free one. */
--- a/src/main/java/org/cicadalead/adapters/http/JsonExchange.java
+++ b/src/main/java/org/cicadalead/adapters/http/JsonExchange.java
@@ -52,7 +52,13 @@
 
     /** Answers with a problem document. */
     public static void answerProblem(HttpExchange exchange, ErrorKind kind, String detail) throws IOException {
-        ProblemDocument problem = ProblemDocument.of(kind, detail);
+        answerProblem(exchange, kind, detail, DEFAULT_RETRY_AFTER_SECONDS);
+    }
+
+    /** Answers with a problem document that says when to come back, where waiting helps. */
+    public static void answerProblem(HttpExchange exchange, ErrorKind kind, String detail, int retryAfterSeconds)
+            throws IOException {
+        ProblemDocument problem = ProblemDocument.of(kind, detail, retryAfterSeconds);
         problem.retryAfterSeconds()
                 .ifPresent(seconds -> exchange.getResponseHeaders().set("Retry-After", String.valueOf(seconds)));
         answerBytes(exchange, kind.status(), "application/problem+json", MAPPER.writeValueAsBytes(problem));
--- a/src/main/java/org/cicadalead/adapters/http/ProblemDocument.java
+++ b/src/main/java/org/cicadalead/adapters/http/ProblemDocument.java
@@ -19,9 +19,9 @@
     private static final String TYPE_PREFIX = "urn:cicadalead:error:";
 
     /** Returns the document of an error kind. */
-    public static ProblemDocument of(ErrorKind kind, String detail) {
+    public static ProblemDocument of(ErrorKind kind, String detail, int retryAfterSeconds) {
         Optional<Integer> retryAfter = kind.retryAdvice() == RetryAdvice.AFTER_DELAY
-                ? Optional.of(JsonExchange.DEFAULT_RETRY_AFTER_SECONDS)
+                ? Optional.of(retryAfterSeconds)
                 : Optional.empty();
         return new ProblemDocument(
                 TYPE_PREFIX + kind.code(),
--- /dev/null
+++ b/src/main/java/org/cicadalead/adapters/request/AnswerListener.java
@@ -0,0 +1,33 @@
+package org.cicadalead.adapters.request;
+
+import org.cicadalead.model.error.ErrorKind;
+
+/** Learns how a request ended, before its caller does. Called at most once; safe for use by several threads. */
+interface AnswerListener {
+    /** Takes no notice. */
+    AnswerListener NONE = new AnswerListener() {
+        @Override
+        public void onAnswered(KeptAnswer answer) {
+            // Nobody needs to know.
+        }
+
+        @Override
+        public void onAnsweredLong() {
+            // Nobody needs to know.
+        }
+
+        @Override
+        public void onFailed(ErrorKind kind) {
+            // Nobody needs to know.
+        }
+    };
+
+    /** The upstream answered, and the answer is short enough to be kept. */
+    void onAnswered(KeptAnswer answer);
+
+    /** The upstream answered with a body that is not kept. */
+    void onAnsweredLong();
+
+    /** The request failed; the kind says whether it ran. */
+    void onFailed(ErrorKind kind);
+}
--- /dev/null
+++ b/src/main/java/org/cicadalead/adapters/request/CallerRequest.java
@@ -0,0 +1,108 @@
+package org.cicadalead.adapters.request;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.UnaryOperator;
+import org.cicadalead.logic.request.RequestProgress;
+import org.cicadalead.model.request.RequestPhase;
+import org.cicadalead.model.request.RequestTerms;
+
+/**
+ * One caller's request on its way through this process. At most one thread works on it at a time; others may abort it.
+ * Safe for use by several threads.
+ */
+final class CallerRequest {
+    private final RequestTerms terms;
+    private final RequestHead head;
+    private final RequestBody body;
+    private final CallerExchange exchange;
+    private final AnswerListener listener;
+    private final AtomicReference<RequestProgress> progress;
+    private final AtomicReference<InputStream> upstreamAnswer = new AtomicReference<>(InputStream.nullInputStream());
+    private volatile boolean longWork;
+
+    CallerRequest(
+            RequestTerms terms,
+            RequestHead head,
+            RequestBody body,
+            CallerExchange exchange,
+            AnswerListener listener) {
+        this.terms = terms;
+        this.head = head;
+        this.body = body;
+        this.exchange = exchange;
+        this.listener = listener;
+        this.progress = new AtomicReference<>(RequestProgress.admitted(terms.idempotent()));
+    }
+
+    RequestTerms terms() {
+        return terms;
+    }
+
+    RequestHead head() {
+        return head;
+    }
+
+    RequestBody body() {
+        return body;
+    }
+
+    CallerExchange exchange() {
+        return exchange;
+    }
+
+    AnswerListener listener() {
+        return listener;
+    }
+
+    /** Tells whether it waits, or runs, as long work. */
+    boolean isLongWork() {
+        return longWork;
+    }
+
+    void setLongWork(boolean isLong) {
+        longWork = isLong;
+    }
+
+    /** Returns what kind of work it asks for: requests of one kind are expected to take equally long. */
+    String workKind() {
+        return head.workKind();
+    }
+
+    RequestProgress progress() {
+        return progress.get();
+    }
+
+    String cause() {
+        return terms.identifier().value();
+    }
+
+    void enter(RequestPhase phase) {
+        change(held -> held.enter(phase));
+    }
+
+    void change(UnaryOperator<RequestProgress> step) {
+        progress.updateAndGet(step);
+    }
+
+    /** Remembers where the upstream's answer is read from, so that it can be cut off. */
+    void reading(InputStream answer) {
+        upstreamAnswer.set(answer);
+    }
+
+    /** Ends the reading of the upstream's answer. */
+    void cutUpstreamAnswer() {
+        try {
+            upstreamAnswer.get().close();
+        } catch (IOException alreadyBroken) {
+            // The answer cannot be read any more, which is what was asked for.
+        }
+    }
+
+    /** Ends it whatever it waits for: the caller's connection and the upstream's answer are closed. */
+    void abort() {
+        exchange.abort();
+        cutUpstreamAnswer();
+    }
+}
--- a/src/main/java/org/cicadalead/adapters/request/CallerServer.java
+++ b/src/main/java/org/cicadalead/adapters/request/CallerServer.java
@@ -1,71 +1,58 @@
 package org.cicadalead.adapters.request;
 
-import com.sun.net.httpserver.Headers;
 import com.sun.net.httpserver.HttpExchange;
 import com.sun.net.httpserver.HttpServer;
-import java.io.IOException;
-import java.net.ConnectException;
-import java.net.URI;
-import java.net.http.HttpClient;
-import java.net.http.HttpRequest;
-import java.net.http.HttpResponse;
-import java.net.http.HttpTimeoutException;
-import java.util.Locale;
+import java.time.Duration;
 import java.util.Optional;
-import java.util.Set;
+import java.util.UUID;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.atomic.AtomicInteger;
-import java.util.function.Supplier;
+import java.util.concurrent.atomic.AtomicLong;
 import org.cicadalead.adapters.http.HttpServers;
-import org.cicadalead.adapters.http.JsonExchange;
-import org.cicadalead.model.configuration.HostDefinition;
+import org.cicadalead.logic.request.RoutingIndex;
+import org.cicadalead.logic.request.ServiceRoute;
 import org.cicadalead.model.configuration.NetworkAddress;
-import org.cicadalead.model.configuration.ServiceDefinition;
 import org.cicadalead.model.error.CicadaleadException;
 import org.cicadalead.model.error.ErrorKind;
-import org.cicadalead.model.error.Execution;
 import org.cicadalead.model.event.EventDetail;
 import org.cicadalead.model.event.EventKind;
-import org.cicadalead.model.identity.ServiceName;
+import org.cicadalead.model.identity.RequestIdentifier;
+import org.cicadalead.model.request.RequestLimits;
+import org.cicadalead.model.request.RequestTerms;
 import org.cicadalead.model.settings.EntrySettings;
-import org.cicadalead.model.state.SharedState;
-import org.cicadalead.ports.EventSink;
+import org.cicadalead.ports.PlacementControl;
 
-/** Takes callers' requests and forwards each to one upstream. Safe for use by several threads. */
+/**
+ * Takes callers' requests over HTTP/1.1, admits them, and hands them to the request path. Safe for use by several
+ * threads.
+ */
 public final class CallerServer implements AutoCloseable {
-    private static final String SERVICES_PATH = "/services/";
-    private static final Set<String> HOP_BY_HOP_HEADERS = Set.of(
-            "connection",
-            "content-length",
-            "expect",
-            "host",
-            "keep-alive",
-            "proxy-authenticate",
-            "proxy-authorization",
-            "te",
-            "trailer",
-            "transfer-encoding",
-            "upgrade");
+    private static final int RETRY_AFTER_SECONDS = 1;
+    private static final Duration STOP_WAIT = Duration.ofHours(1);
 
-    private final Supplier<SharedState> state;
-    private final EventSink events;
-    private final UpstreamSelector selector;
+    private final RequestPorts ports;
+    private final RequestLimits limits;
+    private final RequestReader reader;
+    private final RequestMetrics metrics;
+    private final RequestPath path;
     private final AtomicInteger inFlight = new AtomicInteger();
+    private final AtomicLong bufferedBytes = new AtomicLong();
     private final ExecutorService threads = HttpServers.daemonThreads("caller");
     private final HttpServer server;
-    private final HttpClient client;
+    private volatile boolean closing;
+    private volatile boolean refusing;
 
     /** Starts a server that routes by the newest shared state. */
-    public CallerServer(EntrySettings settings, Supplier<SharedState> state, EventSink events) {
-        this.state = state;
-        this.events = events;
-        this.selector = new UpstreamSelector(settings.zone());
+    public CallerServer(EntrySettings settings, RequestLimits limits, RequestPorts ports) {
+        this.ports = ports;
+        this.limits = limits;
+        this.reader = new RequestReader(limits);
+        this.metrics = new RequestMetrics(ports.metrics());
+        this.path = new RequestPath(ports, limits, settings.zone(), metrics, threads);
         this.server = HttpServers.bind(
                 settings.callerAddress().address(), settings.callerAddress().port());
-        this.client =
-                HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
         server.setExecutor(threads);
-        server.createContext("/", JsonExchange.guarded(this::handle));
+        server.createContext("/", this::handle);
         server.start();
     }
 
@@ -79,102 +66,91 @@
         return inFlight.get();
     }
 
+    /** Returns what has been placed on each host. */
+    public PlacementControl placements() {
+        return path;
+    }
+
+    /** Asks callers to use another connection for their next request, while the balancer learns that it stops. */
+    public void closeConnectionsAfterAnswers() {
+        closing = true;
+    }
+
+    /**
+     * Takes no new connections from now on. Requests that still come on open ones are refused as not run; those in
+     * flight go on.
+     */
+    public void stopAccepting() {
+        closing = true;
+        refusing = true;
+        // The server closes its listening socket at once and then waits; close() ends the wait.
+        threads.execute(() -> server.stop((int) STOP_WAIT.toSeconds()));
+    }
+
+    /** Says that this process places no work any more. */
+    public void setIdle() {
+        path.setIdle();
+    }
+
     @Override
     public void close() {
         server.stop(0);
+        path.close();
         threads.shutdownNow();
     }
 
-    private void handle(HttpExchange exchange) throws IOException {
+    private void handle(HttpExchange raw) {
         inFlight.incrementAndGet();
-        try {
-            forward(exchange);
-            events.emit(EventKind.REQUEST_ANSWERED, Optional.empty());
-        } catch (CicadaleadException failure) {
-            events.emit(
-                    failure.kind().execution() == Execution.NOT_RUN
-                            ? EventKind.REQUEST_REFUSED
-                            : EventKind.REQUEST_OUTCOME_UNKNOWN,
-                    Optional.empty(),
-                    EventDetail.of("kind", failure.kind().code()));
-            throw failure;
-        } finally {
-            inFlight.decrementAndGet();
-        }
-    }
-
-    private void forward(HttpExchange exchange) throws IOException {
-        SharedState current = state.get();
-        ServiceDefinition service =
-                findService(current, exchange.getRequestURI().getPath());
-        byte[] body = exchange.getRequestBody().readAllBytes();
-        HostDefinition host = selector.acquire(current, service)
-                .orElseThrow(() -> new CicadaleadException(
-                        ErrorKind.NO_UPSTREAM, "No host of the pool '" + service.pool() + "' has a free slot"));
-        try {
-            HttpResponse<byte[]> response = send(exchange, service, host, body);
-            answer(exchange, response);
-        } finally {
-            selector.release(host.name());
-        }
-    }
-
-    private static ServiceDefinition findService(SharedState state, String path) {
-        if (state.configuration().version() == 0) {
-            throw new CicadaleadException(ErrorKind.NOT_READY, "No configuration has been published yet");
-        }
-        if (!path.startsWith(SERVICES_PATH)) {
-            throw new CicadaleadException(ErrorKind.UNKNOWN_RESOURCE, "Use /services/NAME/...");
+        RequestIdentifier identifier = new RequestIdentifier(UUID.randomUUID().toString());
+        CallerExchange exchange = new CallerExchange(raw, identifier, inFlight::decrementAndGet);
+        if (closing) {
+            exchange.closeConnectionAfterAnswer();
         }
-        String name = path.substring(SERVICES_PATH.length()).split("/", 2)[0];
         try {
-            return Optional.ofNullable(state.configuration().merged().services().get(new ServiceName(name)))
-                    .orElseThrow(() ->
-                            new CicadaleadException(ErrorKind.UNKNOWN_SERVICE, "There is no service '" + name + "'"));
-        } catch (IllegalArgumentException invalidName) {
-            throw new CicadaleadException(ErrorKind.UNKNOWN_SERVICE, "There is no service '" + name + "'", invalidName);
+            admit(identifier, exchange);
+        } catch (CicadaleadException refused) {
+            refuse(identifier, exchange, refused);
+        } catch (RuntimeException unexpected) {
+            ports.events().emit(
+                            EventKind.INTERNAL_FAILURE,
+                            Optional.of(identifier.value()),
+                            EventDetail.of("failure", unexpected));
+            exchange.refuse(ErrorKind.INTERNAL, unexpected.toString(), RETRY_AFTER_SECONDS);
         }
     }
 
-    private HttpResponse<byte[]> send(
-            HttpExchange exchange, ServiceDefinition service, HostDefinition host, byte[] body) {
-        HttpRequest.Builder request = HttpRequest.newBuilder(
-                        URI.create("http://" + host.address() + exchange.getRequestURI()))
-                .timeout(service.timeout())
-                .method(exchange.getRequestMethod(), HttpRequest.BodyPublishers.ofByteArray(body));
-        copyHeaders(exchange.getRequestHeaders(), request);
-        try {
-            return client.send(request.build(), HttpResponse.BodyHandlers.ofByteArray());
-        } catch (ConnectException failure) {
-            throw new CicadaleadException(ErrorKind.NO_UPSTREAM, "The host '" + host.name() + "' is down", failure);
-        } catch (HttpTimeoutException failure) {
-            throw new CicadaleadException(ErrorKind.UPSTREAM_TIMEOUT, "No answer in " + service.timeout(), failure);
-        } catch (IOException failure) {
-            throw new CicadaleadException(ErrorKind.OUTCOME_UNKNOWN, "The answer was lost", failure);
-        } catch (InterruptedException interrupted) {
-            Thread.currentThread().interrupt();
-            throw new CicadaleadException(ErrorKind.OUTCOME_UNKNOWN, "Interrupted", interrupted);
+    private void admit(RequestIdentifier identifier, CallerExchange exchange) {
+        if (refusing) {
+            throw new CicadaleadException(ErrorKind.SHUTTING_DOWN, "Send the request through another entry host");
         }
+        RequestHead head = reader.readHead(exchange.raw());
+        RoutingIndex index = path.index();
+        ServiceRoute route = reader.route(head, index);
+        RequestTerms terms = reader.readTerms(
+                identifier, head, route.service(), index, ports.timers().nanoTime());
+        RequestBody body = readBody(exchange, head);
+        bufferedBytes.addAndGet(body.kept().length);
+        CallerRequest request = new CallerRequest(terms, head, body, exchange, AnswerListener.NONE);
+        exchange.onClosed(() -> {
+            bufferedBytes.addAndGet(-body.kept().length);
+            path.remove(request);
+        });
+        path.submit(request, route);
     }
 
-    private static void copyHeaders(Headers headers, HttpRequest.Builder request) {
-        headers.forEach((name, values) -> {
-            if (!HOP_BY_HOP_HEADERS.contains(name.toLowerCase(Locale.ROOT))) {
-                values.forEach(value -> request.header(name, value));
-            }
-        });
+    /** While too much is kept already, bodies stay with their callers until a worker takes them. */
+    private RequestBody readBody(CallerExchange exchange, RequestHead head) {
+        int kept = bufferedBytes.get() < limits.bufferedBytes() ? limits.bufferedBodyBytes() : 0;
+        return RequestBody.read(exchange.raw().getRequestBody(), head.bodyLength(), kept, limits.bodyBytes());
     }
 
-    private static void answer(HttpExchange exchange, HttpResponse<byte[]> response) throws IOException {
-        response.headers().map().forEach((name, values) -> {
-            if (!HOP_BY_HOP_HEADERS.contains(name.toLowerCase(Locale.ROOT))) {
-                values.forEach(value -> exchange.getResponseHeaders().add(name, value));
-            }
-        });
-        byte[] body = response.body();
-        exchange.sendResponseHeaders(response.statusCode(), body.length == 0 ? -1 : body.length);
-        if (body.length > 0) {
-            exchange.getResponseBody().write(body);
-        }
+    private void refuse(RequestIdentifier identifier, CallerExchange exchange, CicadaleadException refused) {
+        ports.events().emit(
+                        EventKind.REQUEST_REFUSED,
+                        Optional.of(identifier.value()),
+                        EventDetail.of("kind", refused.kind().code()));
+        metrics.failed(refused.kind());
+        exchange.closeConnectionAfterAnswer();
+        exchange.refuse(refused.kind(), refused.getMessage(), RETRY_AFTER_SECONDS);
     }
 }
--- /dev/null
+++ b/src/main/java/org/cicadalead/adapters/request/SlotHold.java
@@ -0,0 +1,20 @@
+package org.cicadalead.adapters.request;
+
+import java.util.concurrent.atomic.AtomicBoolean;
+
+/** A slot that is held for one attempt and given back once. Safe for use by several threads. */
+final class SlotHold {
+    private final AtomicBoolean held = new AtomicBoolean(true);
+    private final Runnable onRelease;
+
+    SlotHold(Runnable onRelease) {
+        this.onRelease = onRelease;
+    }
+
+    /** Gives the slot back; a second call does nothing. */
+    void release() {
+        if (held.compareAndSet(true, false)) {
+            onRelease.run();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/cicadalead/adapters/request/UpstreamClients.java
@@ -0,0 +1,63 @@
+package org.cicadalead.adapters.request;
+
+import java.net.http.HttpClient;
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutorService;
+import org.cicadalead.adapters.http.HttpServers;
+import org.cicadalead.logic.request.HostRoute;
+import org.cicadalead.model.configuration.NetworkAddress;
+import org.cicadalead.model.identity.HostName;
+import org.cicadalead.model.identity.PoolName;
+
+/**
+ * One HTTP client, and so one set of connections, for each host and pool that it is in. A client is never used again
+ * after its host's connections were closed or the host changed pool; its idle connections then close by themselves
+ * within the keep-alive time that {@link HttpServers#configureProcess} sets. Safe for use by several threads.
+ */
+final class UpstreamClients implements AutoCloseable {
+    private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
+
+    private final Map<HostName, PoolClient> clients = new ConcurrentHashMap<>();
+    private final ExecutorService threads = HttpServers.daemonThreads("upstream");
+
+    /** Returns the client for a host as it was chosen. */
+    HttpClient clientFor(HostRoute route) {
+        PoolName pool = route.state().pool();
+        NetworkAddress address = route.definition().address();
+        return clients.compute(
+                        route.state().name(),
+                        (host, held) -> held != null && held.isFor(pool, address)
+                                ? held
+                                : new PoolClient(pool, address, newClient()))
+                .client();
+    }
+
+    /** Forgets the client of a host. */
+    void close(HostName host) {
+        clients.remove(host);
+    }
+
+    @Override
+    public void close() {
+        clients.clear();
+        threads.shutdown();
+    }
+
+    private HttpClient newClient() {
+        HttpServers.configureProcess();
+        return HttpClient.newBuilder()
+                .version(HttpClient.Version.HTTP_1_1)
+                .followRedirects(HttpClient.Redirect.NEVER)
+                .connectTimeout(CONNECT_TIMEOUT)
+                .executor(threads)
+                .build();
+    }
+
+    private record PoolClient(PoolName pool, NetworkAddress address, HttpClient client) {
+        boolean isFor(PoolName otherPool, NetworkAddress otherAddress) {
+            return pool.equals(otherPool) && address.equals(otherAddress);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/cicadalead/logic/request/HostSlots.java
@@ -0,0 +1,62 @@
+package org.cicadalead.logic.request;
+
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.UnaryOperator;
+
+/** The slots of one worker, shared by the threads of this process without a lock. Safe for use by several threads. */
+public final class HostSlots {
+    private final AtomicReference<SlotCounts> counts = new AtomicReference<>(SlotCounts.NONE);
+
+    /** Returns the newest counts. */
+    public SlotCounts counts() {
+        return counts.get();
+    }
+
+    /** Takes a slot when one is free and fewer than the given number are in use. */
+    public boolean tryUse(int mostUsed) {
+        return changeWhile(mostUsed, held -> held.plusUsed(1));
+    }
+
+    /** Gives back a slot that was taken. */
+    public void endUse() {
+        counts.updateAndGet(held -> held.plusUsed(-1));
+    }
+
+    /** Lends a free slot to another process; false when none is free. */
+    public boolean tryLend() {
+        return changeWhile(Integer.MAX_VALUE, held -> held.plusLent(1));
+    }
+
+    /** Takes a lent slot back. */
+    public void endLend() {
+        counts.updateAndGet(held -> held.plusLent(-1));
+    }
+
+    /** Adds a borrowed slot. */
+    public void borrow() {
+        counts.updateAndGet(held -> held.plusBorrowed(1));
+    }
+
+    /** Takes a borrowed slot out of use, to give it back; false while all slots are in use. */
+    public boolean tryEndBorrow() {
+        return changeWhile(Integer.MAX_VALUE, held -> held.plusBorrowed(-1));
+    }
+
+    /** Sets the slots that the membership gives to this process. */
+    public void setOwned(int owned) {
+        if (counts.get().owned() != owned) {
+            counts.updateAndGet(held -> held.withOwned(owned));
+        }
+    }
+
+    private boolean changeWhile(int mostUsed, UnaryOperator<SlotCounts> change) {
+        SlotCounts before = counts.get();
+        while (before.free() > 0 && before.used() < mostUsed) {
+            if (counts.compareAndSet(before, change.apply(before))) {
+                return true;
+            }
+            before = counts.get();
+        }
+        return false;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/cicadalead/logic/request/RoutingIndex.java
@@ -0,0 +1,94 @@
+package org.cicadalead.logic.request;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Function;
+import org.cicadalead.model.configuration.HostDefinition;
+import org.cicadalead.model.configuration.ServiceDefinition;
+import org.cicadalead.model.configuration.TeamDefinition;
+import org.cicadalead.model.fleet.HostState;
+import org.cicadalead.model.identity.HostName;
+import org.cicadalead.model.identity.PoolName;
+import org.cicadalead.model.identity.ServiceName;
+import org.cicadalead.model.identity.TeamName;
+import org.cicadalead.model.identity.ZoneName;
+import org.cicadalead.model.state.SharedState;
+
+/**
+ * The shared state as the request path needs it: made anew when the state changes, and read without a lock, so that a
+ * request costs one look-up and a pass over the hosts of one pool. Immutable, but for the hosts' runtimes.
+ */
+public final class RoutingIndex {
+    private final SharedState state;
+    private final Map<ServiceName, ServiceRoute> services;
+    private final Map<PoolName, List<ServiceRoute>> routesByPool = new HashMap<>();
+
+    private RoutingIndex(SharedState state, Map<ServiceName, ServiceRoute> services) {
+        this.state = state;
+        this.services = services;
+        services.values().forEach(route -> routesByPool
+                .computeIfAbsent(route.service().pool(), unseen -> new ArrayList<>())
+                .add(route));
+    }
+
+    /** Makes the index of a state. */
+    public static RoutingIndex of(SharedState state, ZoneName ownZone, Function<HostName, HostRuntime> runtimes) {
+        Map<PoolName, List<HostRoute>> hostsByPool = new HashMap<>();
+        for (HostState host : state.hosts().values()) {
+            HostDefinition definition = state.configuration().merged().hosts().get(host.name());
+            if (host.isAvailable() && definition != null) {
+                boolean own = definition.zone().equals(ownZone);
+                hostsByPool
+                        .computeIfAbsent(host.pool(), unseen -> new ArrayList<>())
+                        .add(new HostRoute(host, definition, own, runtimes.apply(host.name())));
+            }
+        }
+        hostsByPool.values().forEach(hosts -> hosts.sort(Comparator.comparing(host -> !host.ownZone())));
+        Map<ServiceName, ServiceRoute> services = new HashMap<>();
+        Map<PoolName, Integer> minimums = minimumByPool(state);
+        for (ServiceDefinition service :
+                state.configuration().merged().services().values()) {
+            services.put(
+                    service.name(),
+                    new ServiceRoute(
+                            service,
+                            minimums.getOrDefault(service.pool(), 0),
+                            hostsByPool.getOrDefault(service.pool(), List.of())));
+        }
+        return new RoutingIndex(state, services);
+    }
+
+    /** Returns the state that the index was made from. */
+    public SharedState state() {
+        return state;
+    }
+
+    /** Returns the route of a service. */
+    public Optional<ServiceRoute> service(ServiceName name) {
+        return Optional.ofNullable(services.get(name));
+    }
+
+    /** Returns the routes of the services that run on a pool. */
+    public List<ServiceRoute> routesOf(PoolName pool) {
+        return routesByPool.getOrDefault(pool, List.of());
+    }
+
+    /** Returns the share of a team. */
+    public int shareOf(TeamName team) {
+        TeamDefinition definition = state.configuration().merged().teams().get(team);
+        return definition == null ? TeamDefinition.DEFAULT_SHARE : definition.share();
+    }
+
+    private static Map<PoolName, Integer> minimumByPool(SharedState state) {
+        Map<PoolName, Integer> minimums = new HashMap<>();
+        for (ServiceDefinition service :
+                state.configuration().merged().services().values()) {
+            minimums.merge(service.pool(), service.budget().minimumAvailable(), Math::max);
+        }
+        return minimums;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/cicadalead/logic/request/ServiceRoute.java
@@ -0,0 +1,100 @@
+package org.cicadalead.logic.request;
+
+import java.util.List;
+import java.util.Optional;
+import org.cicadalead.model.configuration.ServiceDefinition;
+
+/**
+ * Where a service's requests may be sent. Immutable, but for the hosts' runtimes.
+ *
+ * @param service the service
+ * @param minimumAvailable hosts that the availability budgets of the pool keep in use
+ * @param hosts available hosts of its pool, those of the own availability zone first, then by name
+ */
+public record ServiceRoute(ServiceDefinition service, int minimumAvailable, List<HostRoute> hosts) {
+    private static final long LOAD_SCALE = 1_000;
+
+    /** Copies the list. */
+    public ServiceRoute {
+        hosts = List.copyOf(hosts);
+    }
+
+    /**
+     * Chooses the least loaded host with a free slot and takes the slot. The own availability zone goes first.
+     *
+     * @param rotation spreads ties over the hosts; any number
+     */
+    public Optional<HostRoute> choose(int rotation, long now) {
+        for (int attempt = 0; attempt < hosts.size(); attempt++) {
+            Optional<HostRoute> best = leastLoaded(rotation, now);
+            if (best.isEmpty()) {
+                return Optional.empty();
+            }
+            HostRuntime runtime = best.get().runtime();
+            if (runtime.slots().tryUse(runtime.slotsNow(now))) {
+                return best;
+            }
+        }
+        return Optional.empty();
+    }
+
+    /** Returns the slots that this process may use for the service now, ejected hosts left out. */
+    public int slotsNow(long now) {
+        int slots = 0;
+        for (HostRoute host : hosts) {
+            slots += Math.max(0, host.runtime().slotsNow(now));
+        }
+        return slots;
+    }
+
+    /** Returns the free slots of this process for the service. */
+    public int freeNow(long now) {
+        int free = 0;
+        for (HostRoute host : hosts) {
+            free += Math.max(0, free(host.runtime(), now));
+        }
+        return free;
+    }
+
+    /** Tells whether one more host may be ejected without breaking an availability budget. */
+    public boolean mayEject() {
+        int inUse = 0;
+        for (HostRoute host : hosts) {
+            inUse += host.runtime().record().isEjected() ? 0 : 1;
+        }
+        return inUse - 1 >= Math.max(1, minimumAvailable);
+    }
+
+    private Optional<HostRoute> leastLoaded(int rotation, long now) {
+        HostRoute best = null;
+        long bestLoad = Long.MAX_VALUE;
+        int offset = Math.floorMod(rotation, Math.max(1, hosts.size()));
+        for (int index = 0; index < hosts.size(); index++) {
+            HostRoute host = hosts.get((index + offset) % hosts.size());
+            long load = load(host, now);
+            if (load < bestLoad) {
+                best = host;
+                bestLoad = load;
+            }
+        }
+        return Optional.ofNullable(best);
+    }
+
+    /** A host with failures in a row that may not be ejected is taken last; another zone's host after the own ones. */
+    private static long load(HostRoute host, long now) {
+        HostRuntime runtime = host.runtime();
+        if (free(runtime, now) <= 0) {
+            return Long.MAX_VALUE;
+        }
+        SlotCounts counts = runtime.slots().counts();
+        long load = counts.used() * LOAD_SCALE / Math.max(1, counts.limit());
+        long otherZone = host.ownZone() ? 0 : 2 * LOAD_SCALE;
+        long failing = runtime.record().failures() >= HostRecord.EJECTION_THRESHOLD ? 4 * LOAD_SCALE : 0;
+        return load + otherZone + failing;
+    }
+
+    private static int free(HostRuntime runtime, long now) {
+        SlotCounts counts = runtime.slots().counts();
+        return Math.min(counts.free(), runtime.slotsNow(now) - counts.used());
+    }
+}
--- /dev/null
+++ b/src/main/java/org/cicadalead/logic/request/SlotDeal.java
@@ -0,0 +1,45 @@
+package org.cicadalead.logic.request;
+
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.List;
+import org.cicadalead.model.configuration.HostDefinition;
+import org.cicadalead.model.identity.ProcessIdentifier;
+import org.cicadalead.model.identity.ZoneName;
+import org.cicadalead.model.state.Member;
+import org.cicadalead.model.state.SharedState;
+
+/**
+ * Deals each worker's slots to the entry processes of its availability zone, in turn, in an order of its own. Where a
+ * zone has no entry process, those of all zones are dealt to. Each slot has exactly one owner for one set of members.
+ * Stateless; safe for use by several threads.
+ */
+public final class SlotDeal {
+    private SlotDeal() {}
+
+    /** Returns the processes that own slots of hosts in a zone. */
+    public static List<ProcessIdentifier> owners(SharedState state, ZoneName zone) {
+        List<ProcessIdentifier> inZone = new ArrayList<>();
+        List<ProcessIdentifier> all = new ArrayList<>();
+        for (Member member : state.members().values()) {
+            all.add(member.process());
+            if (member.zone().equals(zone)) {
+                inZone.add(member.process());
+            }
+        }
+        return inZone.isEmpty() ? all : inZone;
+    }
+
+    /** Returns the slots of a host that a process owns among some owners. */
+    public static BitSet slotsOf(HostDefinition host, List<ProcessIdentifier> owners, ProcessIdentifier process) {
+        BitSet slots = new BitSet(host.slots());
+        int position = RendezvousHash.order(host.name().value(), owners).indexOf(process);
+        if (position < 0) {
+            return slots;
+        }
+        for (int slot = position; slot < host.slots(); slot += owners.size()) {
+            slots.set(slot);
+        }
+        return slots;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/cicadalead/logic/request/TeamQueue.java
@@ -0,0 +1,44 @@
+package org.cicadalead.logic.request;
+
+import java.util.Comparator;
+import java.util.TreeSet;
+import org.cicadalead.model.identity.TeamName;
+import org.cicadalead.model.request.RequestTerms;
+
+/**
+ * The waiting requests of one team for one service: the most urgent first, then the earliest deadline. Not safe for use
+ * by several threads.
+ *
+ * @param <T> type of the items
+ */
+final class TeamQueue<T> {
+    static final double COST_OF_A_REQUEST = 1.0;
+
+    final TeamName team;
+    final TreeSet<WaitingRequest<T>> waiting =
+            new TreeSet<>(Comparator.<WaitingRequest<T>>comparingInt(request ->
+                            request.terms().urgency())
+                    .thenComparingLong(request -> request.terms().deadlineNanoseconds())
+                    .thenComparingLong(WaitingRequest::sequence));
+    final int[] waitingByUrgency = new int[RequestTerms.URGENCIES];
+    int share = 1;
+    double virtualStart;
+
+    TeamQueue(TeamName team) {
+        this.team = team;
+    }
+
+    int headUrgency() {
+        return waiting.first().terms().urgency();
+    }
+
+    /** Returns how much of a queue the team takes for its share. */
+    double lengthPerShare() {
+        return (double) waiting.size() / share;
+    }
+
+    /** Moves the team's virtual start on by the cost of one request (start-time fair queueing). */
+    void charge(double virtualTime) {
+        virtualStart = Math.max(virtualStart, virtualTime) + COST_OF_A_REQUEST / share;
+    }
+}
--- a/src/main/java/org/cicadalead/model/event/EventKind.java
+++ b/src/main/java/org/cicadalead/model/event/EventKind.java
@@ -21,6 +21,14 @@
     REQUEST_REFUSED(2002, EventSeverity.DETAIL, "A request was refused as not run"),
     /** A request was sent and its outcome is unknown. */
     REQUEST_OUTCOME_UNKNOWN(2003, EventSeverity.WARNING, "A request was sent and its outcome is unknown"),
+    /** An answer broke off, and so was not passed on as whole. */
+    REQUEST_ANSWER_CUT(2004, EventSeverity.WARNING, "An answer broke off, and so was not passed on as whole"),
+    /** A request is tried again on another host. */
+    REQUEST_RETRIED(2005, EventSeverity.DETAIL, "A request is tried again on another host"),
+    /** A host failed too often and gets no requests for a while. */
+    HOST_EJECTED(2010, EventSeverity.WARNING, "A host failed too often and gets no requests for a while"),
+    /** An ejected host answered again. */
+    HOST_RETURNED(2011, EventSeverity.INFORMATION, "An ejected host answered again"),
     /** A publication was accepted. */
     CONFIGURATION_ACCEPTED(3001, EventSeverity.INFORMATION, "A publication was accepted"),
     /** A command was rejected by the fold. */
