--- a/src/main/java/org/cicadalead/adapters/entry/EntryProcess.java
+++ b/src/main/java/org/cicadalead/adapters/entry/EntryProcess.java
@@ -12,7 +12,9 @@
 import org.cicadalead.adapters.administration.StateRoutes;
 import org.cicadalead.adapters.codec.MessagePackCommandCodec;
 import org.cicadalead.adapters.event.TimelineRecorder;
+import org.cicadalead.adapters.event.TimelineRoutes;
 import org.cicadalead.adapters.http.JsonExchange;
+import org.cicadalead.adapters.membership.EntryMembership;
 import org.cicadalead.adapters.platform.HttpPlatform;
 import org.cicadalead.adapters.replica.CommandAppender;
 import org.cicadalead.adapters.replica.LogFollower;
@@ -45,6 +47,7 @@
     private final SystemTimerService timers;
     private final LogFollower follower;
     private final CommandAppender appender;
+    private final EntryMembership membership;
     private final CallerServer callers;
     private final AdministrationServer administration;
     private final PrometheusMeterRegistry metrics = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
@@ -61,9 +64,11 @@
         MessagePackCommandCodec codec = new MessagePackCommandCodec();
         appender = new CommandAppender(platform, codec, identifier, replica);
         follower = new LogFollower(platform, codec, replica, timeline);
+        membership = new EntryMembership(settings, identifier, replica::state, appender, timers, timeline);
         callers = new CallerServer(settings, RequestLimits.DEFAULT, requestPorts());
         administration = new AdministrationServer(settings);
         addRoutes();
+        membership.start();
         follower.start();
         administration.start();
         timeline.emit(EventKind.PROCESS_STARTED, Optional.empty(), EventDetail.of("zone", settings.zone()));
@@ -91,7 +96,10 @@
 
     /** Tells whether it takes requests. */
     public boolean isReady() {
-        return !stopping && replica.state().configuration().version() > 0;
+        return !stopping
+                && membership.isMember()
+                && callers.isReady()
+                && replica.state().configuration().version() > 0;
     }
 
     /**
@@ -105,10 +113,15 @@
         sleep(settings.balancerDelay());
         callers.stopAccepting();
         long deadline = System.nanoTime() + settings.shutdownLimit().toNanos();
-        while (callers.inFlight() > 0 && System.nanoTime() < deadline) {
+        while ((callers.inFlight() > 0 || !callers.isWithoutLoans()) && System.nanoTime() < deadline) {
             sleep(SHUTDOWN_POLL);
         }
         int left = callers.inFlight();
+        if (left == 0) {
+            callers.announceIdle();
+        }
+        callers.close();
+        membership.leave();
         timeline.emit(EventKind.PROCESS_STOPPED, Optional.empty(), EventDetail.of("left", left));
         close();
         return left;
@@ -117,6 +130,7 @@
     @Override
     public void close() {
         callers.close();
+        membership.close();
         follower.close();
         appender.close();
         administration.close();
@@ -128,7 +142,7 @@
                 identifier,
                 replica::state,
                 RequestPorts.viewOf(replica::state),
-                Optional.empty(),
+                Optional.of(membership.channel()),
                 timers,
                 timeline,
                 metrics);
@@ -137,12 +151,13 @@
     private void addRoutes() {
         Gauge.builder("cicadalead.state.offset", () -> replica.state().offset()).register(metrics);
         Gauge.builder("cicadalead.requests.in.flight", callers::inFlight).register(metrics);
+        membership.register(metrics);
         new StateRoutes(replica::state, appender).addTo(administration);
         administration.route("GET", "/healthz", exchange -> JsonExchange.answerText(exchange, OK, "ok\n"));
         administration.route("GET", "/readyz", this::answerReady);
         administration.route("GET", "/metrics", exchange -> JsonExchange.answerText(exchange, OK, metrics.scrape()));
         administration.route("GET", "/status", exchange -> JsonExchange.answer(exchange, status()));
-        administration.route("GET", "/timeline", exchange -> JsonExchange.answer(exchange, timeline.eventsFrom(0)));
+        new TimelineRoutes(timeline).addTo(administration);
     }
 
     private void answerReady(HttpExchange exchange) throws IOException {
--- a/src/main/java/org/cicadalead/adapters/http/ProblemDocument.java
+++ b/src/main/java/org/cicadalead/adapters/http/ProblemDocument.java
@@ -20,9 +20,8 @@
 
     /** Returns the document of an error kind. */
     public static ProblemDocument of(ErrorKind kind, String detail, int retryAfterSeconds) {
-        Optional<Integer> retryAfter = kind.retryAdvice() == RetryAdvice.AFTER_DELAY
-                ? Optional.of(retryAfterSeconds)
-                : Optional.empty();
+        Optional<Integer> retryAfter =
+                kind.retryAdvice() == RetryAdvice.AFTER_DELAY ? Optional.of(retryAfterSeconds) : Optional.empty();
         return new ProblemDocument(
                 TYPE_PREFIX + kind.code(),
                 kind.title(),
--- a/src/main/java/org/cicadalead/adapters/request/CallerExchange.java
+++ b/src/main/java/org/cicadalead/adapters/request/CallerExchange.java
@@ -11,8 +11,8 @@
 import org.cicadalead.model.identity.RequestIdentifier;
 
 /**
- * A caller's exchange, answered at most once. An answer that cannot be finished is aborted by closing the connection, so
- * that the caller never takes a part for the whole. Safe for use by several threads.
+ * A caller's exchange, answered at most once. An answer that cannot be finished is aborted by closing the connection,
+ * so that the caller never takes a part for the whole. Safe for use by several threads.
  */
 final class CallerExchange {
     /** Whether the answer was begun, and how it ended. */
--- a/src/main/java/org/cicadalead/adapters/request/CallerRequest.java
+++ b/src/main/java/org/cicadalead/adapters/request/CallerRequest.java
@@ -23,11 +23,7 @@
     private volatile boolean longWork;
 
     CallerRequest(
-            RequestTerms terms,
-            RequestHead head,
-            RequestBody body,
-            CallerExchange exchange,
-            AnswerListener listener) {
+            RequestTerms terms, RequestHead head, RequestBody body, CallerExchange exchange, AnswerListener listener) {
         this.terms = terms;
         this.head = head;
         this.body = body;
--- a/src/main/java/org/cicadalead/adapters/request/CallerServer.java
+++ b/src/main/java/org/cicadalead/adapters/request/CallerServer.java
@@ -83,13 +83,24 @@
     public void stopAccepting() {
         closing = true;
         refusing = true;
+        path.stopExchange();
         // The server closes its listening socket at once and then waits; close() ends the wait.
         threads.execute(() -> server.stop((int) STOP_WAIT.toSeconds()));
     }
 
-    /** Says that this process places no work any more. */
-    public void setIdle() {
-        path.setIdle();
+    /** Tells whether it has slots to place work on. */
+    public boolean isReady() {
+        return path.isReady();
+    }
+
+    /** Tells whether no slot is lent to, or borrowed from, another process. */
+    public boolean isWithoutLoans() {
+        return path.isWithoutLoans();
+    }
+
+    /** Tells the other processes that nothing is placed from here any more; to be called before leaving them. */
+    public void announceIdle() {
+        path.announceIdle();
     }
 
     @Override
@@ -111,7 +122,8 @@
         } catch (CicadaleadException refused) {
             refuse(identifier, exchange, refused);
         } catch (RuntimeException unexpected) {
-            ports.events().emit(
+            ports.events()
+                    .emit(
                             EventKind.INTERNAL_FAILURE,
                             Optional.of(identifier.value()),
                             EventDetail.of("failure", unexpected));
@@ -145,7 +157,8 @@
     }
 
     private void refuse(RequestIdentifier identifier, CallerExchange exchange, CicadaleadException refused) {
-        ports.events().emit(
+        ports.events()
+                .emit(
                         EventKind.REQUEST_REFUSED,
                         Optional.of(identifier.value()),
                         EventDetail.of("kind", refused.kind().code()));
--- a/src/main/java/org/cicadalead/adapters/request/RequestBody.java
+++ b/src/main/java/org/cicadalead/adapters/request/RequestBody.java
@@ -12,8 +12,8 @@
 import org.cicadalead.model.error.ErrorKind;
 
 /**
- * A caller's body: kept whole when it is short, so that it can be sent again, or streamed once when it is long. Safe for
- * use by several threads, one at a time.
+ * A caller's body: kept whole when it is short, so that it can be sent again, or streamed once when it is long. Safe
+ * for use by several threads, one at a time.
  */
 final class RequestBody {
     private static final long UNKNOWN_LENGTH = -1;
--- a/src/main/java/org/cicadalead/adapters/request/RequestPath.java
+++ b/src/main/java/org/cicadalead/adapters/request/RequestPath.java
@@ -9,6 +9,7 @@
 import org.cicadalead.logic.request.FairQueue.Refused;
 import org.cicadalead.logic.request.HostRoute;
 import org.cicadalead.logic.request.HostRuntime;
+import org.cicadalead.logic.request.QueueLoad;
 import org.cicadalead.logic.request.RetryPolicy;
 import org.cicadalead.logic.request.RoutingIndex;
 import org.cicadalead.logic.request.ServiceDispatcher;
@@ -34,19 +35,24 @@
  */
 final class RequestPath implements PlacementControl, AutoCloseable {
     private static final Duration TICK = Duration.ofMillis(50);
+    private static final Duration READY_PATIENCE = Duration.ofSeconds(5);
+    private static final int SPILL_PART_OF_TIMEOUT = 8;
     private static final int RETRY_AFTER_SECONDS = 1;
 
     private final RequestPorts ports;
     private final RequestLimits limits;
+    private final ZoneName zone;
     private final RequestMetrics metrics;
     private final ExecutorService threads;
     private final SlotBook slots;
+    private final Optional<SlotExchange> exchange;
     private final RoutingTable routing;
     private final UpstreamClients clients = new UpstreamClients();
     private final UpstreamAttempt attempts;
     private final Map<ServiceName, ServiceDispatcher<CallerRequest>> dispatchers = new ConcurrentHashMap<>();
     private final Set<CallerRequest> active = ConcurrentHashMap.newKeySet();
     private final TimerService.Subscription ticks;
+    private final long started;
 
     RequestPath(
             RequestPorts ports, RequestLimits limits, ZoneName zone, RequestMetrics metrics, ExecutorService threads) {
@@ -54,10 +60,15 @@
         this.limits = limits;
         this.metrics = metrics;
         this.threads = threads;
-        this.slots = new SlotBook(ports);
+        this.zone = zone;
+        this.slots = new SlotBook(ports.process(), ports.peers().isPresent());
         this.routing = new RoutingTable(ports.state(), zone, slots::runtime);
         this.attempts = new UpstreamAttempt(ports, clients);
+        this.exchange = ports.peers()
+                .map(peers -> new SlotExchange(
+                        ports, new SlotPeers(peers), zone, slots, this::index, this::waiting, this::dispatchPool));
         slots.refresh(ports.state().get(), now());
+        this.started = now();
         this.ticks = ports.timers().every(TICK, this::tick);
     }
 
@@ -69,8 +80,7 @@
     /** Takes a request in; from here on it is answered exactly once. */
     void submit(CallerRequest request, ServiceRoute route) {
         active.add(request);
-        ServiceDispatcher<CallerRequest> dispatcher =
-                dispatcher(route.service().name());
+        ServiceDispatcher<CallerRequest> dispatcher = dispatcher(route.service().name());
         dispatcher.retryBudget().deposit();
         request.enter(RequestPhase.QUEUED);
         enqueue(request, dispatcher, route);
@@ -81,9 +91,24 @@
         active.remove(request);
     }
 
-    /** Says that this process places no work any more. */
-    void setIdle() {
-        slots.setIdle();
+    /** Tells whether it has slots to place work on, or has waited long enough for the other processes' reports. */
+    boolean isReady() {
+        return slots.isConfirmed(zone) || now() - started >= READY_PATIENCE.toNanos();
+    }
+
+    /** Borrows and lends no more; what is borrowed is given back. */
+    void stopExchange() {
+        exchange.ifPresent(SlotExchange::stop);
+    }
+
+    /** Tells whether no slot is lent or borrowed. */
+    boolean isWithoutLoans() {
+        return exchange.map(SlotExchange::isEmpty).orElse(true);
+    }
+
+    /** Tells the others that nothing is placed from here any more. */
+    void announceIdle() {
+        exchange.ifPresent(SlotExchange::announceIdle);
     }
 
     @Override
@@ -110,6 +135,26 @@
         request.setLongWork(dispatcher.lengths().isLong(request.workKind()));
         int share = routing.newest().shareOf(request.terms().team());
         dispatcher.submit(request.terms(), request, request.isLongWork(), share, route, now());
+        borrowFor(route, dispatcher);
+    }
+
+    /**
+     * Another zone's slots are asked for when the own ones would keep requests waiting for a good part of their time.
+     */
+    private void borrowFor(ServiceRoute route, ServiceDispatcher<CallerRequest> dispatcher) {
+        int count = dispatcher.waiting();
+        if (count == 0 || exchange.isEmpty()) {
+            return;
+        }
+        int own = route.slotsNow(now());
+        long wait = new QueueLoad(own, dispatcher.lengths().meanNanoseconds()).waitNanoseconds(count);
+        boolean tooSlow = own == 0 || wait > route.service().timeout().toNanos() / SPILL_PART_OF_TIMEOUT;
+        exchange.get().askFor(route, count, tooSlow);
+    }
+
+    private int waiting(ServiceName service) {
+        ServiceDispatcher<CallerRequest> dispatcher = dispatchers.get(service);
+        return dispatcher == null ? 0 : dispatcher.waiting();
     }
 
     private ServiceDispatcher<CallerRequest> dispatcher(ServiceName service) {
@@ -126,8 +171,7 @@
     }
 
     private void attempt(CallerRequest request, HostRoute host) {
-        ServiceDispatcher<CallerRequest> dispatcher =
-                dispatcher(request.terms().service());
+        ServiceDispatcher<CallerRequest> dispatcher = dispatcher(request.terms().service());
         boolean isLong = request.isLongWork();
         long start = now();
         SlotHold hold = new SlotHold(() -> {
@@ -146,7 +190,8 @@
         } catch (CicadaleadException refused) {
             fail(request, refused.kind(), refused.getMessage(), RETRY_AFTER_SECONDS);
         } catch (RuntimeException unexpected) {
-            ports.events().emit(
+            ports.events()
+                    .emit(
                             EventKind.INTERNAL_FAILURE,
                             Optional.of(request.cause()),
                             EventDetail.of("failure", unexpected));
@@ -182,7 +227,8 @@
 
     private void retry(CallerRequest request, ServiceDispatcher<CallerRequest> dispatcher, AttemptOutcome outcome) {
         metrics.retried();
-        ports.events().emit(
+        ports.events()
+                .emit(
                         EventKind.REQUEST_RETRIED,
                         Optional.of(request.cause()),
                         EventDetail.of("outcome", outcome),
@@ -223,7 +269,8 @@
             return;
         }
         boolean notRun = kind.execution() == Execution.NOT_RUN;
-        ports.events().emit(
+        ports.events()
+                .emit(
                         notRun ? EventKind.REQUEST_REFUSED : EventKind.REQUEST_OUTCOME_UNKNOWN,
                         Optional.of(request.cause()),
                         EventDetail.of("kind", kind.code()),
@@ -235,22 +282,22 @@
     }
 
     private void note(CallerRequest request, HostRuntime host, AttemptOutcome outcome) {
-        boolean mayEject =
-                index().service(request.terms().service()).map(ServiceRoute::mayEject).orElse(false);
+        boolean mayEject = index().service(request.terms().service())
+                .map(ServiceRoute::mayEject)
+                .orElse(false);
         HostRuntime.Change change = host.note(outcome, mayEject, now());
         if (change.isEjection()) {
             metrics.ejected();
-            ports.events().emit(
+            ports.events()
+                    .emit(
                             EventKind.HOST_EJECTED,
                             Optional.of(request.cause()),
                             EventDetail.of("host", host.name()),
                             EventDetail.of("outcome", outcome),
                             EventDetail.of("ejections", change.after().ejections()));
         } else if (change.isReturn()) {
-            ports.events().emit(
-                            EventKind.HOST_RETURNED,
-                            Optional.of(request.cause()),
-                            EventDetail.of("host", host.name()));
+            ports.events()
+                    .emit(EventKind.HOST_RETURNED, Optional.of(request.cause()), EventDetail.of("host", host.name()));
         }
     }
 
@@ -269,10 +316,12 @@
     private void tick() {
         long now = now();
         slots.refresh(ports.state().get(), now);
+        exchange.ifPresent(slotExchange -> slotExchange.tick(now));
         RoutingIndex index = index();
         dispatchers.forEach((service, dispatcher) -> index.service(service).ifPresent(route -> {
             dispatcher.dispatch(route, now);
             dispatcher.shed(route, now);
+            borrowFor(route, dispatcher);
         }));
         for (CallerRequest request : active) {
             endLate(request, now);
--- a/src/main/java/org/cicadalead/adapters/request/RequestReader.java
+++ b/src/main/java/org/cicadalead/adapters/request/RequestReader.java
@@ -71,8 +71,8 @@
         String name = path.substring(SERVICES_PATH.length()).split("/", 2)[0];
         return parse(name, ServiceName::new)
                 .flatMap(index::service)
-                .orElseThrow(() ->
-                        new CicadaleadException(ErrorKind.UNKNOWN_SERVICE, "There is no service '" + name + "'"));
+                .orElseThrow(
+                        () -> new CicadaleadException(ErrorKind.UNKNOWN_SERVICE, "There is no service '" + name + "'"));
     }
 
     /** Reads the terms of a request. */
@@ -86,15 +86,13 @@
                 .map(RequestReader::timeout)
                 .filter(asked -> asked.compareTo(service.timeout()) < 0)
                 .orElse(service.timeout());
-        int urgency = first(headers, HeaderRules.PRIORITY)
-                .map(RequestReader::urgency)
-                .orElse(RequestTerms.DEFAULT_URGENCY);
+        int urgency =
+                first(headers, HeaderRules.PRIORITY).map(RequestReader::urgency).orElse(RequestTerms.DEFAULT_URGENCY);
         boolean idempotent = head.idempotencyKey().isEmpty()
                 && first(headers, HeaderRules.IDEMPOTENT)
                         .map(RequestReader::trueOrFalse)
                         .orElse(service.idempotentMethods().contains(head.method()));
-        return new RequestTerms(
-                identifier, service.name(), team, urgency, idempotent, now, now + timeout.toNanos());
+        return new RequestTerms(identifier, service.name(), team, urgency, idempotent, now, now + timeout.toNanos());
     }
 
     private void checkHeaderSize(Headers headers) {
--- a/src/main/java/org/cicadalead/adapters/request/RoutingTable.java
+++ b/src/main/java/org/cicadalead/adapters/request/RoutingTable.java
@@ -11,8 +11,8 @@
 import org.cicadalead.model.state.SharedState;
 
 /**
- * Holds the newest routing index: one thread makes it anew when hosts or configuration change, and all others go on with
- * the old one, whose hosts are checked again before anything is sent. Safe for use by several threads.
+ * Holds the newest routing index: one thread makes it anew when hosts or configuration change, and all others go on
+ * with the old one, whose hosts are checked again before anything is sent. Safe for use by several threads.
  */
 final class RoutingTable {
     private final Supplier<SharedState> state;
@@ -45,6 +45,7 @@
     }
 
     /** The maps of the shared state are persistent, so that an unchanged one is the same object. */
+    @SuppressWarnings("ReferenceEquality")
     private static boolean isSameFleet(SharedState held, SharedState current) {
         return held.hosts() == current.hosts() && held.configuration() == current.configuration();
     }
--- a/src/main/java/org/cicadalead/adapters/request/SlotBook.java
+++ b/src/main/java/org/cicadalead/adapters/request/SlotBook.java
@@ -1,19 +1,19 @@
 package org.cicadalead.adapters.request;
 
 import java.time.Duration;
+import java.util.List;
 import java.util.Map;
-import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.atomic.AtomicReference;
+import java.util.concurrent.atomic.AtomicLong;
 import org.cicadalead.logic.request.HostRuntime;
 import org.cicadalead.logic.request.SlotShares;
 import org.cicadalead.model.configuration.HostDefinition;
 import org.cicadalead.model.configuration.ServiceDefinition;
 import org.cicadalead.model.identity.HostName;
 import org.cicadalead.model.identity.ProcessIdentifier;
+import org.cicadalead.model.identity.ZoneName;
 import org.cicadalead.model.state.SharedState;
-import org.cicadalead.ports.PeerChannel;
-import org.cicadalead.ports.PeerTopic;
 
 /**
  * The slots of every worker, kept to the shares that membership gives. Without other processes to talk to, a process
@@ -27,51 +27,91 @@
     /** Time for which a slot is lent at most. */
     static final Duration LOAN_TIME = Duration.ofSeconds(2);
 
-    private final RequestPorts ports;
+    private final boolean hasPeers;
     private final Map<HostName, HostRuntime> runtimes = new ConcurrentHashMap<>();
+    private final Map<ProcessIdentifier, Long> reportedOffsets = new ConcurrentHashMap<>();
+    private final Set<ProcessIdentifier> idleProcesses = ConcurrentHashMap.newKeySet();
+    private final AtomicLong drainedOffset = new AtomicLong();
     private final SlotShares shares;
-    private final AtomicReference<SlotReport> report = new AtomicReference<>(new SlotReport(0, false));
-    private volatile boolean idle;
     private SharedState applied = SharedState.empty();
 
-    SlotBook(RequestPorts ports) {
-        this.ports = ports;
-        this.shares = new SlotShares(ports.process());
-        ports.peers().ifPresent(peers -> peers.contribute(PeerTopic.SLOT, () -> report.get()
-                .encode()));
+    SlotBook(ProcessIdentifier self, boolean hasPeers) {
+        this.hasPeers = hasPeers;
+        this.shares = new SlotShares(self);
     }
 
     HostRuntime runtime(HostName host) {
-        return runtimes.computeIfAbsent(host, HostRuntime::new);
+        HostRuntime held = runtimes.get(host);
+        return held != null ? held : runtimes.computeIfAbsent(host, HostRuntime::new);
     }
 
-    /** Says that this process places no work any more. */
-    void setIdle() {
-        idle = true;
+    /** Returns the newest offset whose shares are kept to. */
+    long drainedOffset() {
+        return drainedOffset.get();
     }
 
-    /** Brings the shares up to the newest state and to what the other processes report. */
-    synchronized void refresh(SharedState state, long now) {
-        boolean membersChanged = applied.members() != state.members();
-        boolean fleetChanged = applied.configuration() != state.configuration();
-        boolean changed = membersChanged || fleetChanged;
+    /** Takes another process's report. */
+    void onReport(ProcessIdentifier process, long offset) {
+        reportedOffsets.merge(process, offset, Math::max);
+    }
+
+    /** Takes another process's word that it places no work any more. */
+    void onIdle(ProcessIdentifier process) {
+        idleProcesses.add(process);
+    }
+
+    /** Returns the processes whose reports are waited for. */
+    synchronized Set<ProcessIdentifier> awaited() {
+        return shares.awaited(this::reportedOffset);
+    }
+
+    /** Returns the processes that own slots in a zone. */
+    synchronized List<ProcessIdentifier> owners(ZoneName zone) {
+        return shares.owners(zone);
+    }
+
+    /** Tells whether this process has its full share of the workers of a zone. */
+    synchronized boolean isConfirmed(ZoneName zone) {
+        return !hasPeers || shares.isConfirmed(zone);
+    }
+
+    /** Brings the shares up to the newest state and to what the other processes report; true when one changed. */
+    synchronized boolean refresh(SharedState state, long now) {
+        boolean changed = isChanged(state);
         if (changed) {
-            shares.update(state, this::departedIdle, quarantine(state), now);
+            shares.update(state, idleProcesses::contains, quarantine(state), now);
+            reportedOffsets.keySet().retainAll(state.members().keySet());
         }
         applied = state;
-        if (shares.confirm(this::reportedOffset, now) || changed) {
+        boolean confirmed = shares.confirm(this::reportedOffset, now);
+        if (confirmed || changed) {
             setOwned(state);
         }
         if (isDrained(now)) {
-            report.set(new SlotReport(state.offset(), idle));
+            drainedOffset.set(state.offset());
+        }
+        return confirmed || changed;
+    }
+
+    /** A request of a departed process ends within its timeout; one on a slot that it was lent, a loan's time later. */
+    static Duration quarantine(SharedState state) {
+        Duration longest = Duration.ZERO;
+        for (ServiceDefinition service :
+                state.configuration().merged().services().values()) {
+            longest = longest.compareTo(service.timeout()) < 0 ? service.timeout() : longest;
         }
+        return longest.plus(LOAN_TIME);
+    }
+
+    /** The parts of the shared state are persistent, so that an unchanged one is the same object. */
+    @SuppressWarnings("ReferenceEquality")
+    private boolean isChanged(SharedState state) {
+        return applied.members() != state.members() || applied.configuration() != state.configuration();
     }
 
     private void setOwned(SharedState state) {
         for (HostDefinition host : state.configuration().merged().hosts().values()) {
-            int owned = ports.peers().isPresent()
-                    ? shares.owned(host)
-                    : Math.min(SLOTS_WITHOUT_PEERS, host.slots());
+            int owned = hasPeers ? shares.owned(host) : Math.min(SLOTS_WITHOUT_PEERS, host.slots());
             runtime(host.name()).slots().setOwned(owned);
         }
         runtimes.forEach((name, runtime) -> {
@@ -88,26 +128,6 @@
     }
 
     private long reportedOffset(ProcessIdentifier process) {
-        return newestReport(process).map(SlotReport::drainedOffset).orElse(0L);
-    }
-
-    private boolean departedIdle(ProcessIdentifier process) {
-        return newestReport(process).map(SlotReport::idle).orElse(false);
-    }
-
-    private Optional<SlotReport> newestReport(ProcessIdentifier process) {
-        Optional<PeerChannel> peers = ports.peers();
-        return peers.flatMap(channel -> channel.newestPart(process, PeerTopic.SLOT))
-                .flatMap(SlotReport::decode);
-    }
-
-    /** A request of a departed process ends within its timeout; what it was lent, a loan's time later. */
-    private static Duration quarantine(SharedState state) {
-        Duration longest = Duration.ZERO;
-        for (ServiceDefinition service :
-                state.configuration().merged().services().values()) {
-            longest = longest.compareTo(service.timeout()) < 0 ? service.timeout() : longest;
-        }
-        return longest.plus(LOAN_TIME);
+        return reportedOffsets.getOrDefault(process, 0L);
     }
 }
--- a/src/main/java/org/cicadalead/adapters/request/UpstreamAttempt.java
+++ b/src/main/java/org/cicadalead/adapters/request/UpstreamAttempt.java
@@ -11,11 +11,11 @@
 import java.net.http.HttpResponse;
 import java.net.http.HttpTimeoutException;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
-import java.util.ArrayList;
 import org.cicadalead.logic.request.HostRoute;
 import org.cicadalead.model.error.CicadaleadException;
 import org.cicadalead.model.error.ErrorKind;
@@ -111,9 +111,8 @@
         try {
             addHeaders(exchange.raw(), answer.headers());
             if (request.head().isHeadMethod()) {
-                declaredLength.ifPresent(length -> exchange.raw()
-                        .getResponseHeaders()
-                        .set(HeaderRules.CONTENT_LENGTH, String.valueOf(length)));
+                declaredLength.ifPresent(length ->
+                        exchange.raw().getResponseHeaders().set(HeaderRules.CONTENT_LENGTH, String.valueOf(length)));
             }
             boolean empty = answer.body().length == 0;
             exchange.raw().sendResponseHeaders(answer.status(), empty ? -1 : answer.body().length);
@@ -135,7 +134,8 @@
         request.enter(RequestPhase.ANSWERED);
         try {
             addHeaders(exchange.raw(), forwarded(response));
-            exchange.raw().sendResponseHeaders(
+            exchange.raw()
+                    .sendResponseHeaders(
                             response.statusCode(), contentLength(response).orElse(0L));
             OutputStream output = exchange.raw().getResponseBody();
             output.write(ahead);
@@ -144,7 +144,8 @@
             return outcomeOf(response);
         } catch (IOException cut) {
             exchange.abort();
-            ports.events().emit(
+            ports.events()
+                    .emit(
                             EventKind.REQUEST_ANSWER_CUT,
                             Optional.of(request.cause()),
                             EventDetail.of("failure", cut.getMessage()));
@@ -165,9 +166,8 @@
     private static Map<String, List<String>> forwarded(HttpResponse<?> response) {
         Map<String, List<String>> headers = new TreeMap<>();
         HeaderRules.forEachForwarded(
-                response.headers().map(),
-                (name, value) ->
-                        headers.computeIfAbsent(name, unseen -> new ArrayList<>()).add(value));
+                response.headers().map(), (name, value) -> headers.computeIfAbsent(name, unseen -> new ArrayList<>())
+                        .add(value));
         return headers;
     }
 
--- a/src/main/java/org/cicadalead/logic/request/FairQueue.java
+++ b/src/main/java/org/cicadalead/logic/request/FairQueue.java
@@ -12,10 +12,10 @@
 import org.cicadalead.model.request.RequestTerms;
 
 /**
- * The bounded queue of one service. More urgent requests come first; among equally urgent ones teams take turns by their
- * shares (start-time fair queueing, Goyal, Vin and Cheng); within a team the earliest deadline comes first. A full queue
- * gives way to the team that holds the least of it for its share, so one team's burst cannot shut others out. Not safe
- * for use by several threads.
+ * The bounded queue of one service. More urgent requests come first; among equally urgent ones teams take turns by
+ * their shares (start-time fair queueing, Goyal, Vin and Cheng); within a team the earliest deadline comes first. A
+ * full queue gives way to the team that holds the least of it for its share, so one team's burst cannot shut others
+ * out. Not safe for use by several threads.
  *
  * @param <T> what is kept with each request
  */
@@ -116,8 +116,7 @@
         return drained;
     }
 
-    private void collectUnreachable(
-            TeamQueue<T> queue, QueueLoad load, long now, List<WaitingRequest<T>> unreachable) {
+    private void collectUnreachable(TeamQueue<T> queue, QueueLoad load, long now, List<WaitingRequest<T>> unreachable) {
         int urgency = -1;
         int position = 0;
         for (WaitingRequest<T> request : queue.waiting) {
--- a/src/main/java/org/cicadalead/logic/request/HostRecord.java
+++ b/src/main/java/org/cicadalead/logic/request/HostRecord.java
@@ -4,9 +4,9 @@
 import org.cicadalead.model.request.AttemptOutcome;
 
 /**
- * What the outcomes of attempts say about an upstream. After {@link #EJECTION_THRESHOLD} failures in a row it is ejected
- * for a time that doubles; then one request at a time probes it, and after a success its slots come back slowly.
- * Immutable.
+ * What the outcomes of attempts say about an upstream. After {@link #EJECTION_THRESHOLD} failures in a row it is
+ * ejected for a time that doubles; then one request at a time probes it, and after a success its slots come back
+ * slowly. Immutable.
  *
  * @param failures weight of failures in a row
  * @param ejections ejections in a row
@@ -84,7 +84,7 @@
         }
         int newFailures = Math.min(EJECTION_THRESHOLD, failures + weight);
         boolean probeFailed = state == State.EJECTED;
-        if (probeFailed || newFailures >= EJECTION_THRESHOLD && mayEject) {
+        if (probeFailed || (newFailures >= EJECTION_THRESHOLD && mayEject)) {
             long duration = FIRST_EJECTION.toNanos() << Math.min(MAXIMUM_DOUBLINGS, ejections);
             return new HostRecord(newFailures, ejections + 1, now + duration, State.EJECTED, now);
         }
--- a/src/main/java/org/cicadalead/logic/request/HostSlots.java
+++ b/src/main/java/org/cicadalead/logic/request/HostSlots.java
@@ -1,6 +1,7 @@
 package org.cicadalead.logic.request;
 
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Predicate;
 import java.util.function.UnaryOperator;
 
 /** The slots of one worker, shared by the threads of this process without a lock. Safe for use by several threads. */
@@ -14,7 +15,7 @@
 
     /** Takes a slot when one is free and fewer than the given number are in use. */
     public boolean tryUse(int mostUsed) {
-        return changeWhile(mostUsed, held -> held.plusUsed(1));
+        return changeWhile(held -> held.free() > 0 && held.used() < mostUsed, held -> held.plusUsed(1));
     }
 
     /** Gives back a slot that was taken. */
@@ -22,9 +23,9 @@
         counts.updateAndGet(held -> held.plusUsed(-1));
     }
 
-    /** Lends a free slot to another process; false when none is free. */
+    /** Lends a free slot of its own to another process; false when none is free. */
     public boolean tryLend() {
-        return changeWhile(Integer.MAX_VALUE, held -> held.plusLent(1));
+        return changeWhile(held -> held.free() > 0 && held.owned() > held.lent(), held -> held.plusLent(1));
     }
 
     /** Takes a lent slot back. */
@@ -37,9 +38,9 @@
         counts.updateAndGet(held -> held.plusBorrowed(1));
     }
 
-    /** Takes a borrowed slot out of use, to give it back; false while all slots are in use. */
-    public boolean tryEndBorrow() {
-        return changeWhile(Integer.MAX_VALUE, held -> held.plusBorrowed(-1));
+    /** Takes a borrowed slot out of use; it may be given back once no more slots are in use than this process has. */
+    public void endBorrow() {
+        counts.updateAndGet(held -> held.plusBorrowed(-1));
     }
 
     /** Sets the slots that the membership gives to this process. */
@@ -49,9 +50,9 @@
         }
     }
 
-    private boolean changeWhile(int mostUsed, UnaryOperator<SlotCounts> change) {
+    private boolean changeWhile(Predicate<SlotCounts> condition, UnaryOperator<SlotCounts> change) {
         SlotCounts before = counts.get();
-        while (before.free() > 0 && before.used() < mostUsed) {
+        while (condition.test(before)) {
             if (counts.compareAndSet(before, change.apply(before))) {
                 return true;
             }
--- a/src/main/java/org/cicadalead/logic/request/RequestProgress.java
+++ b/src/main/java/org/cicadalead/logic/request/RequestProgress.java
@@ -5,8 +5,8 @@
 import org.cicadalead.model.request.RequestPhase;
 
 /**
- * The state machine of one request. Invariant: a non-idempotent request enters {@link RequestPhase#SENT} again only when
- * every earlier attempt provably did not run. Immutable.
+ * The state machine of one request. Invariant: a non-idempotent request enters {@link RequestPhase#SENT} again only
+ * when every earlier attempt provably did not run. Immutable.
  *
  * @param phase where it is
  * @param idempotent whether it may be sent again after it may have run
--- a/src/main/java/org/cicadalead/logic/request/ServiceDispatcher.java
+++ b/src/main/java/org/cicadalead/logic/request/ServiceDispatcher.java
@@ -12,8 +12,8 @@
 import org.cicadalead.model.request.RequestTerms;
 
 /**
- * Matches the waiting requests of one service with free slots. Its lock covers decisions only; what follows from them is
- * done outside it. Safe for use by several threads.
+ * Matches the waiting requests of one service with free slots. Its lock covers decisions only; what follows from them
+ * is done outside it. Safe for use by several threads.
  *
  * @param <T> what is kept with each request
  */
--- a/src/main/java/org/cicadalead/logic/request/SlotCounts.java
+++ b/src/main/java/org/cicadalead/logic/request/SlotCounts.java
@@ -1,9 +1,8 @@
 package org.cicadalead.logic.request;
 
 /**
- * The slots of one worker from one entry process's point of view. The sum over all entry processes of
- * {@code owned - lent + borrowed} never exceeds the worker's slots, and a process starts nothing above its own.
- * Immutable.
+ * The slots of one worker from one entry process's point of view. The sum over all entry processes of {@code owned -
+ * lent + borrowed} never exceeds the worker's slots, and a process starts nothing above its own. Immutable.
  *
  * @param owned slots that the membership gives to this process
  * @param lent owned slots that another process uses
--- a/src/main/java/org/cicadalead/logic/request/SlotShares.java
+++ b/src/main/java/org/cicadalead/logic/request/SlotShares.java
@@ -8,8 +8,10 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeSet;
 import java.util.function.Predicate;
 import java.util.function.ToLongFunction;
+import java.util.stream.Stream;
 import org.cicadalead.model.configuration.HostDefinition;
 import org.cicadalead.model.identity.ProcessIdentifier;
 import org.cicadalead.model.identity.ZoneName;
@@ -41,11 +43,9 @@
      * @param departedIdle whether a process that departed had reported that it places no work any more
      * @param quarantine time after which the requests of a departed process must have ended
      */
-    public void update(
-            SharedState state, Predicate<ProcessIdentifier> departedIdle, Duration quarantine, long now) {
+    public void update(SharedState state, Predicate<ProcessIdentifier> departedIdle, Duration quarantine, long now) {
         members = state.members().keySet();
-        Predicate<ProcessIdentifier> mayStillRun =
-                process -> !members.contains(process) && !departedIdle.test(process);
+        Predicate<ProcessIdentifier> mayStillRun = process -> !members.contains(process) && !departedIdle.test(process);
         for (ZoneName zone : state.configuration().merged().zones().keySet()) {
             List<ProcessIdentifier> owners = SlotDeal.owners(state, zone);
             zones.computeIfAbsent(zone, unseen -> new ZoneOwners())
@@ -57,12 +57,28 @@
     public boolean confirm(ToLongFunction<ProcessIdentifier> reportedOffset, long now) {
         boolean changed = false;
         for (ZoneOwners zone : zones.values()) {
-            changed |= zone.confirm(
-                    process -> process.equals(self) || !members.contains(process), reportedOffset, now);
+            changed |= zone.confirm(process -> process.equals(self) || !members.contains(process), reportedOffset, now);
         }
         return changed;
     }
 
+    /** Returns the processes whose reports are waited for. */
+    public Set<ProcessIdentifier> awaited(ToLongFunction<ProcessIdentifier> reportedOffset) {
+        Set<ProcessIdentifier> awaited = new TreeSet<>();
+        for (ZoneOwners zone : zones.values()) {
+            zone.asked(process -> process.equals(self) || !members.contains(process))
+                    .filter(process -> reportedOffset.applyAsLong(process) < zone.changeOffset)
+                    .forEach(awaited::add);
+        }
+        return awaited;
+    }
+
+    /** Tells whether the share in a zone is the newest one. */
+    public boolean isConfirmed(ZoneName zone) {
+        ZoneOwners owners = zones.get(zone);
+        return owners != null && owners.sets.size() == 1;
+    }
+
     /** Returns how many slots of a host this process owns. */
     public int owned(HostDefinition host) {
         ZoneOwners zone = zones.get(host.zone());
@@ -79,7 +95,9 @@
         return zones.values().stream().allMatch(zone -> zone.isQuarantineOver(now));
     }
 
-    /** Owners of the hosts of one zone. The sets since the last confirmed one are kept, as all of them may be in use. */
+    /**
+     * Owners of the hosts of one zone. The sets since the last confirmed one are kept, as all of them may be in use.
+     */
     private static final class ZoneOwners {
         private final List<List<ProcessIdentifier>> sets = new ArrayList<>(List.of(List.of()));
         private long changeOffset;
@@ -116,10 +134,8 @@
             if (sets.size() == 1 || !isQuarantineOver(now)) {
                 return false;
             }
-            boolean allReported = sets.stream()
-                    .flatMap(List::stream)
-                    .filter(notAsked.negate())
-                    .allMatch(process -> reportedOffset.applyAsLong(process) >= changeOffset);
+            boolean allReported =
+                    asked(notAsked).allMatch(process -> reportedOffset.applyAsLong(process) >= changeOffset);
             if (!allReported) {
                 return false;
             }
@@ -129,6 +145,12 @@
             return true;
         }
 
+        Stream<ProcessIdentifier> asked(Predicate<ProcessIdentifier> notAsked) {
+            return sets.size() == 1
+                    ? Stream.empty()
+                    : sets.stream().flatMap(List::stream).filter(notAsked.negate());
+        }
+
         boolean isQuarantineOver(long now) {
             return quarantineEnd.map(end -> now - end >= 0).orElse(true);
         }
--- a/src/main/java/org/cicadalead/logic/request/TeamQueue.java
+++ b/src/main/java/org/cicadalead/logic/request/TeamQueue.java
@@ -15,11 +15,10 @@
     static final double COST_OF_A_REQUEST = 1.0;
 
     final TeamName team;
-    final TreeSet<WaitingRequest<T>> waiting =
-            new TreeSet<>(Comparator.<WaitingRequest<T>>comparingInt(request ->
-                            request.terms().urgency())
-                    .thenComparingLong(request -> request.terms().deadlineNanoseconds())
-                    .thenComparingLong(WaitingRequest::sequence));
+    final TreeSet<WaitingRequest<T>> waiting = new TreeSet<>(Comparator.<WaitingRequest<T>>comparingInt(
+                    request -> request.terms().urgency())
+            .thenComparingLong(request -> request.terms().deadlineNanoseconds())
+            .thenComparingLong(WaitingRequest::sequence));
     final int[] waitingByUrgency = new int[RequestTerms.URGENCIES];
     int share = 1;
     double virtualStart;
--- a/src/main/java/org/cicadalead/model/request/RequestLimits.java
+++ b/src/main/java/org/cicadalead/model/request/RequestLimits.java
@@ -17,6 +17,6 @@
     private static final int MEBIBYTE = 1_024 * KIBIBYTE;
 
     /** Bounds of a process whose settings name none. */
-    public static final RequestLimits DEFAULT = new RequestLimits(
-            32 * KIBIBYTE, 1_024L * MEBIBYTE, 64 * KIBIBYTE, 64L * MEBIBYTE, Duration.ofSeconds(10));
+    public static final RequestLimits DEFAULT =
+            new RequestLimits(32 * KIBIBYTE, 1_024L * MEBIBYTE, 64 * KIBIBYTE, 64L * MEBIBYTE, Duration.ofSeconds(10));
 }
