--- a/src/main/java/org/cicadalead/adapters/entry/EntryProcess.java
+++ b/src/main/java/org/cicadalead/adapters/entry/EntryProcess.java
@@ -24,11 +24,13 @@
 import org.cicadalead.adapters.replica.SharedStateReplica;
 import org.cicadalead.adapters.replica.SharedStateService;
 import org.cicadalead.adapters.request.CallerServer;
+import org.cicadalead.adapters.request.RequestPorts;
 import org.cicadalead.adapters.time.SystemTimerService;
 import org.cicadalead.model.configuration.NetworkAddress;
 import org.cicadalead.model.event.EventDetail;
 import org.cicadalead.model.event.EventKind;
 import org.cicadalead.model.identity.ProcessIdentifier;
+import org.cicadalead.model.request.RequestLimits;
 import org.cicadalead.model.settings.EntrySettings;
 import org.cicadalead.model.state.SharedState;
 
@@ -67,7 +69,7 @@
         sharedState = new SharedStateService(log, identifier, replica, timers, timeline);
         membership = new EntryMembership(settings, identifier, replica, sharedState.appender(), log, timers, timeline);
         sharedState.usePeers(membership.channel());
-        callers = new CallerServer(settings, replica::state, timeline);
+        callers = new CallerServer(settings, RequestLimits.DEFAULT, requestPorts());
         administration = new AdministrationServer(settings);
         membership.addPlacements(callers.placements());
         jobs = new JobService(
@@ -108,7 +110,7 @@
 
     /** Tells whether it takes requests. */
     public boolean isReady() {
-        return !stopping && membership.isMember() && sharedState.isReady();
+        return !stopping && membership.isMember() && sharedState.isReady() && callers.isReady();
     }
 
     /**
@@ -118,12 +120,17 @@
     public int stopGracefully() {
         stopping = true;
         timeline.emit(EventKind.PROCESS_STOPPING, Optional.empty());
+        callers.closeConnectionsAfterAnswers();
         sleep(settings.balancerDelay());
+        callers.stopAccepting();
         long deadline = System.nanoTime() + settings.shutdownLimit().toNanos();
-        while (callers.inFlight() + jobs.routes().inFlight() > 0 && System.nanoTime() < deadline) {
+        while ((inFlight() > 0 || !callers.isWithoutLoans()) && System.nanoTime() < deadline) {
             sleep(SHUTDOWN_POLL);
         }
-        int left = callers.inFlight() + jobs.routes().inFlight();
+        int left = inFlight();
+        if (left == 0) {
+            callers.announceIdle();
+        }
         callers.close();
         membership.leave();
         timeline.emit(EventKind.PROCESS_STOPPED, Optional.empty(), EventDetail.of("left", left));
@@ -141,6 +148,21 @@
         timers.close();
     }
 
+    private RequestPorts requestPorts() {
+        return new RequestPorts(
+                identifier,
+                replica::state,
+                membership.view(),
+                Optional.of(membership.channel()),
+                timers,
+                timeline,
+                metrics);
+    }
+
+    private int inFlight() {
+        return callers.inFlight() + jobs.routes().inFlight();
+    }
+
     private void addRoutes() {
         Gauge.builder("cicadalead.state.offset", () -> replica.state().offset()).register(metrics);
         Gauge.builder("cicadalead.requests.in.flight", callers::inFlight).register(metrics);
