--- a/src/main/java/org/cicadalead/logic/request/FairQueue.java
+++ b/src/main/java/org/cicadalead/logic/request/FairQueue.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeSet;
+import java.util.function.Predicate;
 import org.cicadalead.model.error.ErrorKind;
 import org.cicadalead.model.identity.TeamName;
 import org.cicadalead.model.request.RequestTerms;
@@ -92,6 +93,23 @@
         return true;
     }
 
+    /** Takes out every request whose item matches. */
+    public List<WaitingRequest<T>> cancelAll(Predicate<T> condition) {
+        List<WaitingRequest<T>> cancelled = new ArrayList<>();
+        for (TeamQueue<T> queue : active) {
+            queue.waiting.stream()
+                    .filter(request -> condition.test(request.item()))
+                    .forEach(cancelled::add);
+        }
+        cancelled.forEach(this::cancel);
+        return cancelled;
+    }
+
+    /** Returns the number of teams whose turns are remembered. */
+    int rememberedTeams() {
+        return teams.size();
+    }
+
     /** Takes out every request whose turn would come after its deadline. */
     public List<Refused<T>> shedUnreachable(QueueLoad load, long now) {
         List<WaitingRequest<T>> unreachable = new ArrayList<>();
--- a/src/main/java/org/cicadalead/logic/request/SlotShares.java
+++ b/src/main/java/org/cicadalead/logic/request/SlotShares.java
@@ -48,7 +48,7 @@
         Predicate<ProcessIdentifier> mayStillRun = process -> !members.contains(process) && !departedIdle.test(process);
         for (ZoneName zone : state.configuration().merged().zones().keySet()) {
             List<ProcessIdentifier> owners = SlotDeal.owners(state, zone);
-            zones.computeIfAbsent(zone, unseen -> new ZoneOwners())
+            zones.computeIfAbsent(zone, unseen -> new ZoneOwners(List.copyOf(members)))
                     .change(owners, state.offset(), mayStillRun, quarantine, now);
         }
     }
@@ -99,10 +99,16 @@
      * Owners of the hosts of one zone. The sets since the last confirmed one are kept, as all of them may be in use.
      */
     private static final class ZoneOwners {
-        private final List<List<ProcessIdentifier>> sets = new ArrayList<>(List.of(List.of()));
+        private final List<List<ProcessIdentifier>> sets = new ArrayList<>();
         private long changeOffset;
         private Optional<Long> quarantineEnd = Optional.empty();
 
+        /** Before the first change that this process sees, any member may have owned slots of the zone. */
+        ZoneOwners(List<ProcessIdentifier> possibleOwners) {
+            sets.add(List.of());
+            sets.add(possibleOwners);
+        }
+
         List<ProcessIdentifier> newest() {
             return sets.get(sets.size() - 1);
         }
@@ -113,7 +119,7 @@
                 Predicate<ProcessIdentifier> mayStillRun,
                 Duration quarantine,
                 long now) {
-            if (owners.equals(newest())) {
+            if (owners.equals(newest()) && changeOffset > 0) {
                 return;
             }
             if (newest().stream().anyMatch(mayStillRun)) {
@@ -122,8 +128,11 @@
             sets.add(owners);
             changeOffset = offset;
             if (sets.size() > MOST_UNCONFIRMED_SETS) {
+                List<ProcessIdentifier> all =
+                        sets.stream().flatMap(List::stream).distinct().toList();
                 sets.clear();
                 sets.add(List.of());
+                sets.add(all);
                 sets.add(owners);
             }
         }
--- /dev/null
+++ b/src/test/java/org/cicadalead/logic/request/FairQueueTest.java
@@ -0,0 +1,147 @@
+package org.cicadalead.logic.request;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.cicadalead.logic.request.FairQueue.Refused;
+import org.cicadalead.model.error.ErrorKind;
+import org.cicadalead.model.identity.RequestIdentifier;
+import org.cicadalead.model.identity.ServiceName;
+import org.cicadalead.model.identity.TeamName;
+import org.cicadalead.model.request.RequestTerms;
+import org.junit.jupiter.api.Test;
+
+class FairQueueTest {
+    private static final QueueLoad FAST = new QueueLoad(8, Duration.ofMillis(1).toNanos());
+    private static final int LIMIT = 1_000;
+
+    private final FairQueue<String> queue = new FairQueue<>();
+
+    @Test
+    void servesTheMostUrgentFirst() {
+        offer("cooks", 3, Duration.ofSeconds(1), "usual");
+        offer("cooks", 7, Duration.ofSeconds(1), "background");
+        offer("drivers", 0, Duration.ofSeconds(9), "urgent");
+        assertEquals(List.of("urgent", "usual", "background"), pollAll());
+    }
+
+    @Test
+    void servesTheEarliestDeadlineOfATeamFirst() {
+        offer("cooks", 3, Duration.ofSeconds(9), "late");
+        offer("cooks", 3, Duration.ofSeconds(1), "early");
+        assertEquals(List.of("early", "late"), pollAll());
+    }
+
+    @Test
+    void givesTeamsTurnsByTheirShares() {
+        for (int count = 0; count < 60; count++) {
+            offer("cooks", 3, Duration.ofSeconds(9), "cooks", 3);
+            offer("drivers", 3, Duration.ofSeconds(9), "drivers", 1);
+        }
+        List<String> first = pollAll().subList(0, 40);
+        assertEquals(30, first.stream().filter("cooks"::equals).count());
+    }
+
+    @Test
+    void aTeamsBurstDoesNotDelayAnotherTeam() {
+        for (int count = 0; count < 500; count++) {
+            offer("cooks", 3, Duration.ofSeconds(9), "burst");
+        }
+        offer("drivers", 3, Duration.ofSeconds(9), "single");
+        assertTrue(pollAll().subList(0, 2).contains("single"));
+    }
+
+    @Test
+    void aFullQueueGivesWayToTheTeamThatHoldsLess() {
+        for (int count = 0; count < LIMIT; count++) {
+            offer("cooks", 3, Duration.ofSeconds(9), "burst");
+        }
+        List<Refused<String>> refused = offer("drivers", 3, Duration.ofSeconds(9), "single");
+        assertEquals(List.of(ErrorKind.QUEUE_FULL), kinds(refused));
+        assertEquals("burst", refused.get(0).request().item());
+    }
+
+    @Test
+    void refusesAtOnceWhatWouldStartAfterItsDeadline() {
+        QueueLoad slow = new QueueLoad(1, Duration.ofSeconds(1).toNanos());
+        for (int count = 0; count < 5; count++) {
+            queue.offer(terms("cooks", 3, Duration.ofSeconds(60)), "waiting", 1, LIMIT, slow, 0);
+        }
+        List<Refused<String>> refused =
+                queue.offer(terms("cooks", 3, Duration.ofSeconds(3)), "hopeless", 1, LIMIT, slow, 0);
+        // The earlier deadline goes before the five, so it is only hopeless behind more urgent ones.
+        assertEquals(List.of(), refused);
+        for (int count = 0; count < 5; count++) {
+            queue.offer(terms("cooks", 0, Duration.ofSeconds(60)), "urgent", 1, LIMIT, slow, 0);
+        }
+        refused = queue.offer(terms("cooks", 3, Duration.ofSeconds(3)), "hopeless", 1, LIMIT, slow, 0);
+        assertEquals(List.of(ErrorKind.DEADLINE_UNREACHABLE), kinds(refused));
+        assertEquals(11, refused.get(0).retryAfterSeconds());
+    }
+
+    @Test
+    void givesUpWaitingRequestsWhenTheServiceBecomesSlower() {
+        for (int count = 0; count < 100; count++) {
+            offer("cooks", 3, Duration.ofSeconds(10), "waiting");
+        }
+        QueueLoad slower = new QueueLoad(2, Duration.ofSeconds(1).toNanos());
+        List<Refused<String>> refused = queue.shedUnreachable(slower, 0);
+        assertEquals(21, queue.size());
+        assertEquals(79, refused.size());
+    }
+
+    @Test
+    void aWaveOfCancellationsLeavesTheOthersInOrder() {
+        for (int count = 0; count < 5_000; count++) {
+            queue.offer(terms("cooks", 3, Duration.ofSeconds(100 + count)), "cancelled", 1, 10_000, FAST, 0);
+        }
+        queue.offer(terms("drivers", 3, Duration.ofSeconds(9)), "kept", 1, 10_000, FAST, 0);
+        List<WaitingRequest<String>> drained = queue.cancelAll(item -> item.equals("cancelled"));
+        assertEquals(5_000, drained.size());
+        assertEquals(List.of("kept"), pollAll());
+    }
+
+    @Test
+    void forgetsTeamsThatWaitNoMore() {
+        for (int team = 0; team < 100; team++) {
+            offer("team-" + team, 3, Duration.ofSeconds(9), "one");
+        }
+        pollAll();
+        assertEquals(0, queue.rememberedTeams());
+    }
+
+    private List<Refused<String>> offer(String team, int urgency, Duration timeout, String item) {
+        return offer(team, urgency, timeout, item, 1);
+    }
+
+    private List<Refused<String>> offer(String team, int urgency, Duration timeout, String item, int share) {
+        return queue.offer(terms(team, urgency, timeout), item, share, LIMIT, FAST, 0);
+    }
+
+    private static RequestTerms terms(String team, int urgency, Duration timeout) {
+        return new RequestTerms(
+                new RequestIdentifier("request"),
+                new ServiceName("diet-checks"),
+                new TeamName(team),
+                urgency,
+                true,
+                0,
+                timeout.toNanos());
+    }
+
+    private static List<ErrorKind> kinds(List<Refused<String>> refused) {
+        return refused.stream().map(Refused::kind).toList();
+    }
+
+    private List<String> pollAll() {
+        List<String> items = new ArrayList<>();
+        for (Optional<WaitingRequest<String>> next = queue.poll(); next.isPresent(); next = queue.poll()) {
+            items.add(next.get().item());
+        }
+        return items;
+    }
+}
--- /dev/null
+++ b/src/test/java/org/cicadalead/logic/request/HostSlotsLincheckTest.java
@@ -0,0 +1,51 @@
+package org.cicadalead.logic.request;
+
+import org.jetbrains.lincheck.datastructures.ModelCheckingOptions;
+import org.jetbrains.lincheck.datastructures.Operation;
+import org.junit.jupiter.api.Test;
+
+/** The slots of a worker under every interleaving of a few threads that use, lend and borrow. */
+public class HostSlotsLincheckTest {
+    private final HostSlots slots = new HostSlots();
+
+    public HostSlotsLincheckTest() {
+        slots.setOwned(2);
+    }
+
+    @Operation
+    public boolean tryUse() {
+        return slots.tryUse(Integer.MAX_VALUE);
+    }
+
+    @Operation
+    public boolean tryLend() {
+        return slots.tryLend();
+    }
+
+    @Operation
+    public void borrow() {
+        slots.borrow();
+    }
+
+    @Operation
+    public void shrink() {
+        slots.setOwned(1);
+    }
+
+    @Operation
+    public int free() {
+        return slots.counts().free();
+    }
+
+    @Test
+    void isLinearizable() {
+        new ModelCheckingOptions()
+                .iterations(20)
+                .invocationsPerIteration(500)
+                .threads(3)
+                .actorsPerThread(2)
+                .actorsBefore(0)
+                .actorsAfter(1)
+                .check(HostSlotsLincheckTest.class);
+    }
+}
--- /dev/null
+++ b/src/test/java/org/cicadalead/logic/request/RequestProgressTest.java
@@ -0,0 +1,52 @@
+package org.cicadalead.logic.request;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import org.cicadalead.model.error.Execution;
+import org.cicadalead.model.request.AttemptOutcome;
+import org.cicadalead.model.request.RequestPhase;
+import org.junit.jupiter.api.Test;
+
+class RequestProgressTest {
+    @Test
+    void aNonIdempotentRequestThatMayHaveRunIsNeverSentAgain() {
+        RequestProgress again =
+                sent(false).queuedAgain(AttemptOutcome.CONNECTION_LOST).enter(RequestPhase.CHOSEN);
+        assertThrows(IllegalStateException.class, () -> again.enter(RequestPhase.SENT));
+    }
+
+    @Test
+    void aNonIdempotentRequestThatDidNotRunIsSentAgain() {
+        RequestProgress again =
+                sent(false).queuedAgain(AttemptOutcome.NOT_CONNECTED).enter(RequestPhase.CHOSEN);
+        assertEquals(RequestPhase.SENT, again.enter(RequestPhase.SENT).phase());
+    }
+
+    @Test
+    void anAttemptThatDidNotRunKeepsTheDoubtOfAnEarlierOne() {
+        RequestProgress second = sent(true)
+                .queuedAgain(AttemptOutcome.CONNECTION_LOST)
+                .enter(RequestPhase.CHOSEN)
+                .enter(RequestPhase.SENT);
+        assertEquals(Execution.UNKNOWN, second.executionAfter(AttemptOutcome.NOT_CONNECTED));
+    }
+
+    @Test
+    void aSentRequestIsNotQueuedWithoutAccountingForItsAttempt() {
+        assertThrows(IllegalStateException.class, () -> sent(false).enter(RequestPhase.QUEUED));
+    }
+
+    @Test
+    void anAnsweredRequestStaysAnswered() {
+        RequestProgress answered = sent(true).enter(RequestPhase.ANSWERED);
+        assertThrows(IllegalStateException.class, () -> answered.enter(RequestPhase.CHOSEN));
+    }
+
+    private static RequestProgress sent(boolean idempotent) {
+        return RequestProgress.admitted(idempotent)
+                .enter(RequestPhase.QUEUED)
+                .enter(RequestPhase.CHOSEN)
+                .enter(RequestPhase.SENT);
+    }
+}
