--- /dev/null
+++ b/src/main/java/org/cicadalead/bench/jobs/JobBench.java
@@ -0,0 +1,229 @@
+package org.cicadalead.bench.jobs;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.HdrHistogram.Histogram;
+import org.cicadalead.adapters.codec.MessagePackCommandCodec;
+import org.cicadalead.adapters.codec.SnapshotCodec;
+import org.cicadalead.adapters.job.JobRunner;
+import org.cicadalead.adapters.replica.SharedStateReplica;
+import org.cicadalead.adapters.standin.TaskAccount;
+import org.cicadalead.adapters.standin.TaskStandIn;
+import org.cicadalead.model.command.Command;
+import org.cicadalead.model.command.CommandEnvelope;
+import org.cicadalead.model.command.CommandOutcome;
+import org.cicadalead.model.command.JobCommand;
+import org.cicadalead.model.identity.CommandIdentifier;
+import org.cicadalead.model.identity.JobIdentifier;
+import org.cicadalead.model.identity.ProcessIdentifier;
+import org.cicadalead.model.job.JobPhase;
+import org.cicadalead.model.job.JobSize;
+import org.cicadalead.model.job.JobState;
+import org.cicadalead.model.job.JobSubmission;
+
+/**
+ * Submits a number of jobs at once to the fleet of the target's size and runs one process's runner until all have
+ * ended, in virtual time, with wrong sizes, hosts that fail everything, a crashed rack and a wave of cancellations. For
+ * use by one thread.
+ */
+public final class JobBench {
+    private static final Duration TICK = Duration.ofMillis(500);
+    private static final int MAXIMUM_ROUNDS = 20_000;
+    private static final int CANCELLATION_ROUND = 20;
+    private static final int CRASH_ROUND = 10;
+    private static final int FAILING_HOSTS = 10;
+    private static final int CRASHED_HOSTS = 4;
+    private static final double USED_SHARE = 0.6;
+    private static final int MEAN_RUN_MILLISECONDS = 20_000;
+    private static final int LONGEST_RUN_MILLISECONDS = 300_000;
+    private static final int LARGEST_PROCESSORS = 16;
+    private static final int ONE_IN_URGENT = 10;
+    private static final int ONE_IN_CANCELLED = 5;
+    private static final double NANOSECONDS_A_MILLISECOND = 1e6;
+    private static final double NANOSECONDS_A_MICROSECOND = 1e3;
+    private static final double MEDIAN = 50;
+
+    private final int jobs;
+    private final long seed;
+    private final Random random;
+    private final JobBenchClock clock = new JobBenchClock();
+    private final SharedStateReplica replica = new SharedStateReplica();
+    private final TaskStandIn tasks = new TaskStandIn(clock::nanoTime);
+    private final MessagePackCommandCodec codec = new MessagePackCommandCodec();
+    private final ProcessIdentifier self = new ProcessIdentifier("bench");
+    private final Histogram rounds = new Histogram(TimeUnit.MINUTES.toNanos(1), 3);
+    private final Map<JobIdentifier, Long> urgentStarts = new HashMap<>();
+    private final List<JobSubmission> submissions = new ArrayList<>();
+    private long offset;
+    private long jobRecords;
+    private long jobBytes;
+    private long jobEntries;
+    private long foldNanoseconds;
+    private long urgentAcceptedAt;
+
+    private JobBench(int jobs, long seed) {
+        this.jobs = jobs;
+        this.seed = seed;
+        this.random = new Random(seed);
+    }
+
+    /** Runs the bench for a number of jobs. */
+    public static JobBenchResult run(int jobs, long seed) {
+        return new JobBench(jobs, seed).run();
+    }
+
+    private JobBenchResult run() {
+        tasks.setUsage(TICK.multipliedBy(4), USED_SHARE);
+        for (int host = 0; host < FAILING_HOSTS; host++) {
+            tasks.setFailing(JobBenchFleet.host(host), true);
+        }
+        JobRunner runner =
+                new JobRunner(self, replica::state, tasks, this::append, (kind, cause, details) -> {}, clock);
+        replica.addListener(runner);
+        append(JobBenchFleet.publication());
+        submitAll();
+        long snapshotBytes = new SnapshotCodec().encode(replica.state()).length;
+        int round = 0;
+        while (!replica.state().jobs().unfinished().isEmpty() && round < MAXIMUM_ROUNDS) {
+            round++;
+            disturb(round);
+            long started = System.nanoTime();
+            runner.runOnce();
+            rounds.recordValue(System.nanoTime() - started);
+            noteUrgentStarts();
+            clock.advance(TICK);
+        }
+        return result(round, snapshotBytes);
+    }
+
+    private void submitAll() {
+        for (int number = 0; number < jobs; number++) {
+            submissions.add(submission(number));
+        }
+        for (int first = 0; first < jobs; first += JobCommand.MAXIMUM_ENTRIES) {
+            append(new JobCommand.Submit(
+                    submissions.subList(first, Math.min(jobs, first + JobCommand.MAXIMUM_ENTRIES))));
+        }
+        urgentAcceptedAt = clock.nanoTime();
+    }
+
+    private JobSubmission submission(int number) {
+        int processors = 1 + random.nextInt(LARGEST_PROCESSORS);
+        int run = (int) Math.min(LONGEST_RUN_MILLISECONDS, -Math.log(1 - random.nextDouble()) * MEAN_RUN_MILLISECONDS);
+        boolean urgent = random.nextInt(ONE_IN_URGENT) == 0;
+        return new JobSubmission(
+                new JobIdentifier("job-" + number),
+                JobBenchFleet.team(random.nextInt(JobBenchFleet.TEAMS)),
+                JobBenchFleet.pool(random.nextInt(JobBenchFleet.POOLS)),
+                new JobSize(processors, 2.0 * processors, 0),
+                urgent ? 0 : JobSubmission.DEFAULT_URGENCY + random.nextInt(JobSubmission.DEFAULT_URGENCY),
+                random.nextBoolean(),
+                "run-milliseconds=" + run);
+    }
+
+    private void disturb(int round) {
+        if (round == CRASH_ROUND) {
+            for (int host = 0; host < CRASHED_HOSTS; host++) {
+                tasks.crash(JobBenchFleet.host(JobBenchFleet.HOSTS / 2 + host));
+            }
+        }
+        if (round == CANCELLATION_ROUND) {
+            List<JobIdentifier> cancelled = new ArrayList<>();
+            for (int number = 0; number < jobs; number += ONE_IN_CANCELLED) {
+                cancelled.add(submissions.get(number).job());
+            }
+            for (int first = 0; first < cancelled.size(); first += JobCommand.MAXIMUM_ENTRIES) {
+                int end = Math.min(cancelled.size(), first + JobCommand.MAXIMUM_ENTRIES);
+                append(new JobCommand.Cancel(cancelled.subList(first, end)));
+            }
+        }
+    }
+
+    private CompletableFuture<CommandOutcome> append(Command command) {
+        offset++;
+        CommandEnvelope envelope = new CommandEnvelope(
+                CommandEnvelope.CURRENT_FORMAT,
+                new CommandIdentifier("command-" + offset),
+                self,
+                replica.state().offset(),
+                command);
+        if (command instanceof JobCommand jobCommand) {
+            jobRecords++;
+            jobBytes += codec.encode(envelope).length;
+            jobEntries += entriesOf(jobCommand);
+        }
+        long started = System.nanoTime();
+        replica.apply(offset, Optional.of(envelope));
+        foldNanoseconds += command instanceof JobCommand ? System.nanoTime() - started : 0;
+        return CompletableFuture.completedFuture(new CommandOutcome.Accepted(offset));
+    }
+
+    private static int entriesOf(JobCommand command) {
+        if (command instanceof JobCommand.Submit submit) {
+            return submit.submissions().size();
+        }
+        if (command instanceof JobCommand.Cancel cancel) {
+            return cancel.jobs().size();
+        }
+        if (command instanceof JobCommand.Place place) {
+            return place.placements().size();
+        }
+        if (command instanceof JobCommand.RequestStop requestStop) {
+            return requestStop.stops().size();
+        }
+        return ((JobCommand.Report) command).reports().size();
+    }
+
+    private void noteUrgentStarts() {
+        for (JobState job : replica.state().jobs().unfinished().values()) {
+            if (job.submission().urgency() == 0 && job.phase() == JobPhase.RUNNING) {
+                urgentStarts.putIfAbsent(job.submission().job(), clock.nanoTime() - urgentAcceptedAt);
+            }
+        }
+    }
+
+    private JobBenchResult result(int roundCount, long snapshotBytes) {
+        SortedMap<String, Long> ends = new TreeMap<>();
+        replica.state()
+                .jobs()
+                .ended()
+                .values()
+                .forEach(job -> ends.merge(job.phase().name(), 1L, Long::sum));
+        ends.put("UNFINISHED", (long) replica.state().jobs().unfinished().size());
+        long longestUrgent =
+                urgentStarts.values().stream().mapToLong(Long::longValue).max().orElse(0);
+        return new JobBenchResult(
+                jobs,
+                seed,
+                jobRecords,
+                (double) jobRecords / jobs,
+                (double) jobBytes / jobs,
+                roundCount,
+                rounds.getValueAtPercentile(MEDIAN) / NANOSECONDS_A_MILLISECOND,
+                rounds.getMaxValue() / NANOSECONDS_A_MILLISECOND,
+                foldNanoseconds / NANOSECONDS_A_MICROSECOND / Math.max(1, jobEntries),
+                snapshotBytes,
+                Duration.ofNanos(longestUrgent).toMillis() / 1e3,
+                Duration.ofNanos(clock.nanoTime()).toMillis() / 1e3,
+                ends,
+                violations());
+    }
+
+    private long violations() {
+        Map<JobIdentifier, TaskAccount> accounts = tasks.accounts();
+        return submissions.stream()
+                .filter(submission -> !submission.idempotent())
+                .flatMap(submission -> Optional.ofNullable(accounts.get(submission.job())).stream())
+                .filter(account -> account.mostAtOnce() > 1 || account.startsAfterFinish() > 0)
+                .count();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/cicadalead/cli/BenchJobsCommand.java
@@ -0,0 +1,67 @@
+package org.cicadalead.cli;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.Option;
+import org.apache.commons.cli.Options;
+import org.cicadalead.adapters.codec.DomainMappers;
+import org.cicadalead.bench.jobs.JobBench;
+import org.cicadalead.bench.jobs.JobBenchResult;
+
+/** Measures long jobs at the target's size. Stateless. */
+final class BenchJobsCommand implements Subcommand {
+    private static final List<Integer> SIZES = List.of(100, 1_000, 10_000);
+    private static final String DEFAULT_SEED = "1";
+
+    @Override
+    public String words() {
+        return "bench jobs";
+    }
+
+    @Override
+    public String argumentsUsage() {
+        return "[--seed NUMBER]";
+    }
+
+    @Override
+    public String summary() {
+        return "measures planning, fold and appends of long jobs";
+    }
+
+    @Override
+    public List<String> examples() {
+        return List.of("cicadalead bench jobs --json");
+    }
+
+    @Override
+    public Options options() {
+        return new Options()
+                .addOption(Option.builder()
+                        .longOpt("seed")
+                        .hasArg()
+                        .argName("NUMBER")
+                        .desc("seed of sizes, run times and faults (" + DEFAULT_SEED + ")")
+                        .build());
+    }
+
+    @Override
+    public ExitCode run(CommandLine arguments, Console console) {
+        long seed = seed(arguments);
+        List<JobBenchResult> results = new ArrayList<>();
+        for (int size : SIZES) {
+            console.progress("running " + size + " jobs");
+            results.add(JobBench.run(size, seed));
+        }
+        console.result(results, TextTable.ofRows(DomainMappers.json().valueToTree(results)));
+        return results.stream().allMatch(result -> result.violations() == 0) ? ExitCode.DONE : ExitCode.FAILED;
+    }
+
+    private static long seed(CommandLine arguments) {
+        try {
+            return Long.parseLong(arguments.getOptionValue("seed", DEFAULT_SEED));
+        } catch (NumberFormatException malformed) {
+            throw OptionReader.badUsage("--seed: use a whole number");
+        }
+    }
+}
--- a/src/main/java/org/cicadalead/cli/Subcommands.java
+++ b/src/main/java/org/cicadalead/cli/Subcommands.java
@@ -18,6 +18,7 @@
             JobsCommand.SHOW,
             JobsCommand.CANCEL,
             JobsCommand.LIST,
+            new BenchJobsCommand(),
             new PlatformStandInCommand(),
             new UpstreamStandInCommand());
 
