--- a/src/main/java/org/cicadalead/adapters/entry/EntryProcess.java
+++ b/src/main/java/org/cicadalead/adapters/entry/EntryProcess.java
@@ -15,7 +15,9 @@
 import org.cicadalead.adapters.http.JsonExchange;
 import org.cicadalead.adapters.job.JobRoutes;
 import org.cicadalead.adapters.job.JobService;
+import org.cicadalead.adapters.membership.ContactTrackingLog;
 import org.cicadalead.adapters.membership.EntryMembership;
+import org.cicadalead.adapters.membership.MembershipStatus;
 import org.cicadalead.adapters.platform.HttpPlatform;
 import org.cicadalead.adapters.platform.HttpTaskPlatform;
 import org.cicadalead.adapters.replica.SharedStateReplica;
@@ -60,12 +62,13 @@
         timers = new SystemTimerService(failure ->
                 timeline.emit(EventKind.INTERNAL_FAILURE, Optional.empty(), EventDetail.of("failure", failure)));
         HttpPlatform platform = new HttpPlatform(settings.platformAddress());
-        sharedState = new SharedStateService(platform, identifier, replica, timers, timeline);
-        membership =
-                new EntryMembership(settings, identifier, replica::state, sharedState.appender(), timers, timeline);
+        ContactTrackingLog log = new ContactTrackingLog(platform, timers);
+        sharedState = new SharedStateService(log, identifier, replica, timers, timeline);
+        membership = new EntryMembership(settings, identifier, replica, sharedState.appender(), log, timers, timeline);
         sharedState.usePeers(membership.channel());
         callers = new CallerServer(settings, replica::state, timeline);
         administration = new AdministrationServer(settings);
+        membership.addPlacements(callers.placements());
         jobs = new JobService(
                 identifier,
                 replica,
@@ -141,6 +144,7 @@
         Gauge.builder("cicadalead.state.offset", () -> replica.state().offset()).register(metrics);
         Gauge.builder("cicadalead.requests.in.flight", callers::inFlight).register(metrics);
         membership.register(metrics);
+        membership.addTo(administration);
         new StateRoutes(replica::state, sharedState.appender()).addTo(administration);
         administration.route("GET", "/healthz", exchange -> JsonExchange.answerText(exchange, OK, "ok\n"));
         administration.route("GET", "/readyz", this::answerReady);
@@ -163,7 +167,7 @@
                 sharedState.follower().isReachable(),
                 state.offset(),
                 state.configuration().version(),
-                state.members().size(),
+                membership.status(),
                 callers.inFlight());
     }
 
@@ -184,7 +188,7 @@
      * @param platformReachable whether the last read reached the platform
      * @param offset offset that it has folded up to
      * @param configurationVersion the configuration in force here
-     * @param members entry processes that may place work
+     * @param membership entry processes that may place work, and what waits for whom
      * @param requestsInFlight requests not answered yet
      */
     public record StatusView(
@@ -194,6 +198,6 @@
             boolean platformReachable,
             long offset,
             long configurationVersion,
-            int members,
+            MembershipStatus membership,
             int requestsInFlight) {}
 }
