--- a/src/main/java/org/cicadalead/adapters/entry/EntryProcess.java
+++ b/src/main/java/org/cicadalead/adapters/entry/EntryProcess.java
@@ -76,6 +76,7 @@
                 sharedState.appender()::submit,
                 timeline,
                 timers);
+        membership.addPlacements(jobs);
         callers.addContext(JobRoutes.JOBS_PATH, jobs.routes());
         jobs.routes().addTo(administration);
         addRoutes();
--- a/src/main/java/org/cicadalead/adapters/job/JobService.java
+++ b/src/main/java/org/cicadalead/adapters/job/JobService.java
@@ -14,11 +14,12 @@
 import org.cicadalead.model.identity.ProcessIdentifier;
 import org.cicadalead.model.state.SharedState;
 import org.cicadalead.ports.EventSink;
+import org.cicadalead.ports.PlacementControl;
 import org.cicadalead.ports.TaskPlatform;
 import org.cicadalead.ports.TimerService;
 
 /** The long jobs of one entry process: desk, routes, events and a thread for the runner. Safe for several threads. */
-public final class JobService implements AutoCloseable {
+public final class JobService implements PlacementControl, AutoCloseable {
     private static final Duration FIRST_RANK_PERIOD = Duration.ofMillis(500);
     private static final Duration OTHER_RANK_PERIOD = Duration.ofSeconds(2);
 
@@ -56,11 +57,21 @@
         return routes;
     }
 
-    /** Returns the number of jobs of which a task may exist on a host; a move or reboot waits until there is none. */
-    public int jobsOn(HostName host) {
+    /**
+     * Returns the number of jobs of which a task may exist on a host, whichever process placed them; a move or a reboot
+     * waits until there is none.
+     */
+    @Override
+    public int inFlight(HostName host) {
         return replica.state().jobs().jobsOn(host);
     }
 
+    /** Does nothing: tasks are the platform's, and late starts are fenced by their epochs. */
+    @Override
+    public void closeConnections(HostName host) {
+        // No connection of this process leads to a task.
+    }
+
     @Override
     public void close() {
         closed = true;
--- a/src/test/java/org/cicadalead/adapters/job/JobOracle.java
+++ b/src/test/java/org/cicadalead/adapters/job/JobOracle.java
@@ -7,6 +7,7 @@
 import org.cicadalead.adapters.standin.TaskAccount;
 import org.cicadalead.model.identity.JobIdentifier;
 import org.cicadalead.model.job.JobPhase;
+import org.cicadalead.model.job.JobState;
 
 /** What must hold of long jobs, whatever happens; one method for each promise. */
 final class JobOracle {
@@ -18,6 +19,7 @@
         aNonIdempotentJobRunsOnceAtATimeAndNeverAfterItsEnd(world);
         aFinishedJobReallyFinished(world);
         aCancelledJobDidNotFinish(world);
+        aJobIsGivenUpOnlyAfterItFailed(world);
         everyProcessSeesTheSame(world);
     }
 
@@ -56,6 +58,15 @@
         });
     }
 
+    private static void aJobIsGivenUpOnlyAfterItFailed(JobWorld world) {
+        world.firstEnds.forEach((job, end) -> {
+            if (end.phase() == JobPhase.FAILED) {
+                assertEquals(0, finishes(world, job), job + " finished and was called failed");
+                assertTrue(end.failedAttempts() <= JobState.MAXIMUM_ATTEMPTS, job + " was tried without a bound");
+            }
+        });
+    }
+
     private static void everyProcessSeesTheSame(JobWorld world) {
         world.replicas().forEach(replica -> assertEquals(world.truth(), replica));
     }
--- a/src/test/java/org/cicadalead/adapters/job/JobWorld.java
+++ b/src/test/java/org/cicadalead/adapters/job/JobWorld.java
@@ -144,7 +144,7 @@
     /** Every third job is idempotent; the account of what was promised is kept apart from what is submitted. */
     private void submit(int number) {
         boolean idempotent = number % 3 == 2;
-        JobSubmission promised = JobFleet.submission(number, idempotent);
+        JobSubmission promised = number % 7 == 6 ? JobFleet.failing(number) : JobFleet.submission(number, idempotent);
         boolean wrong = faults == JobWorldFaults.LAPSED_LEASE_TAKEN_FOR_STOP;
         if (!logDown) {
             submitted.put(promised.job(), promised);
--- a/src/test/java/org/cicadalead/logic/job/JobFoldTest.java
+++ b/src/test/java/org/cicadalead/logic/job/JobFoldTest.java
@@ -143,6 +143,16 @@
         assertEquals(JobPhase.CANCELLED, fleet.jobState(2).phase());
     }
 
+    @Test
+    void countsAJobOnAHostUntilItsStopIsConfirmed() {
+        fleet.submit(JobFleet.submission(1, false));
+        fleet.place(1, 0);
+        fleet.stop(1, 1, StopReason.HOST_LEAVING);
+        assertEquals(1, fleet.state().jobs().jobsOn(JobFleet.host(0)));
+        fleet.report(1, 1, JobReportKind.STOPPED);
+        assertEquals(0, fleet.state().jobs().jobsOn(JobFleet.host(0)));
+    }
+
     @Test
     void resumesFromTheCheckpointThatTheStopNamed() {
         fleet.submit(JobFleet.submission(1, false));
--- a/src/test/java/org/cicadalead/support/JobFleet.java
+++ b/src/test/java/org/cicadalead/support/JobFleet.java
@@ -78,6 +78,11 @@
                 job(number), new TeamName(team), POOL, size, urgency, idempotent, "run-milliseconds=500");
     }
 
+    public static JobSubmission failing(int number) {
+        return new JobSubmission(
+                job(number), new TeamName("red"), POOL, new JobSize(2, 4, 0), 3, false, "always-fails");
+    }
+
     public SharedState state() {
         return state;
     }
