--- a/src/main/java/org/cicadalead/adapters/job/JobRequestReader.java
+++ b/src/main/java/org/cicadalead/adapters/job/JobRequestReader.java
@@ -26,7 +26,7 @@
 /** Reads submissions of callers. Stateless; safe for use by several threads. */
 final class JobRequestReader {
     /** Header that names the caller's team. */
-    static final String TEAM_HEADER = "Cicadalead-Team";
+    static final String TEAM_HEADER = "Request-Team";
 
     private static final String KEY_HEADER = "Idempotency-Key";
     private static final String PRIORITY_HEADER = "Priority";
--- a/src/test/java/org/cicadalead/adapters/job/JobRoutesTest.java
+++ b/src/test/java/org/cicadalead/adapters/job/JobRoutesTest.java
@@ -109,7 +109,7 @@
 
     private static HttpResponse<String> submit(int entry, String key, String body) throws Exception {
         return send(HttpRequest.newBuilder(uri(entry, "/jobs"))
-                .header("Cicadalead-Team", "drivers")
+                .header("Request-Team", "drivers")
                 .header("Idempotency-Key", "\"" + key + "\"")
                 .POST(HttpRequest.BodyPublishers.ofString(body))
                 .build());
@@ -117,7 +117,7 @@
 
     private static HttpRequest delete(String location, String team) {
         return HttpRequest.newBuilder(uri(0, location))
-                .header("Cicadalead-Team", team)
+                .header("Request-Team", team)
                 .DELETE()
                 .build();
     }
