--- a/src/main/java/org/cicadalead/adapters/entry/EntryProcess.java
+++ b/src/main/java/org/cicadalead/adapters/entry/EntryProcess.java
@@ -5,12 +5,12 @@
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import java.io.IOException;
+import java.nio.file.Path;
 import java.time.Duration;
 import java.util.Optional;
 import java.util.UUID;
 import org.cicadalead.adapters.administration.AdministrationServer;
 import org.cicadalead.adapters.administration.StateRoutes;
-import org.cicadalead.adapters.codec.MessagePackCommandCodec;
 import org.cicadalead.adapters.event.TimelineRecorder;
 import org.cicadalead.adapters.event.TimelineRoutes;
 import org.cicadalead.adapters.http.JsonExchange;
@@ -18,10 +18,11 @@
 import org.cicadalead.adapters.membership.EntryMembership;
 import org.cicadalead.adapters.membership.MembershipStatus;
 import org.cicadalead.adapters.platform.HttpPlatform;
-import org.cicadalead.adapters.replica.CommandAppender;
-import org.cicadalead.adapters.replica.LogFollower;
 import org.cicadalead.adapters.replica.SharedStateReplica;
+import org.cicadalead.adapters.replica.SharedStateService;
 import org.cicadalead.adapters.request.CallerServer;
+import org.cicadalead.adapters.security.OperatorGate;
+import org.cicadalead.adapters.security.SharedKeyFile;
 import org.cicadalead.adapters.time.SystemTimerService;
 import org.cicadalead.model.configuration.NetworkAddress;
 import org.cicadalead.model.event.EventDetail;
@@ -45,8 +46,8 @@
     private final SharedStateReplica replica = new SharedStateReplica();
     private final TimelineRecorder timeline;
     private final SystemTimerService timers;
-    private final LogFollower follower;
-    private final CommandAppender appender;
+    private final SharedStateService sharedState;
+    private final SharedKeyFile keys;
     private final EntryMembership membership;
     private final CallerServer callers;
     private final AdministrationServer administration;
@@ -61,17 +62,20 @@
         timers = new SystemTimerService(failure ->
                 timeline.emit(EventKind.INTERNAL_FAILURE, Optional.empty(), EventDetail.of("failure", failure)));
         HttpPlatform platform = new HttpPlatform(settings.platformAddress());
-        MessagePackCommandCodec codec = new MessagePackCommandCodec();
         ContactTrackingLog log = new ContactTrackingLog(platform, timers);
-        appender = new CommandAppender(log, codec, identifier, replica);
-        follower = new LogFollower(log, codec, replica, timeline);
-        membership = new EntryMembership(settings, identifier, replica, appender, log, timers, timeline);
+        keys = new SharedKeyFile(settings.keyFile().map(Path::of), timeline);
+        EntryMembership.requireKeysBeyondLoopback(settings, keys.keys());
+        sharedState = new SharedStateService(log, identifier, replica, timers, timeline);
+        membership = new EntryMembership(
+                settings, identifier, replica, sharedState.appender(), log, keys::keys, timers, timeline);
+        sharedState.usePeers(membership.channel());
         callers = new CallerServer(settings, replica::state, timeline);
-        administration = new AdministrationServer(settings);
+        administration = new AdministrationServer(settings, new OperatorGate(keys::keys, System::currentTimeMillis));
         membership.addPlacements(callers.placements());
         addRoutes();
+        keys.start(timers);
         membership.start();
-        follower.start();
+        sharedState.start();
         administration.start();
         timeline.emit(EventKind.PROCESS_STARTED, Optional.empty(), EventDetail.of("zone", settings.zone()));
     }
@@ -98,9 +102,7 @@
 
     /** Tells whether it takes requests. */
     public boolean isReady() {
-        return !stopping
-                && membership.isMember()
-                && replica.state().configuration().version() > 0;
+        return !stopping && membership.isMember() && sharedState.isReady();
     }
 
     /**
@@ -127,8 +129,8 @@
     public void close() {
         callers.close();
         membership.close();
-        follower.close();
-        appender.close();
+        keys.close();
+        sharedState.close();
         administration.close();
         timers.close();
     }
@@ -138,7 +140,7 @@
         Gauge.builder("cicadalead.requests.in.flight", callers::inFlight).register(metrics);
         membership.register(metrics);
         membership.addTo(administration);
-        new StateRoutes(replica::state, appender).addTo(administration);
+        new StateRoutes(replica::state, sharedState.appender()).addTo(administration);
         administration.route("GET", "/healthz", exchange -> JsonExchange.answerText(exchange, OK, "ok\n"));
         administration.route("GET", "/readyz", this::answerReady);
         administration.route("GET", "/metrics", exchange -> JsonExchange.answerText(exchange, OK, metrics.scrape()));
@@ -157,7 +159,7 @@
                 identifier,
                 settings.zone().value(),
                 isReady(),
-                follower.isReachable(),
+                sharedState.follower().isReachable(),
                 state.offset(),
                 state.configuration().version(),
                 membership.status(),
--- a/src/main/java/org/cicadalead/adapters/membership/EntryMembership.java
+++ b/src/main/java/org/cicadalead/adapters/membership/EntryMembership.java
@@ -3,6 +3,8 @@
 import io.micrometer.core.instrument.FunctionCounter;
 import io.micrometer.core.instrument.Gauge;
 import io.micrometer.core.instrument.MeterRegistry;
+import java.net.InetAddress;
+import java.net.UnknownHostException;
 import java.time.Duration;
 import java.util.List;
 import java.util.TreeSet;
@@ -12,11 +14,13 @@
 import org.cicadalead.adapters.administration.AdministrationServer;
 import org.cicadalead.adapters.peer.PeerChannelOptions;
 import org.cicadalead.adapters.peer.PeerCounters;
-import org.cicadalead.adapters.peer.SharedKeys;
 import org.cicadalead.adapters.peer.TcpPeerChannel;
 import org.cicadalead.adapters.replica.CommandAppender;
 import org.cicadalead.adapters.replica.SharedStateReplica;
+import org.cicadalead.adapters.security.SharedKeys;
 import org.cicadalead.model.command.Command;
+import org.cicadalead.model.error.CicadaleadException;
+import org.cicadalead.model.error.ErrorKind;
 import org.cicadalead.model.identity.ProcessIdentifier;
 import org.cicadalead.model.identity.ZoneName;
 import org.cicadalead.model.settings.EntrySettings;
@@ -50,6 +54,7 @@
             SharedStateReplica replica,
             CommandAppender appender,
             ContactTrackingLog log,
+            Supplier<SharedKeys> keys,
             TimerService timers,
             EventSink events) {
         this.process = process;
@@ -63,7 +68,7 @@
                         settings.peers(),
                         () -> state.get().members().values(),
                         () -> state.get().offset(),
-                        SharedKeys::none),
+                        keys),
                 timers,
                 events);
         membership = new MembershipService(channel.self(), state, appender, timers, events);
@@ -73,6 +78,30 @@
         replica.addListener(new MoveEvents(process, events));
     }
 
+    /** Refuses settings without keys that would let other hosts in. */
+    public static void requireKeysBeyondLoopback(EntrySettings settings, SharedKeys keys) {
+        if (!keys.isEmpty()) {
+            return;
+        }
+        for (EntrySettings.BindAddress address : List.of(settings.peerAddress(), settings.administrationAddress())) {
+            if (!isLoopback(address.address())) {
+                throw new CicadaleadException(
+                        ErrorKind.INVALID_SETTINGS,
+                        "The address " + address.address()
+                                + " can be reached by other hosts, so that 'key-file' must name a file with a shared"
+                                + " key; without one only a loopback address is allowed");
+            }
+        }
+    }
+
+    private static boolean isLoopback(String address) {
+        try {
+            return InetAddress.getByName(address).isLoopbackAddress();
+        } catch (UnknownHostException malformed) {
+            throw new CicadaleadException(ErrorKind.INVALID_SETTINGS, "'" + address + "' is no IP number", malformed);
+        }
+    }
+
     /** Starts talking to the others and joins. */
     public void start() {
         channel.start();
--- a/src/main/java/org/cicadalead/cli/AdministrationClient.java
+++ b/src/main/java/org/cicadalead/cli/AdministrationClient.java
@@ -6,9 +6,16 @@
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
 import java.time.Duration;
+import java.util.Optional;
+import java.util.UUID;
 import org.cicadalead.adapters.codec.DomainMappers;
 import org.cicadalead.adapters.http.ProblemDocument;
+import org.cicadalead.adapters.security.OperatorSignature;
+import org.cicadalead.adapters.security.SharedKeyFile;
+import org.cicadalead.adapters.security.SharedKeys;
 import org.cicadalead.model.configuration.NetworkAddress;
 import org.cicadalead.model.error.CicadaleadException;
 import org.cicadalead.model.error.ErrorKind;
@@ -17,6 +24,9 @@
 final class AdministrationClient {
     static final String DEFAULT_ADDRESS = "127.0.0.1:20100";
 
+    /** Names the file with the keys to sign with. */
+    static final String KEY_FILE_VARIABLE = "CICADALEAD_KEY_FILE";
+
     private static final Duration TIMEOUT = Duration.ofSeconds(30);
     private static final int FIRST_ERROR_STATUS = 400;
 
@@ -24,18 +34,32 @@
     private final HttpClient client =
             HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
     private final NetworkAddress address;
+    private final SharedKeys keys;
 
+    /** Creates a client that signs with the keys of the file that the environment names, if it names one. */
     AdministrationClient(NetworkAddress address) {
+        this(
+                address,
+                Optional.ofNullable(System.getenv(KEY_FILE_VARIABLE))
+                        .map(Path::of)
+                        .map(SharedKeyFile::read)
+                        .orElseGet(SharedKeys::none));
+    }
+
+    /** Creates a client that signs with given keys. */
+    AdministrationClient(NetworkAddress address, SharedKeys keys) {
         this.address = address;
+        this.keys = keys;
     }
 
     String get(String path) {
-        return send(request(path).GET().build());
+        return send(request("GET", path, new byte[0]).GET().build());
     }
 
     String post(String path, Object body) {
-        return send(request(path)
-                .POST(HttpRequest.BodyPublishers.ofString(Console.toJson(body)))
+        byte[] content = Console.toJson(body).getBytes(StandardCharsets.UTF_8);
+        return send(request("POST", path, content)
+                .POST(HttpRequest.BodyPublishers.ofByteArray(content))
                 .build());
     }
 
@@ -47,8 +71,20 @@
         }
     }
 
-    private HttpRequest.Builder request(String path) {
-        return HttpRequest.newBuilder(URI.create("http://" + address + path)).timeout(TIMEOUT);
+    private HttpRequest.Builder request(String method, String path, byte[] body) {
+        HttpRequest.Builder request =
+                HttpRequest.newBuilder(URI.create("http://" + address + path)).timeout(TIMEOUT);
+        if (!keys.isEmpty()) {
+            OperatorSignature signature = OperatorSignature.sign(
+                    keys.keys().get(0),
+                    method,
+                    path,
+                    System.currentTimeMillis(),
+                    UUID.randomUUID().toString(),
+                    body);
+            request.header("Authorization", signature.header());
+        }
+        return request;
     }
 
     private String send(HttpRequest request) {
--- a/src/main/java/org/cicadalead/model/settings/EntrySettings.java
+++ b/src/main/java/org/cicadalead/model/settings/EntrySettings.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import org.cicadalead.model.configuration.NetworkAddress;
 import org.cicadalead.model.identity.ZoneName;
 
@@ -16,6 +17,7 @@
  * @param peers peer addresses of other entry processes, to begin with
  * @param balancerDelay how long it goes on accepting after it said that it is not ready
  * @param shutdownLimit how long it waits for requests in flight
+ * @param keyFile path of the file with the keys that entry processes and operators share; absent for loopback only
  */
 public record EntrySettings(
         ZoneName zone,
@@ -25,7 +27,8 @@
         NetworkAddress platformAddress,
         List<NetworkAddress> peers,
         Duration balancerDelay,
-        Duration shutdownLimit) {
+        Duration shutdownLimit,
+        Optional<String> keyFile) {
     /** Balancer's delay of a process whose settings name none. */
     public static final Duration DEFAULT_BALANCER_DELAY = Duration.ofSeconds(2);
 
