--- a/src/main/java/org/cicadalead/cli/Subcommands.java
+++ b/src/main/java/org/cicadalead/cli/Subcommands.java
@@ -17,6 +17,9 @@
             ShowCommand.HOSTS,
             new TimelineCommand(),
             new ReferenceCommand(),
+            JobsCommand.SHOW,
+            JobsCommand.CANCEL,
+            JobsCommand.LIST,
             new PlatformStandInCommand(),
             new UpstreamStandInCommand());
 
