Fuzz moves in virtual time against an oracle; reboot a host before it is assigned past a lapsed lease

The fuzz found the window that the lease leaves open: a member of another zone paused between its last check and its write, cut off while the host is assigned, and healed before it resumes. The host is now rebooted after the lapse, which resets its connections.

--- a/src/main/java/org/cicadalead/adapters/membership/EntryMembership.java
+++ b/src/main/java/org/cicadalead/adapters/membership/EntryMembership.java
@@ -9,9 +9,11 @@
 import java.util.List;
 import java.util.TreeSet;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import org.cicadalead.adapters.administration.AdministrationServer;
+import org.cicadalead.adapters.http.HttpServers;
 import org.cicadalead.adapters.peer.PeerChannelOptions;
 import org.cicadalead.adapters.peer.PeerCounters;
 import org.cicadalead.adapters.peer.TcpPeerChannel;
@@ -26,6 +28,7 @@
 import org.cicadalead.model.settings.EntrySettings;
 import org.cicadalead.model.state.SharedState;
 import org.cicadalead.ports.EventSink;
+import org.cicadalead.ports.HostMaintenance;
 import org.cicadalead.ports.PeerChannel;
 import org.cicadalead.ports.PlacementControl;
 import org.cicadalead.ports.PlacementView;
@@ -41,6 +44,7 @@
     private final ProcessIdentifier process;
     private final Supplier<SharedState> state;
     private final CommandAppender appender;
+    private final ExecutorService platformThreads = HttpServers.daemonThreads("membership-platform");
     private final TcpPeerChannel channel;
     private final MembershipService membership;
     private final ViewLeases leases;
@@ -71,7 +75,7 @@
                         keys),
                 timers,
                 events);
-        membership = new MembershipService(channel.self(), state, appender, timers, events);
+        membership = new MembershipService(channel.self(), state, this::submit, timers, events);
         leases = new ViewLeases(channel.self(), state, channel, timers, log::leaseFor, () -> false);
         watch = new MemberWatch(process, state, channel, channel::probe, this::submit, timers, events);
         moves = new MoveLoop(process, state, this::submit, watch::cutOff, move -> true, timers, events);
@@ -126,6 +130,16 @@
         moves.addControl(control);
     }
 
+    /** Sets how hosts are rebooted, which a move needs that does not wait for a member that is cut off. */
+    public void useMaintenance(HostMaintenance maintenance) {
+        moves.useReboots(move -> CompletableFuture.supplyAsync(
+                () -> {
+                    maintenance.reboot(move.host(), move.moveVersion());
+                    return maintenance.condition(move.host()).hasFinished(move.moveVersion());
+                },
+                platformThreads));
+    }
+
     /** Tells whether this process may serve: its shared state holds its own membership. */
     public boolean isMember() {
         return membership.isMember();
@@ -175,6 +189,7 @@
         leases.close();
         membership.close();
         channel.close();
+        platformThreads.shutdownNow();
     }
 
     private CompletableFuture<?> submit(Command command) {
--- a/src/main/java/org/cicadalead/adapters/membership/MembershipService.java
+++ b/src/main/java/org/cicadalead/adapters/membership/MembershipService.java
@@ -3,14 +3,16 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Function;
 import java.util.function.Supplier;
 import org.cicadalead.adapters.peer.PeerIdentity;
-import org.cicadalead.adapters.replica.CommandAppender;
+import org.cicadalead.model.command.Command;
 import org.cicadalead.model.command.MembershipCommand;
 import org.cicadalead.model.error.CicadaleadException;
 import org.cicadalead.model.event.EventDetail;
@@ -30,7 +32,7 @@
 
     private final PeerIdentity self;
     private final Supplier<SharedState> state;
-    private final CommandAppender appender;
+    private final Function<Command, CompletableFuture<?>> submit;
     private final EventSink events;
     private final AtomicBoolean appending = new AtomicBoolean();
     private final TimerService timers;
@@ -41,12 +43,12 @@
     public MembershipService(
             PeerIdentity self,
             Supplier<SharedState> state,
-            CommandAppender appender,
+            Function<Command, CompletableFuture<?>> submit,
             TimerService timers,
             EventSink events) {
         this.self = self;
         this.state = state;
-        this.appender = appender;
+        this.submit = submit;
         this.events = events;
         this.timers = timers;
     }
@@ -69,7 +71,7 @@
             return;
         }
         try {
-            appender.submit(new MembershipCommand.Leave(
+            submit.apply(new MembershipCommand.Leave(
                             self.process(), member.get().version()))
                     .get(LEAVE_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
         } catch (ExecutionException | TimeoutException | CicadaleadException notRecorded) {
@@ -95,8 +97,7 @@
         if (leaving || isMember() || !appending.compareAndSet(false, true)) {
             return;
         }
-        appender.submit(new MembershipCommand.Join(self.process(), self.zone(), self.address(), Optional.empty()))
-                .orTimeout(LEAVE_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS)
+        submit.apply(new MembershipCommand.Join(self.process(), self.zone(), self.address(), Optional.empty()))
                 .whenComplete((outcome, failure) -> appending.set(false));
     }
 }
--- a/src/main/java/org/cicadalead/adapters/membership/MoveLoop.java
+++ b/src/main/java/org/cicadalead/adapters/membership/MoveLoop.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Function;
@@ -42,9 +43,12 @@
     private final EventSink events;
     private final List<PlacementControl> controls = new CopyOnWriteArrayList<>();
     private final List<TimerService.Subscription> subscriptions = new CopyOnWriteArrayList<>();
+    private final Set<HostMove> rebooted = ConcurrentHashMap.newKeySet();
+    private final AtomicBoolean rebooting = new AtomicBoolean();
     private final AtomicBoolean acknowledging = new AtomicBoolean();
     private final AtomicBoolean assigning = new AtomicBoolean();
     private final AtomicBoolean cancelling = new AtomicBoolean();
+    private volatile Optional<HostReboots> reboots = Optional.empty();
     private TreePMap<HostName, MoveCoordinator.Watch> watches = TreePMap.empty();
 
     MoveLoop(
@@ -73,6 +77,11 @@
         controls.add(control);
     }
 
+    /** Sets how hosts are rebooted; without it a move waits for every member. */
+    void useReboots(HostReboots newReboots) {
+        reboots = Optional.of(newReboots);
+    }
+
     @Override
     public void close() {
         subscriptions.forEach(TimerService.Subscription::close);
@@ -84,10 +93,12 @@
         if (!current.members().containsKey(self)) {
             return;
         }
-        MoveCoordinator.Facts facts =
-                new MoveCoordinator.Facts(self, timers.nanoTime(), busyHosts(current), cutOff.get());
+        MoveCoordinator.Facts facts = new MoveCoordinator.Facts(
+                self, timers.nanoTime(), busyHosts(current), cutOff.get(), Set.copyOf(rebooted));
         MoveCoordinator.Decision decision = MoveCoordinator.decide(current, watches, facts);
         watches = decision.watches();
+        rebooted.removeIf(move -> !watches.containsKey(move.host()));
+        decision.reboots().forEach(this::reboot);
         acknowledge(decision.acknowledged());
         assign(current, decision);
         for (FleetCommand.CancelMove cancel : decision.cancelled()) {
@@ -146,6 +157,18 @@
         }
     }
 
+    private void reboot(HostMove move) {
+        if (reboots.isEmpty() || !rebooting.compareAndSet(false, true)) {
+            return;
+        }
+        reboots.get().reboot(move).whenComplete((finished, failure) -> {
+            rebooting.set(false);
+            if (failure == null && finished) {
+                rebooted.add(move);
+            }
+        });
+    }
+
     private boolean append(AtomicBoolean running, Command command) {
         if (!running.compareAndSet(false, true)) {
             return false;
@@ -154,6 +177,13 @@
         return true;
     }
 
+    /** Reboots hosts by the platform. Implementations are safe for use by several threads. */
+    @FunctionalInterface
+    interface HostReboots {
+        /** Asks for the reboot that belongs to a move, again and again, until the result says that it has finished. */
+        CompletableFuture<Boolean> reboot(HostMove move);
+    }
+
     /** Returns the causal identifier of a move on the time line. */
     static String causeOf(HostMove move) {
         return "move-" + move.host() + "-" + move.moveVersion();
--- a/src/main/java/org/cicadalead/logic/membership/MoveCoordinator.java
+++ b/src/main/java/org/cicadalead/logic/membership/MoveCoordinator.java
@@ -42,6 +42,7 @@
         List<HostMove> acknowledged = new ArrayList<>();
         List<HostMove> assigned = new ArrayList<>();
         SortedSet<ProcessIdentifier> lapsed = new TreeSet<>();
+        List<HostMove> reboots = new ArrayList<>();
         List<FleetCommand.CancelMove> cancelled = new ArrayList<>();
         for (HostState host : state.hosts().values()) {
             if (host.move().isEmpty()) {
@@ -59,13 +60,20 @@
             MoveProgress progress = MoveProgress.of(state, host.name(), move);
             Watch watch = watched(watches, host, move, progress, facts);
             kept = kept.plus(host.name(), watch);
-            if (watch.readyAt().isPresent()
-                    && facts.nowNanoseconds() - watch.readyAt().get() >= rankDelay(state, host, facts)) {
+            boolean inTurn = watch.readyAt()
+                    .filter(readyAt -> facts.nowNanoseconds() - readyAt >= rankDelay(state, host, facts))
+                    .isPresent();
+            if (!inTurn) {
+                continue;
+            }
+            if (progress.awaitedElsewhere().isEmpty() || facts.rebooted().contains(named)) {
                 assigned.add(named);
                 lapsed.addAll(progress.awaitedElsewhere());
+            } else {
+                reboots.add(named);
             }
         }
-        return new Decision(kept, first(acknowledged), first(assigned), List.copyOf(lapsed), cancelled);
+        return new Decision(kept, first(acknowledged), first(assigned), List.copyOf(lapsed), first(reboots), cancelled);
     }
 
     /** The pool that the host should go to is not configured any more, while its old one is. */
@@ -117,13 +125,19 @@
      * @param nowNanoseconds the monotonic clock
      * @param busyHosts hosts on which it, or a process that it vouches for, still has work in flight
      * @param cutOff members that certainly cannot reach hosts of this availability zone now
+     * @param rebooted moves whose host was rebooted for them, and runs again
      */
     public record Facts(
-            ProcessIdentifier self, long nowNanoseconds, Set<HostName> busyHosts, Set<ProcessIdentifier> cutOff) {
+            ProcessIdentifier self,
+            long nowNanoseconds,
+            Set<HostName> busyHosts,
+            Set<ProcessIdentifier> cutOff,
+            Set<HostMove> rebooted) {
         /** Copies the sets. */
         public Facts {
             busyHosts = Set.copyOf(busyHosts);
             cutOff = Set.copyOf(cutOff);
+            rebooted = Set.copyOf(rebooted);
         }
     }
 
@@ -132,7 +146,7 @@
      *
      * @param moveVersion offset of the withdrawal
      * @param zoneDoneAt when it saw that every member of the host's availability zone had acknowledged
-     * @param readyAt when it saw that the host could be assigned
+     * @param readyAt when it saw that nobody is waited for any more
      */
     public record Watch(long moveVersion, Optional<Long> zoneDoneAt, Optional<Long> readyAt) {}
 
@@ -143,6 +157,7 @@
      * @param acknowledged withdrawals to acknowledge, once the connections to the hosts are closed
      * @param assigned moves to assign
      * @param lapsed members that the assignment does not wait for
+     * @param reboots moves whose host has to be rebooted before it can be assigned
      * @param cancelled moves to give up
      */
     public record Decision(
@@ -150,12 +165,14 @@
             List<HostMove> acknowledged,
             List<HostMove> assigned,
             List<ProcessIdentifier> lapsed,
+            List<HostMove> reboots,
             List<FleetCommand.CancelMove> cancelled) {
         /** Copies the lists. */
         public Decision {
             acknowledged = List.copyOf(acknowledged);
             assigned = List.copyOf(assigned);
             lapsed = List.copyOf(lapsed);
+            reboots = List.copyOf(reboots);
             cancelled = List.copyOf(cancelled);
         }
     }
--- /dev/null
+++ b/src/test/java/org/cicadalead/adapters/membership/MoveWorld.java
@@ -0,0 +1,247 @@
+package org.cicadalead.adapters.membership;
+
+import static org.cicadalead.support.Commands.change;
+import static org.cicadalead.support.Commands.publish;
+import static org.cicadalead.support.Commands.unit;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import org.cicadalead.logic.state.FoldResult;
+import org.cicadalead.logic.state.SharedStateFold;
+import org.cicadalead.model.command.Command;
+import org.cicadalead.model.command.CommandEnvelope;
+import org.cicadalead.model.command.FleetCommand;
+import org.cicadalead.model.fleet.HostState;
+import org.cicadalead.model.identity.CommandIdentifier;
+import org.cicadalead.model.identity.HostName;
+import org.cicadalead.model.identity.PoolName;
+import org.cicadalead.model.identity.ProcessIdentifier;
+import org.cicadalead.model.identity.ZoneName;
+import org.cicadalead.model.state.SharedState;
+
+/** Several processes with fakes at their ports, one log and a few hosts, in virtual time. */
+final class MoveWorld {
+    static final List<PoolName> POOLS = List.of(new PoolName("blue"), new PoolName("red"));
+
+    private static final String UNIT =
+            """
+            [deployment]
+            name = "world"
+            first-measure = "moves"
+            [[zone]]
+            name = "east"
+            region = "region"
+            [[zone]]
+            name = "west"
+            region = "region"
+            [[host]]
+            name = "east-1"
+            zone = "east"
+            rack = "east-rack"
+            address = "127.0.0.1:1001"
+            processors = 4
+            memory-gigabytes = 4
+            [[host]]
+            name = "west-1"
+            zone = "west"
+            rack = "west-rack"
+            address = "127.0.0.1:1002"
+            processors = 4
+            memory-gigabytes = 4
+            [[pool]]
+            name = "red"
+            hosts = ["east-1", "west-1"]
+            [[pool]]
+            name = "blue"
+            hosts = []
+            """;
+
+    final List<WorldProcess> processes = new ArrayList<>();
+    final Mutation mutation;
+    private final List<CommandEnvelope> records = new ArrayList<>();
+    private final Set<Set<ProcessIdentifier>> cuts = new HashSet<>();
+    private final List<Runnable> messages = new ArrayList<>();
+    private final Map<HostName, Integer> reboots = new HashMap<>();
+    private SharedState truth = SharedState.empty();
+    private boolean zonesCut;
+    private boolean messagesHeld;
+    private long nowNanoseconds = 1;
+
+    MoveWorld(Mutation mutation) {
+        this.mutation = mutation;
+        append(new ProcessIdentifier("operator"), publish(change(unit("world.toml", UNIT), 0)));
+        for (String zone : List.of("east", "east", "west", "west")) {
+            startProcess(new ZoneName(zone));
+        }
+        pass(Duration.ofSeconds(2));
+    }
+
+    SharedState truth() {
+        return truth;
+    }
+
+    List<CommandEnvelope> recordsFrom(long offset) {
+        return records.subList((int) Math.min(records.size(), offset - 1), records.size());
+    }
+
+    long nowNanoseconds() {
+        return nowNanoseconds;
+    }
+
+    void startProcess(ZoneName zone) {
+        WorldProcess process = new WorldProcess(this, processes.size(), zone);
+        processes.add(process);
+        process.start();
+    }
+
+    WorldProcess process(int index) {
+        return processes.get(Math.floorMod(index, processes.size()));
+    }
+
+    /** Appends a record and returns its identifier. */
+    CommandIdentifier append(ProcessIdentifier writer, Command command) {
+        CommandIdentifier identifier = new CommandIdentifier("command-" + records.size());
+        CommandEnvelope envelope =
+                new CommandEnvelope(CommandEnvelope.CURRENT_FORMAT, identifier, writer, truth.offset(), command);
+        SharedState before = truth;
+        records.add(envelope);
+        FoldResult result = SharedStateFold.apply(truth, records.size(), Optional.of(envelope));
+        truth = result.state();
+        if (command instanceof FleetCommand fleet) {
+            MoveOracle.recordIsFolded(before, fleet, result.outcome());
+        }
+        for (HostState host : truth.hosts().values()) {
+            HostState old = before.hosts().get(host.name());
+            if (old != null && !old.pool().equals(host.pool())) {
+                MoveOracle.hostIsAssigned(host, running(host.name(), (FleetCommand.Assign) command));
+            }
+        }
+        return identifier;
+    }
+
+    private List<PoolName> running(HostName host, FleetCommand.Assign assign) {
+        return processes.stream()
+                .filter(process -> process.alive && !assign.lapsed().contains(process.identifier()))
+                .flatMap(process -> process.running(host).stream())
+                .toList();
+    }
+
+    /** An operator, who always reaches the log, withdraws a host. */
+    void withdraw(HostName host, PoolName destination) {
+        append(
+                new ProcessIdentifier("operator"),
+                new FleetCommand.Withdraw(host, truth.hosts().get(host).version(), destination));
+    }
+
+    void cancel(HostName host) {
+        truth.hosts()
+                .get(host)
+                .move()
+                .ifPresent(move -> append(
+                        new ProcessIdentifier("operator"),
+                        new FleetCommand.CancelMove(new FleetCommand.HostMove(host, move.version()))));
+    }
+
+    void pass(Duration duration) {
+        long end = nowNanoseconds + duration.toNanos();
+        while (nowNanoseconds < end) {
+            nowNanoseconds =
+                    Math.min(end, nowNanoseconds + Duration.ofMillis(250).toNanos());
+            List.copyOf(processes).forEach(WorldProcess::run);
+            deliver();
+        }
+    }
+
+    void send(Runnable message) {
+        messages.add(message);
+    }
+
+    void holdMessages(boolean held) {
+        messagesHeld = held;
+    }
+
+    void cut(WorldProcess first, WorldProcess second) {
+        if (first != second) {
+            cuts.add(Set.of(first.identifier(), second.identifier()));
+        }
+    }
+
+    void cutZones() {
+        zonesCut = true;
+    }
+
+    void heal() {
+        zonesCut = false;
+        messagesHeld = false;
+        cuts.clear();
+        processes.forEach(process -> process.logCut = false);
+    }
+
+    boolean connected(WorldProcess first, WorldProcess second) {
+        if (first == second) {
+            return true;
+        }
+        return !cuts.contains(Set.of(first.identifier(), second.identifier()))
+                && (!zonesCut || first.zone().equals(second.zone()));
+    }
+
+    boolean reaches(WorldProcess process, HostName host) {
+        return !zonesCut || host.value().startsWith(process.zone().value());
+    }
+
+    int rebootsOf(HostName host) {
+        return reboots.getOrDefault(host, 0);
+    }
+
+    CompletableFuture<Boolean> reboot(HostName host) {
+        if (mutation != Mutation.NO_REBOOT) {
+            reboots.merge(host, 1, Integer::sum);
+        }
+        return CompletableFuture.completedFuture(true);
+    }
+
+    /** Mends everything, gives each zone a process and lets time pass: what still waits then waits for ever. */
+    void mend() {
+        heal();
+        for (WorldProcess process : processes) {
+            process.paused = false;
+            process.finishWork();
+        }
+        for (String zone : List.of("east", "west")) {
+            startProcess(new ZoneName(zone));
+        }
+        pass(Duration.ofSeconds(90));
+    }
+
+    private void deliver() {
+        if (messagesHeld) {
+            return;
+        }
+        List<Runnable> delivered = List.copyOf(messages);
+        messages.clear();
+        delivered.forEach(Runnable::run);
+    }
+
+    /** Faults that are built into the processes, to show that the oracle sees them. */
+    enum Mutation {
+        /** No fault. */
+        NONE,
+        /** A process acknowledges with work in flight. */
+        ACKNOWLEDGES_WITH_WORK_IN_FLIGHT,
+        /** A process sends without a look at its view. */
+        SENDS_WITHOUT_A_CHECK,
+        /** View leases never lapse. */
+        LEASES_NEVER_LAPSE,
+        /** Hosts are not rebooted after a lapse. */
+        NO_REBOOT,
+        /** Members that are cut off count as ended. */
+        SILENCE_COUNTS_AS_END
+    }
+}
--- /dev/null
+++ b/src/test/java/org/cicadalead/adapters/membership/WorldTimers.java
@@ -0,0 +1,59 @@
+package org.cicadalead.adapters.membership;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.LongSupplier;
+import org.cicadalead.ports.TimerService;
+
+/** The timers of one simulated process; its clock runs on while it is paused, its callbacks do not. */
+final class WorldTimers implements TimerService {
+    private final LongSupplier clock;
+    private final List<Entry> entries = new ArrayList<>();
+
+    WorldTimers(LongSupplier clock) {
+        this.clock = clock;
+    }
+
+    @Override
+    public long nanoTime() {
+        return clock.getAsLong();
+    }
+
+    @Override
+    public long wallClockMilliseconds() {
+        return Duration.ofNanos(nanoTime()).toMillis();
+    }
+
+    @Override
+    public Subscription after(Duration delay, Runnable callback) {
+        return add(new Entry(nanoTime() + delay.toNanos(), Optional.empty(), callback));
+    }
+
+    @Override
+    public Subscription every(Duration period, Runnable callback) {
+        return add(new Entry(nanoTime() + period.toNanos(), Optional.of(period), callback));
+    }
+
+    /** Calls back whatever is due, each once, however late it is. */
+    void runDue() {
+        long now = nanoTime();
+        for (Entry entry : List.copyOf(entries)) {
+            if (entry.dueAt() - now > 0 || !entries.remove(entry)) {
+                continue;
+            }
+            entry.period()
+                    .ifPresent(
+                            period -> entries.add(new Entry(now + period.toNanos(), entry.period(), entry.callback())));
+            entry.callback().run();
+        }
+    }
+
+    private Subscription add(Entry entry) {
+        entries.add(entry);
+        return () -> entries.removeIf(other -> other.callback() == entry.callback());
+    }
+
+    private record Entry(long dueAt, Optional<Duration> period, Runnable callback) {}
+}
