--- a/src/main/java/org/cicadalead/adapters/administration/AdministrationServer.java
+++ b/src/main/java/org/cicadalead/adapters/administration/AdministrationServer.java
@@ -3,10 +3,14 @@
 import com.sun.net.httpserver.HttpExchange;
 import com.sun.net.httpserver.HttpHandler;
 import com.sun.net.httpserver.HttpServer;
+import java.io.ByteArrayInputStream;
 import java.io.IOException;
+import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.ExecutorService;
 import org.cicadalead.adapters.http.HttpServers;
 import org.cicadalead.adapters.http.JsonExchange;
+import org.cicadalead.adapters.security.OperatorGate;
 import org.cicadalead.model.configuration.NetworkAddress;
 import org.cicadalead.model.error.CicadaleadException;
 import org.cicadalead.model.error.ErrorKind;
@@ -14,11 +18,18 @@
 
 /** The HTTP server of the administration port, to which parts add their routes. Safe for use by several threads. */
 public final class AdministrationServer implements AutoCloseable {
+    private static final int MAXIMUM_BODY_BYTES = 32 * 1024 * 1024;
+
+    /** What the platform's balancer asks, without a key. */
+    private static final Set<String> OPEN_PATHS = Set.of("/healthz", "/readyz");
+
     private final ExecutorService threads = HttpServers.daemonThreads("administration");
     private final HttpServer server;
+    private final OperatorGate gate;
 
     /** Binds the server; {@link #start} starts it once all routes are added. */
-    public AdministrationServer(EntrySettings settings) {
+    public AdministrationServer(EntrySettings settings, OperatorGate gate) {
+        this.gate = gate;
         server = HttpServers.bind(
                 settings.administrationAddress().address(),
                 settings.administrationAddress().port());
@@ -33,6 +44,7 @@
     public void route(String method, String path, HttpHandler handler) {
         server.createContext(path, JsonExchange.guarded(exchange -> {
             requireMethod(exchange, method);
+            requireAdmission(exchange);
             handler.handle(exchange);
         }));
     }
@@ -53,6 +65,24 @@
         threads.shutdownNow();
     }
 
+    /** A signature covers the body, so that the body is read here and given to the handler from memory. */
+    private void requireAdmission(HttpExchange exchange) throws IOException {
+        String path = exchange.getRequestURI().toString();
+        if (!gate.isClosed() || OPEN_PATHS.contains(exchange.getRequestURI().getPath())) {
+            return;
+        }
+        byte[] body = exchange.getRequestBody().readNBytes(MAXIMUM_BODY_BYTES + 1);
+        if (body.length > MAXIMUM_BODY_BYTES) {
+            throw new CicadaleadException(ErrorKind.BODY_TOO_LARGE, "At most " + MAXIMUM_BODY_BYTES + " bytes");
+        }
+        Optional<String> authorization =
+                Optional.ofNullable(exchange.getRequestHeaders().getFirst("Authorization"));
+        if (!gate.admits(exchange.getRequestMethod(), path, authorization, body)) {
+            throw new CicadaleadException(ErrorKind.UNAUTHORIZED, "Sign the request with a shared key");
+        }
+        exchange.setStreams(new ByteArrayInputStream(body), null);
+    }
+
     private static void requireMethod(HttpExchange exchange, String method) throws IOException {
         if (!exchange.getRequestMethod().equals(method)) {
             throw new CicadaleadException(ErrorKind.METHOD_NOT_ALLOWED, "Use " + method);
--- a/src/main/java/org/cicadalead/adapters/entry/EntryProcess.java
+++ b/src/main/java/org/cicadalead/adapters/entry/EntryProcess.java
@@ -5,6 +5,7 @@
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import java.io.IOException;
+import java.nio.file.Path;
 import java.time.Duration;
 import java.util.Optional;
 import java.util.UUID;
@@ -25,6 +26,8 @@
 import org.cicadalead.adapters.replica.SharedStateService;
 import org.cicadalead.adapters.request.CallerServer;
 import org.cicadalead.adapters.request.RequestPorts;
+import org.cicadalead.adapters.security.OperatorGate;
+import org.cicadalead.adapters.security.SharedKeyFile;
 import org.cicadalead.adapters.time.SystemTimerService;
 import org.cicadalead.model.configuration.NetworkAddress;
 import org.cicadalead.model.event.EventDetail;
@@ -50,6 +53,7 @@
     private final TimelineRecorder timeline;
     private final SystemTimerService timers;
     private final SharedStateService sharedState;
+    private final SharedKeyFile keys;
     private final EntryMembership membership;
     private final CallerServer callers;
     private final JobService jobs;
@@ -66,11 +70,14 @@
                 timeline.emit(EventKind.INTERNAL_FAILURE, Optional.empty(), EventDetail.of("failure", failure)));
         HttpPlatform platform = new HttpPlatform(settings.platformAddress());
         ContactTrackingLog log = new ContactTrackingLog(platform, timers);
+        keys = new SharedKeyFile(settings.keyFile().map(Path::of), timeline);
+        EntryMembership.requireKeysBeyondLoopback(settings, keys.keys());
         sharedState = new SharedStateService(log, identifier, replica, timers, timeline);
-        membership = new EntryMembership(settings, identifier, replica, sharedState.appender(), log, timers, timeline);
+        membership = new EntryMembership(
+                settings, identifier, replica, sharedState.appender(), log, keys::keys, timers, timeline);
         sharedState.usePeers(membership.channel());
         callers = new CallerServer(settings, RequestLimits.DEFAULT, requestPorts());
-        administration = new AdministrationServer(settings);
+        administration = new AdministrationServer(settings, new OperatorGate(keys::keys, System::currentTimeMillis));
         membership.addPlacements(callers.placements());
         jobs = new JobService(
                 identifier,
@@ -83,6 +90,7 @@
         callers.addContext(JobRoutes.JOBS_PATH, jobs.routes());
         jobs.routes().addTo(administration);
         addRoutes();
+        keys.start(timers);
         membership.start();
         sharedState.start();
         administration.start();
@@ -144,6 +152,7 @@
         callers.close();
         jobs.close();
         membership.close();
+        keys.close();
         sharedState.close();
         administration.close();
         timers.close();
--- a/src/main/java/org/cicadalead/adapters/peer/FrameSealer.java
+++ b/src/main/java/org/cicadalead/adapters/peer/FrameSealer.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import javax.crypto.Mac;
 import javax.crypto.spec.SecretKeySpec;
+import org.cicadalead.adapters.security.SharedKeys;
 
 /**
  * Adds to each frame of one direction an authentication code over its sequence number and content, or checks it. A
--- a/src/main/java/org/cicadalead/adapters/peer/PeerChannelOptions.java
+++ b/src/main/java/org/cicadalead/adapters/peer/PeerChannelOptions.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
+import org.cicadalead.adapters.security.SharedKeys;
 import org.cicadalead.model.configuration.NetworkAddress;
 import org.cicadalead.model.identity.ProcessIdentifier;
 import org.cicadalead.model.identity.ZoneName;
