--- a/src/test/java/org/cicadalead/crash/EntryCrashTest.java
+++ b/src/test/java/org/cicadalead/crash/EntryCrashTest.java
@@ -11,9 +11,11 @@
 import org.cicadalead.crash.CrashCallers.Told;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
+@Tag("crash")
 class EntryCrashTest {
     private static final int SOME_ANSWERS = 150;
     private static final int RUN_MILLISECONDS = 300;
