--- /dev/null
+++ b/src/main/java/org/cicadalead/bench/outcomes/BenchLog.java
@@ -0,0 +1,76 @@
+package org.cicadalead.bench.outcomes;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.cicadalead.logic.state.FoldResult;
+import org.cicadalead.logic.state.SharedStateFold;
+import org.cicadalead.model.command.Command;
+import org.cicadalead.model.command.CommandEnvelope;
+import org.cicadalead.model.command.CommandOutcome;
+import org.cicadalead.model.identity.CommandIdentifier;
+import org.cicadalead.model.identity.ProcessIdentifier;
+import org.cicadalead.model.state.SharedState;
+
+/** A fake of the platform log that folds what is appended and keeps each state. For use by one thread. */
+final class BenchLog {
+    private final List<SharedState> states = new ArrayList<>();
+    private final List<Entry> entries = new ArrayList<>();
+
+    BenchLog() {
+        states.add(SharedState.empty());
+    }
+
+    /** Appends a command at a time and returns what the fold made of it. */
+    CommandOutcome append(Command command, ProcessIdentifier writer, long nowMilliseconds) {
+        long offset = states.size();
+        CommandEnvelope envelope = new CommandEnvelope(
+                CommandEnvelope.CURRENT_FORMAT, new CommandIdentifier("bench-" + offset), writer, command);
+        FoldResult result = SharedStateFold.apply(newest(), offset, Optional.of(envelope));
+        states.add(result.state());
+        entries.add(new Entry(nowMilliseconds, command, result.outcome()));
+        return result.outcome();
+    }
+
+    SharedState newest() {
+        return states.get(states.size() - 1);
+    }
+
+    /** Returns the state after an offset; 0 for before the first record. */
+    SharedState at(long offset) {
+        return states.get((int) offset);
+    }
+
+    /** Returns the offset of the last record that stood in the log at a time. */
+    long offsetAt(long milliseconds) {
+        int low = 0;
+        int high = entries.size();
+        while (low < high) {
+            int middle = (low + high) >>> 1;
+            if (entries.get(middle).timeMilliseconds <= milliseconds) {
+                low = middle + 1;
+            } else {
+                high = middle;
+            }
+        }
+        return low;
+    }
+
+    /** Returns the entries from an offset on, without the one at it. */
+    List<Entry> after(long offset) {
+        return entries.subList((int) offset, entries.size());
+    }
+
+    /**
+     * A record with its outcome. Immutable.
+     *
+     * @param timeMilliseconds when it was appended
+     * @param command the command
+     * @param outcome what the fold made of it
+     */
+    record Entry(long timeMilliseconds, Command command, CommandOutcome outcome) {
+        boolean isAccepted() {
+            return outcome instanceof CommandOutcome.Accepted;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/cicadalead/bench/outcomes/BenchProcess.java
@@ -0,0 +1,195 @@
+package org.cicadalead.bench.outcomes;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import org.cicadalead.logic.capacity.CapacityPolicy;
+import org.cicadalead.logic.capacity.DemandWindow;
+import org.cicadalead.logic.planning.Decision;
+import org.cicadalead.logic.planning.HostObserver;
+import org.cicadalead.logic.planning.HostObserver.Observation;
+import org.cicadalead.logic.planning.MaintenanceSteps;
+import org.cicadalead.logic.planning.PlanningInput;
+import org.cicadalead.logic.planning.PlanningRound;
+import org.cicadalead.logic.planning.StandingDecisions;
+import org.cicadalead.logic.planning.StepAges;
+import org.cicadalead.model.command.Command;
+import org.cicadalead.model.command.FleetCommand;
+import org.cicadalead.model.event.EventKind;
+import org.cicadalead.model.fleet.HostCondition;
+import org.cicadalead.model.fleet.HostHealth;
+import org.cicadalead.model.fleet.HostState;
+import org.cicadalead.model.identity.HostName;
+import org.cicadalead.model.identity.PoolName;
+import org.cicadalead.model.identity.ProcessIdentifier;
+import org.cicadalead.model.identity.ZoneName;
+import org.cicadalead.model.state.SharedState;
+
+/**
+ * One entry process of the bench: planners on a view that lags, with a fake of the requests that it has in flight. For
+ * use by one thread.
+ */
+final class BenchProcess {
+    private static final long OBSERVE_MILLISECONDS = 5_000;
+    private static final long PLAN_MILLISECONDS = 10_000;
+    private static final int LONGEST_LAG_MILLISECONDS = 4_000;
+    private static final long SHORTEST_DRAIN_MILLISECONDS = 2_000;
+    private static final int DRAIN_SPREAD_MILLISECONDS = 35_000;
+
+    private final ProcessIdentifier identifier;
+    private final ZoneName zone;
+    private final CapacityPolicy policy;
+    private final long lagMilliseconds;
+    private final Random random;
+    private final Map<HostName, Long> inFlightUntil = new HashMap<>();
+    private final DemandWindow demand = new DemandWindow();
+    private final StandingDecisions standing = new StandingDecisions();
+    private final StandingDecisions standingMoves = new StandingDecisions();
+    private final RoundTimes roundTimes;
+    private HostObserver observer = HostObserver.initial();
+    private StepAges ages = StepAges.initial();
+    private Set<HostName> suspects = Set.of();
+    private SharedState view = SharedState.empty();
+    private long nextObservation;
+    private long nextPlan;
+
+    BenchProcess(ProcessIdentifier identifier, ZoneName zone, CapacityPolicy policy, RoundTimes roundTimes, long seed) {
+        this.identifier = identifier;
+        this.zone = zone;
+        this.policy = policy;
+        this.roundTimes = roundTimes;
+        this.random = new Random(seed);
+        this.lagMilliseconds = random.nextInt(LONGEST_LAG_MILLISECONDS);
+    }
+
+    ProcessIdentifier identifier() {
+        return identifier;
+    }
+
+    ZoneName zone() {
+        return zone;
+    }
+
+    SharedState view() {
+        return view;
+    }
+
+    /** Follows the log, with a lag. */
+    void follow(BenchLog log, long now) {
+        long offset = log.offsetAt(now - lagMilliseconds);
+        if (offset <= view.offset()) {
+            return;
+        }
+        SharedState before = view;
+        view = log.at(offset);
+        for (HostState host : before.hosts().values()) {
+            HostState after = view.hosts().get(host.name());
+            boolean stops = mayPlace(before, host) && (after == null || !mayPlace(view, after));
+            if (stops) {
+                inFlightUntil.put(
+                        host.name(), now + SHORTEST_DRAIN_MILLISECONDS + random.nextInt(DRAIN_SPREAD_MILLISECONDS));
+            }
+        }
+    }
+
+    /** Tells whether this process has requests in flight on a host. */
+    boolean hasInFlight(HostName name, long now) {
+        HostState host = view.hosts().get(name);
+        return (host != null && mayPlace(view, host)) || inFlightUntil.getOrDefault(name, 0L) > now;
+    }
+
+    /** Returns the commands that it appends now. */
+    List<Command> act(TrueHosts hosts, Map<PoolName, Double> usage, long now) {
+        List<Command> commands = new ArrayList<>();
+        demand.add(now, usage);
+        if (now >= nextObservation) {
+            nextObservation = now + OBSERVE_MILLISECONDS;
+            Observation observation = observer.observe(view, hosts.list(), Set.of());
+            observer = observation.next();
+            suspects = observation.suspects();
+            observation.command().ifPresent(commands::add);
+        }
+        commands.addAll(acknowledge(now));
+        if (now >= nextPlan) {
+            nextPlan = now + PLAN_MILLISECONDS - random.nextInt(1_000);
+            commands.addAll(plan(hosts, now));
+        }
+        return commands;
+    }
+
+    /** Returns the reboots that are due, by operation. */
+    Map<HostName, Long> reboots() {
+        Map<HostName, Long> reboots = new HashMap<>();
+        for (HostState host : view.hosts().values()) {
+            MaintenanceSteps.rebootOf(view, host).ifPresent(operation -> reboots.put(host.name(), operation));
+        }
+        return reboots;
+    }
+
+    private List<Command> plan(TrueHosts hosts, long now) {
+        long started = System.nanoTime();
+        ages = ages.at(view, now);
+        Map<HostName, HostHealth> listed = hosts.list();
+        Set<HostName> listedUp = new HashSet<>();
+        listed.forEach((host, health) -> {
+            if (health == HostHealth.UP) {
+                listedUp.add(host);
+            }
+        });
+        PlanningInput input =
+                new PlanningInput(view, policy, suspects, demand.sustained(), conditions(hosts), listedUp, ages, now);
+        List<Decision> decisions = PlanningRound.plan(input);
+        List<Command> due = standing.due(decisions, view, identifier, now);
+        roundTimes.add(System.nanoTime() - started);
+        return due;
+    }
+
+    private Map<HostName, HostCondition> conditions(TrueHosts hosts) {
+        Map<HostName, HostCondition> conditions = new HashMap<>();
+        for (HostState host : view.hosts().values()) {
+            if (host.wave().isPresent()) {
+                conditions.put(host.name(), hosts.condition(host.name()));
+            }
+        }
+        return conditions;
+    }
+
+    /** The part of the move coordinator: acknowledge what has drained, assign what all have acknowledged. */
+    private List<Command> acknowledge(long now) {
+        List<Command> commands = new ArrayList<>();
+        List<FleetCommand.HostMove> drained = new ArrayList<>();
+        List<Decision> assignments = new ArrayList<>();
+        Set<HostName> idle = new HashSet<>();
+        for (HostState host : view.hosts().values()) {
+            if (!hasInFlight(host.name(), now)) {
+                idle.add(host.name());
+            }
+            host.move().ifPresent(move -> {
+                FleetCommand.HostMove named = new FleetCommand.HostMove(host.name(), move.version());
+                if (move.awaited().containsKey(identifier) && idle.contains(host.name())) {
+                    drained.add(named);
+                }
+                if (move.awaited().keySet().stream().noneMatch(view.members()::containsKey)) {
+                    assignments.add(
+                            Decision.append(new FleetCommand.Assign(named), EventKind.MOVE_FINISHED, host.name()));
+                }
+            });
+        }
+        if (!drained.isEmpty()) {
+            commands.add(new FleetCommand.Acknowledge(identifier, drained));
+        }
+        commands.addAll(standingMoves.due(assignments, view, identifier, now));
+        PlanningRound.confirmations(view, identifier, idle)
+                .forEach(decision -> decision.command().ifPresent(commands::add));
+        return commands;
+    }
+
+    private static boolean mayPlace(SharedState state, HostState host) {
+        boolean spare = state.configuration().merged().pools().get(host.pool()).spare();
+        return host.isAvailable() && !spare;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/cicadalead/bench/outcomes/OutcomesBench.java
@@ -0,0 +1,35 @@
+package org.cicadalead.bench.outcomes;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import org.cicadalead.logic.capacity.CapacityPolicy;
+import org.cicadalead.logic.configuration.ConfigurationMerger;
+import org.cicadalead.model.configuration.ConfigurationUnit;
+import org.cicadalead.model.configuration.FleetConfiguration;
+
+/** Plays the same day with each policy. Stateless. */
+public final class OutcomesBench {
+    private OutcomesBench() {}
+
+    /** Plays a day on a fleet. */
+    public static OutcomesReport run(String name, List<ConfigurationUnit> units, long seed, Duration length) {
+        FleetConfiguration configuration = ConfigurationMerger.merge(units).configuration();
+        Day day = Day.draw(configuration, seed, length.toMillis());
+        List<OutcomesReport.PolicyOutcome> outcomes = new ArrayList<>();
+        for (CapacityPolicy policy : CapacityPolicy.values()) {
+            outcomes.add(new OutcomesDay(units, policy, day, seed).play());
+        }
+        String firstMeasure = configuration
+                .deployment()
+                .map(deployment -> deployment.firstMeasure().label())
+                .orElse("none");
+        return new OutcomesReport(
+                name,
+                firstMeasure,
+                seed,
+                length.toMinutes() / 60.0,
+                configuration.hosts().size(),
+                outcomes);
+    }
+}
--- a/src/main/java/org/cicadalead/cli/Subcommands.java
+++ b/src/main/java/org/cicadalead/cli/Subcommands.java
@@ -15,7 +15,8 @@
             ShowCommand.HOSTS,
             ShowCommand.TIMELINE,
             new PlatformStandInCommand(),
-            new UpstreamStandInCommand());
+            new UpstreamStandInCommand(),
+            new BenchOutcomesCommand());
 
     private Subcommands() {}
 
--- a/src/main/java/org/cicadalead/logic/capacity/CapacityIndex.java
+++ b/src/main/java/org/cicadalead/logic/capacity/CapacityIndex.java
@@ -10,7 +10,6 @@
 import org.cicadalead.model.configuration.PoolDefinition;
 import org.cicadalead.model.configuration.ServiceDefinition;
 import org.cicadalead.model.fleet.HostState;
-import org.cicadalead.model.fleet.MaintenanceStep;
 import org.cicadalead.model.identity.HostName;
 import org.cicadalead.model.identity.PoolName;
 import org.cicadalead.model.identity.RackName;
@@ -149,9 +148,4 @@
             };
         }
     }
-
-    /** Tells whether a host is under maintenance and has not failed. */
-    static boolean isUnderMaintenance(HostState host) {
-        return host.maintenance() != MaintenanceStep.NONE && host.maintenance() != MaintenanceStep.FAILED;
-    }
 }
--- a/src/main/java/org/cicadalead/logic/fleet/MaintenanceFold.java
+++ b/src/main/java/org/cicadalead/logic/fleet/MaintenanceFold.java
@@ -241,10 +241,16 @@
         return wave.withHosts(rest);
     }
 
-    /** Forgets the oldest waves that are over and that no host needs any more. */
+    /** Forgets the oldest waves that are over and that no host needs any more; the newest periodic one is kept. */
     private static SharedState dropOldWaves(SharedState state) {
+        long newestPeriodic = state.waves().values().stream()
+                .filter(wave -> wave.periodMilliseconds() > 0)
+                .mapToLong(WaveState::startedMilliseconds)
+                .max()
+                .orElse(0);
         List<WaveState> over = state.waves().values().stream()
                 .filter(wave -> wave.phase().isTerminal())
+                .filter(wave -> wave.periodMilliseconds() == 0 || wave.startedMilliseconds() < newestPeriodic)
                 .filter(wave -> wave.count(WaveHostProgress.UNDER_WAY) == 0)
                 .sorted(Comparator.comparingLong(WaveState::version))
                 .toList();
--- a/src/main/java/org/cicadalead/logic/planning/CapacityPlanner.java
+++ b/src/main/java/org/cicadalead/logic/planning/CapacityPlanner.java
@@ -15,7 +15,6 @@
 import org.cicadalead.model.event.EventDetail;
 import org.cicadalead.model.event.EventKind;
 import org.cicadalead.model.fleet.HostState;
-import org.cicadalead.model.fleet.MaintenanceStep;
 import org.cicadalead.model.fleet.WavePhase;
 import org.cicadalead.model.identity.HostName;
 import org.cicadalead.model.identity.PoolName;
@@ -256,9 +255,4 @@
     private Optional<HostDefinition> definition(HostState host) {
         return Optional.ofNullable(state.configuration().merged().hosts().get(host.name()));
     }
-
-    /** Tells whether a host is at no step of maintenance. */
-    static boolean isUntouched(HostState host) {
-        return host.maintenance() == MaintenanceStep.NONE && host.move().isEmpty();
-    }
 }
--- a/src/main/java/org/cicadalead/logic/planning/MaintenancePlanner.java
+++ b/src/main/java/org/cicadalead/logic/planning/MaintenancePlanner.java
@@ -16,8 +16,8 @@
 import org.cicadalead.model.fleet.HostState;
 import org.cicadalead.model.fleet.MaintenanceStep;
 import org.cicadalead.model.fleet.WaveChange;
+import org.cicadalead.model.fleet.WaveHost;
 import org.cicadalead.model.fleet.WaveHostProgress;
-import org.cicadalead.model.fleet.WavePhase;
 import org.cicadalead.model.identity.HostName;
 import org.cicadalead.model.identity.PoolName;
 import org.cicadalead.model.identity.RackName;
@@ -104,8 +104,7 @@
     private Optional<Decision> stopOf(WaveState wave) {
         int failedAgain = 0;
         boolean missing = false;
-        for (Map.Entry<HostName, org.cicadalead.model.fleet.WaveHost> entry :
-                wave.hosts().entrySet()) {
+        for (Map.Entry<HostName, WaveHost> entry : wave.hosts().entrySet()) {
             HostState host = state.hosts().get(entry.getKey());
             missing |= host == null && !entry.getValue().progress().isTerminal();
             if (host != null
@@ -232,9 +231,4 @@
     private RackName rackOf(HostState host) {
         return state.configuration().merged().hosts().get(host.name()).rack();
     }
-
-    /** Tells whether any wave is running. */
-    static boolean isAnyRunning(SharedState state) {
-        return state.waves().values().stream().anyMatch(wave -> wave.phase() == WavePhase.RUNNING);
-    }
 }
--- a/src/main/java/org/cicadalead/logic/planning/PlanningInput.java
+++ b/src/main/java/org/cicadalead/logic/planning/PlanningInput.java
@@ -52,10 +52,10 @@
                 .orElse(Measure.BUFFER_COST);
     }
 
-    /** Returns the hosts that no plan counts on: suspects, and those whose move hangs. */
+    /** Returns the hosts that no plan counts on: suspects, and the oldest late move into each pool. */
     public Set<HostName> uncounted() {
         Set<HostName> uncounted = new HashSet<>(suspects);
-        uncounted.addAll(ages.movesOlderThan(MOVE_PATIENCE_MILLISECONDS));
+        uncounted.addAll(ages.lateMoves(state, MOVE_PATIENCE_MILLISECONDS));
         return uncounted;
     }
 
--- /dev/null
+++ b/src/main/java/org/cicadalead/logic/planning/PlanningRound.java
@@ -0,0 +1,61 @@
+package org.cicadalead.logic.planning;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import org.cicadalead.model.command.FleetCommand;
+import org.cicadalead.model.command.MaintenanceCommand;
+import org.cicadalead.model.command.MaintenanceCommand.Drain;
+import org.cicadalead.model.event.EventDetail;
+import org.cicadalead.model.event.EventKind;
+import org.cicadalead.model.fleet.HostState;
+import org.cicadalead.model.fleet.MaintenanceStep;
+import org.cicadalead.model.identity.HostName;
+import org.cicadalead.model.identity.ProcessIdentifier;
+import org.cicadalead.model.state.SharedState;
+
+/**
+ * One round of all planners, in the order of urgency: steps of maintenance, replacements, grants, the routine schedule.
+ * Capacity comes before grants, so that a host that a promise needs is not granted. Stateless; safe for use by several
+ * threads.
+ */
+public final class PlanningRound {
+    private PlanningRound() {}
+
+    /** Plans what any process may append. */
+    public static List<Decision> plan(PlanningInput input) {
+        List<Decision> decisions = new ArrayList<>(MaintenanceSteps.plan(input));
+        List<Decision> moves = CapacityPlanner.plan(input);
+        decisions.addAll(moves);
+        PlanningInput afterMoves = input.withState(withoutMoving(input.state(), moves));
+        decisions.addAll(MaintenancePlanner.plan(afterMoves));
+        decisions.addAll(RoutineSchedule.plan(input.state(), input.nowMilliseconds()));
+        return decisions;
+    }
+
+    /** Plans what only this process may append: the drains that it confirms. */
+    public static List<Decision> confirmations(SharedState state, ProcessIdentifier process, Set<HostName> idleHosts) {
+        List<Drain> drains = MaintenanceSteps.drainsToConfirm(state, process, idleHosts);
+        if (drains.isEmpty()) {
+            return List.of();
+        }
+        return List.of(Decision.append(
+                new MaintenanceCommand.ConfirmDrain(process, drains),
+                EventKind.DRAIN_CONFIRMED,
+                drains.get(0).wave(),
+                EventDetail.of("hosts", drains.stream().map(Drain::host).toList()),
+                EventDetail.of("offset", state.offset())));
+    }
+
+    /** Counts hosts that this round withdraws as taken already, so that grants leave room for them. */
+    private static SharedState withoutMoving(SharedState state, List<Decision> moves) {
+        SharedState rest = state;
+        for (Decision decision : moves) {
+            if (decision.command().isPresent() && decision.command().get() instanceof FleetCommand.Withdraw withdraw) {
+                HostState host = rest.hosts().get(withdraw.host());
+                rest = rest.withHost(host.withMaintenance(host.version(), MaintenanceStep.HELD, host.wave()));
+            }
+        }
+        return rest;
+    }
+}
--- a/src/main/java/org/cicadalead/logic/planning/RoutineSchedule.java
+++ b/src/main/java/org/cicadalead/logic/planning/RoutineSchedule.java
@@ -1,7 +1,9 @@
 package org.cicadalead.logic.planning;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
+import java.util.Optional;
 import org.cicadalead.model.command.MaintenanceCommand;
 import org.cicadalead.model.event.EventDetail;
 import org.cicadalead.model.event.EventKind;
@@ -22,44 +24,58 @@
     /** Length of a period in milliseconds. */
     public static final long PERIOD_MILLISECONDS = 28L * 24 * 60 * 60 * 1_000;
 
+    /** Starts are rounded down to this, so that processes propose the same command. */
+    private static final long START_GRAIN_MILLISECONDS = 10 * 60_000L;
+
     private static final String PREFIX = "routine-";
     private static final int MAXIMUM_FAILURES = 2;
 
     private RoutineSchedule() {}
 
-    /** Plans the start of the present period's wave and the end of earlier ones. */
+    /** Plans the start of the next wave when the newest one's period is over, and the end of earlier ones. */
     public static List<Decision> plan(SharedState state, long nowMilliseconds) {
-        long period = nowMilliseconds / PERIOD_MILLISECONDS;
-        WaveIdentifier current = new WaveIdentifier(PREFIX + period);
-        List<Decision> decisions = new ArrayList<>();
         if (state.hosts().isEmpty()) {
-            return decisions;
-        }
-        if (!state.waves().containsKey(current)) {
-            MaintenanceCommand.Start start = new MaintenanceCommand.Start(
-                    current,
-                    WaveSelection.everything(),
-                    WaveAction.REBOOT,
-                    "routine maintenance",
-                    period * PERIOD_MILLISECONDS,
-                    PERIOD_MILLISECONDS,
-                    MAXIMUM_FAILURES);
-            decisions.add(
-                    Decision.append(start, EventKind.WAVE_STARTED, current, EventDetail.of("reason", start.reason())));
+            return List.of();
         }
-        for (WaveState wave : state.waves().values()) {
-            boolean earlier = wave.wave().value().startsWith(PREFIX)
-                    && !wave.wave().equals(current)
-                    && !wave.phase().isTerminal();
-            if (earlier) {
-                decisions.add(Decision.append(
-                        new MaintenanceCommand.Change(wave.wave(), wave.version(), WaveChange.ABORT),
-                        EventKind.WAVE_CHANGED,
-                        wave.wave(),
-                        EventDetail.of("change", WaveChange.ABORT),
-                        EventDetail.of("reason", "the next period has begun")));
-            }
+        Optional<WaveState> newest = newest(state);
+        if (newest.isPresent() && nowMilliseconds < newest.get().startedMilliseconds() + PERIOD_MILLISECONDS) {
+            return List.of();
         }
+        List<Decision> decisions = new ArrayList<>();
+        long started = nowMilliseconds - nowMilliseconds % START_GRAIN_MILLISECONDS;
+        decisions.add(start(newest.map(RoutineSchedule::numberOf).orElse(0L) + 1, started));
+        newest.filter(wave -> !wave.phase().isTerminal()).ifPresent(wave -> decisions.add(end(wave)));
         return decisions;
     }
+
+    private static Decision start(long number, long startedMilliseconds) {
+        MaintenanceCommand.Start start = new MaintenanceCommand.Start(
+                new WaveIdentifier(PREFIX + number),
+                WaveSelection.everything(),
+                WaveAction.REBOOT,
+                "routine maintenance",
+                startedMilliseconds,
+                PERIOD_MILLISECONDS,
+                MAXIMUM_FAILURES);
+        return Decision.append(start, EventKind.WAVE_STARTED, start.wave(), EventDetail.of("reason", start.reason()));
+    }
+
+    private static Decision end(WaveState wave) {
+        return Decision.append(
+                new MaintenanceCommand.Change(wave.wave(), wave.version(), WaveChange.ABORT),
+                EventKind.WAVE_CHANGED,
+                wave.wave(),
+                EventDetail.of("change", WaveChange.ABORT),
+                EventDetail.of("reason", "the next period has begun"));
+    }
+
+    private static Optional<WaveState> newest(SharedState state) {
+        return state.waves().values().stream()
+                .filter(wave -> wave.wave().value().matches(PREFIX + "[0-9]{1,9}"))
+                .max(Comparator.comparingLong(RoutineSchedule::numberOf));
+    }
+
+    private static long numberOf(WaveState wave) {
+        return Long.parseLong(wave.wave().value().substring(PREFIX.length()));
+    }
 }
--- a/src/main/java/org/cicadalead/logic/planning/StepAges.java
+++ b/src/main/java/org/cicadalead/logic/planning/StepAges.java
@@ -1,10 +1,13 @@
 package org.cicadalead.logic.planning;
 
+import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Map;
 import java.util.Set;
 import org.cicadalead.model.fleet.HostState;
 import org.cicadalead.model.fleet.MaintenanceStep;
 import org.cicadalead.model.identity.HostName;
+import org.cicadalead.model.identity.PoolName;
 import org.cicadalead.model.state.SharedState;
 import org.pcollections.HashTreePMap;
 import org.pcollections.PMap;
@@ -49,15 +52,23 @@
         return found == null ? 0 : nowMilliseconds - found.sinceMilliseconds;
     }
 
-    /** Returns the hosts whose move has taken longer than a time. */
-    public Set<HostName> movesOlderThan(long milliseconds) {
-        Set<HostName> old = new HashSet<>();
-        seen.forEach((host, found) -> {
-            if (found.step.moveVersion > 0 && ageMilliseconds(host) > milliseconds) {
-                old.add(host);
+    /**
+     * Returns the oldest host that moves into each pool and has taken longer than a time. Only one a pool: what holds
+     * one move up, such as a member that cannot be reached, would hold up its substitutes as well.
+     */
+    public Set<HostName> lateMoves(SharedState state, long milliseconds) {
+        Map<PoolName, HostName> oldest = new HashMap<>();
+        for (HostState host : state.hosts().values()) {
+            if (host.move().isEmpty() || ageMilliseconds(host.name()) <= milliseconds) {
+                continue;
             }
-        });
-        return old;
+            PoolName destination = host.move().get().destination();
+            HostName other = oldest.get(destination);
+            if (other == null || ageMilliseconds(host.name()) > ageMilliseconds(other)) {
+                oldest.put(destination, host.name());
+            }
+        }
+        return new HashSet<>(oldest.values());
     }
 
     private record Step(MaintenanceStep maintenance, long moveVersion) {}
