Spread replacements by members a rack and unblock waves in pools without slack

Cause: hosts that were down did not count when a rack was chosen, so pools ended with 2 or 3 hosts on one rack, slack 0, and no grant ever possible.

--- a/src/main/java/org/cicadalead/bench/outcomes/BenchLog.java
+++ b/src/main/java/org/cicadalead/bench/outcomes/BenchLog.java
@@ -28,7 +28,7 @@
                 CommandEnvelope.CURRENT_FORMAT, new CommandIdentifier("bench-" + offset), writer, command);
         FoldResult result = SharedStateFold.apply(newest(), offset, Optional.of(envelope));
         states.add(result.state());
-        entries.add(new Entry(nowMilliseconds, command, result.outcome()));
+        entries.add(new Entry(nowMilliseconds, writer, command, result.outcome()));
         return result.outcome();
     }
 
@@ -65,10 +65,11 @@
      * A record with its outcome. Immutable.
      *
      * @param timeMilliseconds when it was appended
+     * @param writer who appended it
      * @param command the command
      * @param outcome what the fold made of it
      */
-    record Entry(long timeMilliseconds, Command command, CommandOutcome outcome) {
+    record Entry(long timeMilliseconds, ProcessIdentifier writer, Command command, CommandOutcome outcome) {
         boolean isAccepted() {
             return outcome instanceof CommandOutcome.Accepted;
         }
--- a/src/main/java/org/cicadalead/bench/outcomes/OutcomesDay.java
+++ b/src/main/java/org/cicadalead/bench/outcomes/OutcomesDay.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.TreeMap;
 import org.cicadalead.bench.outcomes.Day.Incident;
 import org.cicadalead.bench.outcomes.OutcomesReport.PolicyOutcome;
 import org.cicadalead.logic.capacity.CapacityPolicy;
@@ -45,7 +46,7 @@
     private static final int MAXIMUM_FAILURES = 2;
     private static final double MILLISECONDS_PER_HOUR = 3_600_000;
     private static final double MILLISECONDS_PER_MINUTE = 60_000;
-    private static final ProcessIdentifier OPERATOR = new ProcessIdentifier("operator");
+    static final ProcessIdentifier OPERATOR = new ProcessIdentifier("operator");
 
     private final CapacityPolicy policy;
     private final Day day;
@@ -59,7 +60,7 @@
     private final List<BenchProcess> processes = new ArrayList<>();
     private final Map<ZoneName, Long> zoneDownUntil = new HashMap<>();
     private final Map<ZoneName, Long> zoneCutUntil = new HashMap<>();
-    private final Map<WaveIdentifier, Long> waveStarted = new HashMap<>();
+    private final Map<WaveIdentifier, Long> waveStarted = new TreeMap<>();
     private final Map<WaveIdentifier, Long> waveEnded = new HashMap<>();
     private final Map<WaveIdentifier, Long> waveHeldSince = new HashMap<>();
     private long logDownUntil;
@@ -295,12 +296,12 @@
     }
 
     private PolicyOutcome outcome() {
-        double rollOut = 0;
+        List<Double> rollOuts = new ArrayList<>();
         int unfinished = 0;
         for (Map.Entry<WaveIdentifier, Long> started : waveStarted.entrySet()) {
             Long ended = waveEnded.get(started.getKey());
             unfinished += ended == null ? 1 : 0;
-            rollOut += (ended == null ? now : ended) - started.getValue();
+            rollOuts.add(((ended == null ? now : ended) - started.getValue()) / MILLISECONDS_PER_MINUTE);
         }
         if (waveStarted.isEmpty()) {
             throw new CicadaleadException(ErrorKind.INTERNAL, "The day has no wave");
@@ -309,7 +310,8 @@
         return new PolicyOutcome(
                 policy,
                 idleHostMilliseconds / MILLISECONDS_PER_HOUR,
-                rollOut / waveStarted.size() / MILLISECONDS_PER_MINUTE,
+                rollOuts.stream().mapToDouble(Double::doubleValue).average().orElse(0),
+                rollOuts,
                 unfinished,
                 oracle.moves(),
                 oracle.violations(),
--- a/src/main/java/org/cicadalead/bench/outcomes/OutcomesReport.java
+++ b/src/main/java/org/cicadalead/bench/outcomes/OutcomesReport.java
@@ -32,11 +32,14 @@
                 deployment, hosts, seed, hours, firstMeasure));
         for (PolicyOutcome outcome : policies) {
             text.append(String.format(
-                    "%-20s idle %.1f host-hours, roll-out %.1f min, moves %d, violations %d, "
+                    "%-20s idle %.1f host-hours, roll-out %.1f min %s, moves %d, violations %d, "
                             + "without plan's part %.1f min, beyond cover %.1f min, below promise %.1f host-hours%n",
                     outcome.policy(),
                     outcome.idleHostHours(),
                     outcome.rollOutMinutes(),
+                    outcome.waveMinutes().stream()
+                            .map(minutes -> String.format("%.0f", minutes))
+                            .toList(),
                     outcome.moves(),
                     outcome.violations(),
                     outcome.unplannedShortMinutes(),
@@ -54,8 +57,9 @@
      * @param policy the policy
      * @param idleHostHours buffer cost: working hosts beyond every promise and demand
      * @param rollOutMinutes mean time from the start to the end of a wave over the fleet
+     * @param waveMinutes the same for each wave
      * @param unfinishedWaves waves that had not ended with the day; their time counts up to there
-     * @param moves hosts that changed pool
+     * @param moves hosts that changed pool by a planner's decision
      * @param violations promises broken with planned work's part
      * @param violationTexts the first of them
      * @param unplannedShortMinutes service-minutes below budget without any planned work
@@ -71,6 +75,7 @@
             CapacityPolicy policy,
             double idleHostHours,
             double rollOutMinutes,
+            List<Double> waveMinutes,
             int unfinishedWaves,
             int moves,
             int violations,
@@ -85,6 +90,7 @@
         /** Copies the list. */
         public PolicyOutcome {
             violationTexts = List.copyOf(violationTexts);
+            waveMinutes = List.copyOf(waveMinutes);
         }
     }
 }
--- a/src/main/java/org/cicadalead/bench/outcomes/TrueHosts.java
+++ b/src/main/java/org/cicadalead/bench/outcomes/TrueHosts.java
@@ -59,6 +59,12 @@
         return truths.get(name).isUnplannedAway(now);
     }
 
+    /** Tells whether a host is missing for a cause that nobody planned, or came back less than a time ago. */
+    boolean wasUnplannedAway(HostName name, long withinMilliseconds) {
+        Truth truth = truths.get(name);
+        return truth.isUnplannedAway(now) || (truth.downUntil > 0 && truth.downUntil + withinMilliseconds >= now);
+    }
+
     /** Tells whether a host works, so far as its hardware goes. */
     boolean works(HostName name) {
         Truth truth = truths.get(name);
--- a/src/main/java/org/cicadalead/logic/planning/CapacityPlanner.java
+++ b/src/main/java/org/cicadalead/logic/planning/CapacityPlanner.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeSet;
 import org.cicadalead.logic.capacity.CapacityIndex;
 import org.cicadalead.logic.capacity.PoolCapacity;
 import org.cicadalead.logic.capacity.WorstEvent;
@@ -14,13 +15,16 @@
 import org.cicadalead.model.configuration.HostDefinition;
 import org.cicadalead.model.event.EventDetail;
 import org.cicadalead.model.event.EventKind;
+import org.cicadalead.model.fleet.HostMoveState;
 import org.cicadalead.model.fleet.HostState;
+import org.cicadalead.model.fleet.WaveHostProgress;
 import org.cicadalead.model.fleet.WavePhase;
 import org.cicadalead.model.identity.HostName;
 import org.cicadalead.model.identity.PoolName;
 import org.cicadalead.model.identity.RackName;
 import org.cicadalead.model.identity.ZoneName;
 import org.cicadalead.model.state.SharedState;
+import org.cicadalead.model.state.WaveState;
 
 /**
  * Decides moves of hosts between pools: first replacements for pools below their promise, the one most at risk first;
@@ -32,6 +36,7 @@
     private final SharedState state;
     private final Set<HostName> uncounted;
     private final Map<PoolName, List<HostState>> movable = new HashMap<>();
+    private final Map<PoolName, Map<RackName, Integer>> settled = new HashMap<>();
     private final List<Decision> decisions = new ArrayList<>();
     private CapacityIndex index;
     private int movesLeft;
@@ -48,6 +53,7 @@
         CapacityPlanner planner = new CapacityPlanner(input);
         planner.collectMovable();
         planner.replace();
+        planner.unblockWaves();
         if (input.policy().lends(input.firstMeasure())) {
             planner.lend();
         }
@@ -60,6 +66,8 @@
     private void collectMovable() {
         int moving = 0;
         for (HostState host : state.hosts().values()) {
+            PoolName pool = host.move().map(HostMoveState::destination).orElse(host.pool());
+            settle(host, pool, 1);
             if (host.move().isPresent()) {
                 moving++;
             } else if (host.isAvailable() && !uncounted.contains(host.name())) {
@@ -70,6 +78,11 @@
         movesLeft = Math.max(0, input.policy().maximumMoves() - moving);
     }
 
+    private void settle(HostState host, PoolName pool, int count) {
+        definition(host).ifPresent(found -> settled.computeIfAbsent(pool, unused -> new HashMap<>())
+                .merge(found.rack(), count, Integer::sum));
+    }
+
     private void replace() {
         List<PoolCapacity> shortPools = new ArrayList<>();
         for (PoolCapacity pool : index.pools()) {
@@ -110,6 +123,41 @@
         }
     }
 
+    /**
+     * Sends a host to a pool whose budgets let none of its hosts be maintained although the pool is whole: on a rack of
+     * its own it leaves room for one to be out.
+     */
+    private void unblockWaves() {
+        if (!input.policy().sharesBetweenPools()) {
+            return;
+        }
+        for (PoolName pool : poolsThatWait()) {
+            PoolCapacity blocked = index.pool(pool);
+            boolean idle = blocked.incoming() == 0 && blocked.returning() == 0;
+            if (blocked.slack() <= 0 && idle && movesLeft > 0) {
+                sourceFor(pool, true)
+                        .filter(host -> settled.get(pool).getOrDefault(rack(host), 0) < blocked.fullestRack())
+                        .ifPresent(host -> move(host, pool, EventKind.LOAN_PLANNED));
+            }
+        }
+    }
+
+    private Set<PoolName> poolsThatWait() {
+        Set<PoolName> waiting = new TreeSet<>();
+        for (WaveState wave : state.waves().values()) {
+            if (wave.phase() != WavePhase.RUNNING || !MaintenancePlanner.isDue(wave, input.nowMilliseconds())) {
+                continue;
+            }
+            wave.hosts().forEach((name, waveHost) -> {
+                HostState host = state.hosts().get(name);
+                if (host != null && waveHost.progress() == WaveHostProgress.WAITING && host.isAvailable()) {
+                    waiting.add(host.pool());
+                }
+            });
+        }
+        return waiting;
+    }
+
     private void lend() {
         List<PoolName> busy = new ArrayList<>();
         for (PoolCapacity pool : index.pools()) {
@@ -172,17 +220,19 @@
         return bestPlaced(beyond, pool);
     }
 
-    /** A host on the rack, then in the zone, that the pool has fewest hosts on keeps one rack's loss small. */
+    /**
+     * A host on the rack, then in the zone, that the pool has fewest hosts on keeps one rack's loss small. Hosts that
+     * are down or moving in count, as they will be back.
+     */
     private Optional<HostState> bestPlaced(List<HostState> candidates, PoolName pool) {
-        PoolCapacity target = index.pool(pool);
+        Map<RackName, Integer> target = settled.getOrDefault(pool, Map.of());
         Map<ZoneName, Integer> zones = new HashMap<>();
         for (HostState member : movable.getOrDefault(pool, List.of())) {
             definition(member).ifPresent(found -> zones.merge(found.zone(), 1, Integer::sum));
         }
         return candidates.stream()
                 .filter(host -> definition(host).isPresent())
-                .min(Comparator.<HostState>comparingInt(
-                                host -> target.availableByRack().getOrDefault(rack(host), 0))
+                .min(Comparator.<HostState>comparingInt(host -> target.getOrDefault(rack(host), 0))
                         .thenComparingInt(host -> zones.getOrDefault(
                                 definition(host).orElseThrow().zone(), 0))
                         .thenComparing(Comparator.comparingInt(this::crowding).reversed())
@@ -207,6 +257,8 @@
                 EventDetail.of("offset", state.offset())));
         index = index.moving(host, destination);
         movable.get(host.pool()).remove(host);
+        settle(host, host.pool(), -1);
+        settle(host, destination, 1);
         movesLeft--;
     }
 
--- a/src/main/java/org/cicadalead/logic/planning/MaintenancePlanner.java
+++ b/src/main/java/org/cicadalead/logic/planning/MaintenancePlanner.java
@@ -138,12 +138,22 @@
     }
 
     private int byPace(WaveState wave) {
+        return dueHosts(wave, input.nowMilliseconds());
+    }
+
+    /** Tells whether a wave wants another host out at a time. */
+    static boolean isDue(WaveState wave, long nowMilliseconds) {
+        return dueHosts(wave, nowMilliseconds) > 0;
+    }
+
+    /** Returns how many hosts a wave is behind its pace. */
+    private static int dueHosts(WaveState wave, long nowMilliseconds) {
         if (wave.periodMilliseconds() == 0) {
             return Integer.MAX_VALUE;
         }
-        double elapsed = (double) (input.nowMilliseconds() - wave.startedMilliseconds()) / wave.periodMilliseconds();
-        int due =
-                (int) Math.ceil(Math.min(1, Math.max(0, elapsed)) * wave.hosts().size());
+        double elapsed = (double) (nowMilliseconds - wave.startedMilliseconds()) / wave.periodMilliseconds();
+        int due = (int)
+                Math.floor(Math.min(1, Math.max(0, elapsed)) * wave.hosts().size());
         return due - (wave.hosts().size() - wave.count(WaveHostProgress.WAITING));
     }
 
