--- a/src/main/java/org/cicadalead/adapters/entry/EntryProcess.java
+++ b/src/main/java/org/cicadalead/adapters/entry/EntryProcess.java
@@ -9,14 +9,20 @@
 import java.util.Optional;
 import java.util.UUID;
 import org.cicadalead.adapters.administration.AdministrationServer;
+import org.cicadalead.adapters.administration.ConfigurationRoutes;
 import org.cicadalead.adapters.administration.StateRoutes;
-import org.cicadalead.adapters.codec.MessagePackCommandCodec;
 import org.cicadalead.adapters.event.TimelineRecorder;
+import org.cicadalead.adapters.event.TimelineRoutes;
 import org.cicadalead.adapters.http.JsonExchange;
+import org.cicadalead.adapters.job.JobRoutes;
+import org.cicadalead.adapters.job.JobService;
+import org.cicadalead.adapters.membership.ContactTrackingLog;
+import org.cicadalead.adapters.membership.EntryMembership;
+import org.cicadalead.adapters.membership.MembershipStatus;
 import org.cicadalead.adapters.platform.HttpPlatform;
-import org.cicadalead.adapters.replica.CommandAppender;
-import org.cicadalead.adapters.replica.LogFollower;
+import org.cicadalead.adapters.platform.HttpTaskPlatform;
 import org.cicadalead.adapters.replica.SharedStateReplica;
+import org.cicadalead.adapters.replica.SharedStateService;
 import org.cicadalead.adapters.request.CallerServer;
 import org.cicadalead.adapters.time.SystemTimerService;
 import org.cicadalead.model.configuration.NetworkAddress;
@@ -41,9 +47,10 @@
     private final SharedStateReplica replica = new SharedStateReplica();
     private final TimelineRecorder timeline;
     private final SystemTimerService timers;
-    private final LogFollower follower;
-    private final CommandAppender appender;
+    private final SharedStateService sharedState;
+    private final EntryMembership membership;
     private final CallerServer callers;
+    private final JobService jobs;
     private final AdministrationServer administration;
     private final PrometheusMeterRegistry metrics = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
     private volatile boolean stopping;
@@ -56,13 +63,25 @@
         timers = new SystemTimerService(failure ->
                 timeline.emit(EventKind.INTERNAL_FAILURE, Optional.empty(), EventDetail.of("failure", failure)));
         HttpPlatform platform = new HttpPlatform(settings.platformAddress());
-        MessagePackCommandCodec codec = new MessagePackCommandCodec();
-        appender = new CommandAppender(platform, codec, identifier, replica);
-        follower = new LogFollower(platform, codec, replica, timeline);
+        ContactTrackingLog log = new ContactTrackingLog(platform, timers);
+        sharedState = new SharedStateService(log, identifier, replica, timers, timeline);
+        membership = new EntryMembership(settings, identifier, replica, sharedState.appender(), log, timers, timeline);
+        sharedState.usePeers(membership.channel());
         callers = new CallerServer(settings, replica::state, timeline);
         administration = new AdministrationServer(settings);
+        membership.addPlacements(callers.placements());
+        jobs = new JobService(
+                identifier,
+                replica,
+                new HttpTaskPlatform(settings.platformAddress()),
+                sharedState.appender()::submit,
+                timeline,
+                timers);
+        callers.addContext(JobRoutes.JOBS_PATH, jobs.routes());
+        jobs.routes().addTo(administration);
         addRoutes();
-        follower.start();
+        membership.start();
+        sharedState.start();
         administration.start();
         timeline.emit(EventKind.PROCESS_STARTED, Optional.empty(), EventDetail.of("zone", settings.zone()));
     }
@@ -89,7 +108,7 @@
 
     /** Tells whether it takes requests. */
     public boolean isReady() {
-        return !stopping && replica.state().configuration().version() > 0;
+        return !stopping && membership.isMember() && sharedState.isReady();
     }
 
     /**
@@ -101,10 +120,12 @@
         timeline.emit(EventKind.PROCESS_STOPPING, Optional.empty());
         sleep(settings.balancerDelay());
         long deadline = System.nanoTime() + settings.shutdownLimit().toNanos();
-        while (callers.inFlight() > 0 && System.nanoTime() < deadline) {
+        while (callers.inFlight() + jobs.routes().inFlight() > 0 && System.nanoTime() < deadline) {
             sleep(SHUTDOWN_POLL);
         }
-        int left = callers.inFlight();
+        int left = callers.inFlight() + jobs.routes().inFlight();
+        callers.close();
+        membership.leave();
         timeline.emit(EventKind.PROCESS_STOPPED, Optional.empty(), EventDetail.of("left", left));
         close();
         return left;
@@ -113,8 +134,9 @@
     @Override
     public void close() {
         callers.close();
-        follower.close();
-        appender.close();
+        jobs.close();
+        membership.close();
+        sharedState.close();
         administration.close();
         timers.close();
     }
@@ -122,12 +144,15 @@
     private void addRoutes() {
         Gauge.builder("cicadalead.state.offset", () -> replica.state().offset()).register(metrics);
         Gauge.builder("cicadalead.requests.in.flight", callers::inFlight).register(metrics);
-        new StateRoutes(replica::state, appender).addTo(administration);
+        membership.register(metrics);
+        membership.addTo(administration);
+        new StateRoutes(replica::state, sharedState.appender()).addTo(administration);
+        new ConfigurationRoutes(identifier, replica::state, sharedState::peers).addTo(administration);
         administration.route("GET", "/healthz", exchange -> JsonExchange.answerText(exchange, OK, "ok\n"));
         administration.route("GET", "/readyz", this::answerReady);
         administration.route("GET", "/metrics", exchange -> JsonExchange.answerText(exchange, OK, metrics.scrape()));
         administration.route("GET", "/status", exchange -> JsonExchange.answer(exchange, status()));
-        administration.route("GET", "/timeline", exchange -> JsonExchange.answer(exchange, timeline.eventsFrom(0)));
+        new TimelineRoutes(timeline).addTo(administration);
     }
 
     private void answerReady(HttpExchange exchange) throws IOException {
@@ -141,10 +166,10 @@
                 identifier,
                 settings.zone().value(),
                 isReady(),
-                follower.isReachable(),
+                sharedState.follower().isReachable(),
                 state.offset(),
                 state.configuration().version(),
-                state.members().size(),
+                membership.status(),
                 callers.inFlight());
     }
 
@@ -165,7 +190,7 @@
      * @param platformReachable whether the last read reached the platform
      * @param offset offset that it has folded up to
      * @param configurationVersion the configuration in force here
-     * @param members entry processes that may place work
+     * @param membership entry processes that may place work, and what waits for whom
      * @param requestsInFlight requests not answered yet
      */
     public record StatusView(
@@ -175,6 +200,6 @@
             boolean platformReachable,
             long offset,
             long configurationVersion,
-            int members,
+            MembershipStatus membership,
             int requestsInFlight) {}
 }
--- a/src/main/java/org/cicadalead/adapters/request/CallerServer.java
+++ b/src/main/java/org/cicadalead/adapters/request/CallerServer.java
@@ -2,6 +2,7 @@
 
 import com.sun.net.httpserver.Headers;
 import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpHandler;
 import com.sun.net.httpserver.HttpServer;
 import java.io.IOException;
 import java.net.ConnectException;
@@ -30,6 +31,7 @@
 import org.cicadalead.model.settings.EntrySettings;
 import org.cicadalead.model.state.SharedState;
 import org.cicadalead.ports.EventSink;
+import org.cicadalead.ports.PlacementControl;
 
 /** Takes callers' requests and forwards each to one upstream. Safe for use by several threads. */
 public final class CallerServer implements AutoCloseable {
@@ -79,6 +81,16 @@
         return inFlight.get();
     }
 
+    /** Adds a handler that answers by itself under a path. */
+    public void addContext(String path, HttpHandler handler) {
+        server.createContext(path, handler);
+    }
+
+    /** Returns what this server has placed on hosts. */
+    public PlacementControl placements() {
+        return selector;
+    }
+
     @Override
     public void close() {
         server.stop(0);
--- a/src/main/java/org/cicadalead/cli/ShowCommand.java
+++ b/src/main/java/org/cicadalead/cli/ShowCommand.java
@@ -7,14 +7,10 @@
 
 /** The commands that show a part of the state through the administration port. */
 enum ShowCommand implements Subcommand {
-    /** Shows one process's view: offset, configuration, members. */
-    STATUS("status", "shows an entry process's view of the whole"),
     /** Shows pools with their budgets. */
     POOLS("pools", "shows pools, their capacity and budgets"),
     /** Shows hosts. */
-    HOSTS("hosts", "shows hosts with pool, health, maintenance and move"),
-    /** Shows the time line of events. */
-    TIMELINE("timeline", "shows the time line of events");
+    HOSTS("hosts", "shows hosts with pool, health, maintenance and move");
 
     private final String word;
     private final String summary;
--- /dev/null
+++ b/src/main/java/org/cicadalead/cli/StatusCommand.java
@@ -0,0 +1,60 @@
+package org.cicadalead.cli;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.List;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.Options;
+
+/** Shows one process's view: offset, configuration, members, and what waits for whom. Stateless. */
+final class StatusCommand implements Subcommand {
+    @Override
+    public String words() {
+        return "status";
+    }
+
+    @Override
+    public String argumentsUsage() {
+        return "[--address ADDRESS:PORT]";
+    }
+
+    @Override
+    public String summary() {
+        return "shows an entry process's view of the whole";
+    }
+
+    @Override
+    public List<String> examples() {
+        return List.of("cicadalead status --address 127.0.0.1:20100");
+    }
+
+    @Override
+    public Options options() {
+        return AddressOption.options();
+    }
+
+    @Override
+    public ExitCode run(CommandLine arguments, Console console) {
+        AdministrationClient client = AddressOption.client(arguments);
+        JsonNode answer = client.parse(client.get("/status"), JsonNode.class);
+        console.result(answer, console.json() ? "" : describe(answer));
+        return ExitCode.DONE;
+    }
+
+    private static String describe(JsonNode answer) {
+        JsonNode membership = answer.path("membership");
+        ObjectNode summary = answer.deepCopy();
+        summary.remove("membership");
+        summary.put("member", membership.path("member").asBoolean());
+        summary.put("reachableZones", membership.path("reachableZones").toString());
+        String line = System.lineSeparator();
+        StringBuilder text = new StringBuilder(TextTable.ofFields(summary));
+        text.append(line).append(line).append("Members").append(line);
+        text.append(TextTable.ofRows(membership.path("members")));
+        if (!membership.path("blocked").isEmpty()) {
+            text.append(line).append(line).append("Moves in progress").append(line);
+            text.append(TextTable.ofRows(membership.path("blocked")));
+        }
+        return text.toString();
+    }
+}
--- a/src/main/java/org/cicadalead/logic/state/ConfigurationFold.java
+++ b/src/main/java/org/cicadalead/logic/state/ConfigurationFold.java
@@ -1,18 +1,18 @@
 package org.cicadalead.logic.state;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
 import org.cicadalead.logic.configuration.ConfigurationMerger;
 import org.cicadalead.logic.configuration.ConfigurationMerger.MergeResult;
+import org.cicadalead.logic.fleet.HostDeclaration;
 import org.cicadalead.model.command.ConfigurationCommand;
 import org.cicadalead.model.command.ConfigurationCommand.UnitChange;
 import org.cicadalead.model.configuration.ConfigurationUnit;
-import org.cicadalead.model.configuration.FleetConfiguration;
-import org.cicadalead.model.configuration.PoolDefinition;
 import org.cicadalead.model.error.ErrorKind;
-import org.cicadalead.model.fleet.HostState;
-import org.cicadalead.model.identity.HostName;
 import org.cicadalead.model.state.ConfigurationState;
 import org.cicadalead.model.state.ConfigurationState.VersionedUnit;
 import org.cicadalead.model.state.SharedState;
@@ -23,6 +23,8 @@
  * merged folder is valid. Stateless; safe for use by several threads.
  */
 final class ConfigurationFold {
+    private static final int MAXIMUM_NAMED_PROBLEMS = 50;
+
     private ConfigurationFold() {}
 
     static FoldResult apply(SharedState state, long offset, ConfigurationCommand command) {
@@ -30,35 +32,73 @@
     }
 
     private static FoldResult publish(SharedState state, long offset, ConfigurationCommand.Publish publication) {
-        TreePMap<String, VersionedUnit> units = state.configuration().units();
+        TreePMap<String, VersionedUnit> current = state.configuration().units();
+        Optional<String> malformed = malformation(publication);
+        if (malformed.isPresent()) {
+            return FoldResult.rejected(state, ErrorKind.MALFORMED_REQUEST, malformed.get());
+        }
+        List<String> conflicts = conflicts(current, publication.changes());
+        if (!conflicts.isEmpty()) {
+            return FoldResult.rejected(
+                    state,
+                    ErrorKind.CONFLICT,
+                    String.join("; ", conflicts) + "; read the current folder and publish again");
+        }
+        TreePMap<String, VersionedUnit> units = current;
         for (UnitChange change : publication.changes()) {
-            Optional<String> conflict = findConflict(units, change);
-            if (conflict.isPresent()) {
-                return FoldResult.rejected(state, ErrorKind.CONFLICT, conflict.get());
-            }
             units = replaceUnit(units, offset, change);
         }
+        return acceptIfValid(state, offset, units);
+    }
+
+    private static FoldResult acceptIfValid(SharedState state, long offset, TreePMap<String, VersionedUnit> units) {
         MergeResult merged = ConfigurationMerger.merge(contents(units));
-        if (!merged.isValid()) {
-            return FoldResult.rejected(
-                    state,
-                    ErrorKind.INVALID_CONFIGURATION,
-                    merged.problems().get(0).toString());
+        List<String> problems = new ArrayList<>();
+        merged.problems().forEach(problem -> problems.add(problem.toString()));
+        problems.addAll(PoolRemovalChecker.problems(state, merged.configuration()));
+        if (!problems.isEmpty()) {
+            return FoldResult.rejected(state, ErrorKind.INVALID_CONFIGURATION, describe(problems));
         }
         ConfigurationState configuration = new ConfigurationState(offset, units, merged.configuration());
         SharedState changed = state.withConfiguration(configuration);
-        return FoldResult.accepted(declareHosts(changed, offset, merged.configuration()), offset);
+        return FoldResult.accepted(HostDeclaration.reconcile(changed, offset, merged.configuration()), offset);
+    }
+
+    private static String describe(List<String> problems) {
+        String named = problems.stream().limit(MAXIMUM_NAMED_PROBLEMS).collect(Collectors.joining("\n"));
+        int others = problems.size() - MAXIMUM_NAMED_PROBLEMS;
+        return others > 0 ? named + "\nand " + others + " more" : named;
+    }
+
+    private static Optional<String> malformation(ConfigurationCommand.Publish publication) {
+        if (publication.changes().isEmpty()) {
+            return Optional.of("The publication changes no file");
+        }
+        Set<String> names = new HashSet<>();
+        for (UnitChange change : publication.changes()) {
+            if (!names.add(change.fileName())) {
+                return Optional.of("The file '" + change.fileName() + "' is changed twice");
+            }
+            if (change.unit()
+                    .filter(unit -> !unit.fileName().equals(change.fileName()))
+                    .isPresent()) {
+                return Optional.of("The content of '" + change.fileName() + "' is that of another file");
+            }
+        }
+        return Optional.empty();
     }
 
-    private static Optional<String> findConflict(TreePMap<String, VersionedUnit> units, UnitChange change) {
-        VersionedUnit current = units.get(change.fileName());
-        long currentVersion = current == null ? 0 : current.version();
-        if (currentVersion == change.replacedVersion()) {
-            return Optional.empty();
+    private static List<String> conflicts(TreePMap<String, VersionedUnit> units, List<UnitChange> changes) {
+        List<String> conflicts = new ArrayList<>();
+        for (UnitChange change : changes) {
+            VersionedUnit current = units.get(change.fileName());
+            long currentVersion = current == null ? 0 : current.version();
+            if (currentVersion != change.replacedVersion()) {
+                conflicts.add("the file '" + change.fileName() + "' has version " + currentVersion
+                        + " and not the version " + change.replacedVersion() + " that this publication replaces");
+            }
         }
-        return Optional.of("The file '" + change.fileName() + "' has version " + currentVersion
-                + " and not the version " + change.replacedVersion()
-                + " that this publication replaces; read the current one and publish again");
+        return conflicts;
     }
 
     private static TreePMap<String, VersionedUnit> replaceUnit(
@@ -73,22 +113,4 @@
         units.values().forEach(versioned -> contents.add(versioned.unit()));
         return contents;
     }
-
-    /** A host that is new starts in its declared pool; one that is known stays where it is; others are removed. */
-    private static SharedState declareHosts(SharedState state, long offset, FleetConfiguration configuration) {
-        TreePMap<HostName, PoolDefinition> declaredPools = ConfigurationMerger.declaredPools(configuration);
-        TreePMap<HostName, HostState> hosts = state.hosts();
-        for (HostName known : state.hosts().keySet()) {
-            if (!declaredPools.containsKey(known)) {
-                hosts = hosts.minus(known);
-            }
-        }
-        for (HostName declared : declaredPools.keySet()) {
-            if (!hosts.containsKey(declared)) {
-                PoolDefinition pool = declaredPools.get(declared);
-                hosts = hosts.plus(declared, HostState.declared(declared, offset, pool.name()));
-            }
-        }
-        return state.withHosts(hosts);
-    }
 }
--- a/src/main/java/org/cicadalead/model/state/SharedState.java
+++ b/src/main/java/org/cicadalead/model/state/SharedState.java
@@ -1,11 +1,10 @@
 package org.cicadalead.model.state;
 
 import org.cicadalead.model.fleet.HostState;
-import org.cicadalead.model.identity.CommandIdentifier;
 import org.cicadalead.model.identity.HostName;
-import org.cicadalead.model.identity.JobIdentifier;
 import org.cicadalead.model.identity.ProcessIdentifier;
 import org.cicadalead.model.identity.WaveIdentifier;
+import org.cicadalead.model.job.JobLedger;
 import org.pcollections.TreePMap;
 
 /**
@@ -16,18 +15,20 @@
  * @param configuration the accepted configuration
  * @param members entry processes that may place work
  * @param hosts hosts by name
- * @param jobs long jobs by identifier
+ * @param jobs long jobs
  * @param waves maintenance waves by identifier
  * @param commands recently folded commands with their offsets, to drop duplicates
+ * @param checkpoint checkpoints of this state in the log
  */
 public record SharedState(
         long offset,
         ConfigurationState configuration,
         TreePMap<ProcessIdentifier, Member> members,
         TreePMap<HostName, HostState> hosts,
-        TreePMap<JobIdentifier, JobState> jobs,
+        JobLedger jobs,
         TreePMap<WaveIdentifier, WaveState> waves,
-        TreePMap<CommandIdentifier, Long> commands) {
+        CommandWindow commands,
+        CheckpointState checkpoint) {
     /** Returns the state before the first record. */
     public static SharedState empty() {
         return new SharedState(
@@ -35,29 +36,30 @@
                 ConfigurationState.empty(),
                 TreePMap.empty(),
                 TreePMap.empty(),
+                JobLedger.empty(),
                 TreePMap.empty(),
-                TreePMap.empty(),
-                TreePMap.empty());
+                CommandWindow.empty(),
+                CheckpointState.empty());
     }
 
     /** Returns this state at another offset. */
     public SharedState withOffset(long newOffset) {
-        return new SharedState(newOffset, configuration, members, hosts, jobs, waves, commands);
+        return new SharedState(newOffset, configuration, members, hosts, jobs, waves, commands, checkpoint);
     }
 
     /** Returns this state with another configuration. */
     public SharedState withConfiguration(ConfigurationState newConfiguration) {
-        return new SharedState(offset, newConfiguration, members, hosts, jobs, waves, commands);
+        return new SharedState(offset, newConfiguration, members, hosts, jobs, waves, commands, checkpoint);
     }
 
     /** Returns this state with other members. */
     public SharedState withMembers(TreePMap<ProcessIdentifier, Member> newMembers) {
-        return new SharedState(offset, configuration, newMembers, hosts, jobs, waves, commands);
+        return new SharedState(offset, configuration, newMembers, hosts, jobs, waves, commands, checkpoint);
     }
 
     /** Returns this state with other hosts. */
     public SharedState withHosts(TreePMap<HostName, HostState> newHosts) {
-        return new SharedState(offset, configuration, members, newHosts, jobs, waves, commands);
+        return new SharedState(offset, configuration, members, newHosts, jobs, waves, commands, checkpoint);
     }
 
     /** Returns this state with one host changed. */
@@ -66,13 +68,13 @@
     }
 
     /** Returns this state with other jobs. */
-    public SharedState withJobs(TreePMap<JobIdentifier, JobState> newJobs) {
-        return new SharedState(offset, configuration, members, hosts, newJobs, waves, commands);
+    public SharedState withJobs(JobLedger newJobs) {
+        return new SharedState(offset, configuration, members, hosts, newJobs, waves, commands, checkpoint);
     }
 
     /** Returns this state with other maintenance waves. */
     public SharedState withWaves(TreePMap<WaveIdentifier, WaveState> newWaves) {
-        return new SharedState(offset, configuration, members, hosts, jobs, newWaves, commands);
+        return new SharedState(offset, configuration, members, hosts, jobs, newWaves, commands, checkpoint);
     }
 
     /** Returns this state with one maintenance wave changed. */
@@ -81,7 +83,12 @@
     }
 
     /** Returns this state with other remembered commands. */
-    public SharedState withCommands(TreePMap<CommandIdentifier, Long> newCommands) {
-        return new SharedState(offset, configuration, members, hosts, jobs, waves, newCommands);
+    public SharedState withCommands(CommandWindow newCommands) {
+        return new SharedState(offset, configuration, members, hosts, jobs, waves, newCommands, checkpoint);
+    }
+
+    /** Returns this state with other checkpoints. */
+    public SharedState withCheckpoint(CheckpointState newCheckpoint) {
+        return new SharedState(offset, configuration, members, hosts, jobs, waves, commands, newCheckpoint);
     }
 }
