--- a/src/main/java/org/cicadalead/bench/outcomes/BenchProcess.java
+++ b/src/main/java/org/cicadalead/bench/outcomes/BenchProcess.java
@@ -7,8 +7,10 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import org.cicadalead.logic.capacity.CapacityPolicy;
 import org.cicadalead.logic.capacity.DemandWindow;
+import org.cicadalead.logic.membership.MoveCoordinator;
 import org.cicadalead.logic.planning.Decision;
 import org.cicadalead.logic.planning.HostObserver;
 import org.cicadalead.logic.planning.HostObserver.Observation;
@@ -19,7 +21,6 @@
 import org.cicadalead.logic.planning.StepAges;
 import org.cicadalead.model.command.Command;
 import org.cicadalead.model.command.FleetCommand;
-import org.cicadalead.model.event.EventKind;
 import org.cicadalead.model.fleet.HostCondition;
 import org.cicadalead.model.fleet.HostHealth;
 import org.cicadalead.model.fleet.HostState;
@@ -28,6 +29,7 @@
 import org.cicadalead.model.identity.ProcessIdentifier;
 import org.cicadalead.model.identity.ZoneName;
 import org.cicadalead.model.state.SharedState;
+import org.pcollections.TreePMap;
 
 /**
  * One entry process of the bench: planners on a view that lags, with a fake of the requests that it has in flight. For
@@ -48,12 +50,13 @@
     private final Map<HostName, Long> inFlightUntil = new HashMap<>();
     private final DemandWindow demand = new DemandWindow();
     private final StandingDecisions standing = new StandingDecisions();
-    private final StandingDecisions standingMoves = new StandingDecisions();
     private final RoundTimes roundTimes;
     private HostObserver observer = HostObserver.initial();
     private StepAges ages = StepAges.initial();
     private Set<HostName> suspects = Set.of();
+    private TreePMap<HostName, MoveCoordinator.Watch> watches = TreePMap.empty();
     private SharedState view = SharedState.empty();
+    private boolean cutOff;
     private long nextObservation;
     private long nextPlan;
 
@@ -78,6 +81,16 @@
         return view;
     }
 
+    /** Cuts the process off from the platform and the other zones, or ends that. */
+    void setCutOff(boolean now) {
+        cutOff = now;
+    }
+
+    /** Tells whether it may place work on a host: a process that is cut off only on hosts of its own zone. */
+    boolean places(HostState host, TrueHosts hosts) {
+        return mayPlace(view, host) && (!cutOff || hosts.zone(host.name()).equals(zone));
+    }
+
     /** Follows the log, with a lag. */
     void follow(BenchLog log, long now) {
         long offset = log.offsetAt(now - lagMilliseconds);
@@ -103,7 +116,7 @@
     }
 
     /** Returns the commands that it appends now. */
-    List<Command> act(TrueHosts hosts, Map<PoolName, Double> usage, long now) {
+    List<Command> act(TrueHosts hosts, Map<PoolName, Double> usage, Set<ProcessIdentifier> cutOffMembers, long now) {
         List<Command> commands = new ArrayList<>();
         demand.add(now, usage);
         if (now >= nextObservation) {
@@ -113,7 +126,7 @@
             suspects = observation.suspects();
             observation.command().ifPresent(commands::add);
         }
-        commands.addAll(acknowledge(now));
+        commands.addAll(acknowledge(cutOffMembers, now));
         if (now >= nextPlan) {
             nextPlan = now + PLAN_MILLISECONDS - random.nextInt(1_000);
             commands.addAll(plan(hosts, now));
@@ -158,33 +171,29 @@
         return conditions;
     }
 
-    /** The part of the move coordinator: acknowledge what has drained, assign what all have acknowledged. */
-    private List<Command> acknowledge(long now) {
-        List<Command> commands = new ArrayList<>();
-        List<FleetCommand.HostMove> drained = new ArrayList<>();
-        List<Decision> assignments = new ArrayList<>();
+    /** Brings moves forward as the move loop does, and confirms drains. */
+    private List<Command> acknowledge(Set<ProcessIdentifier> cutOffMembers, long now) {
+        Set<HostName> busy = new HashSet<>();
         Set<HostName> idle = new HashSet<>();
-        for (HostState host : view.hosts().values()) {
-            if (!hasInFlight(host.name(), now)) {
-                idle.add(host.name());
-            }
-            host.move().ifPresent(move -> {
-                FleetCommand.HostMove named = new FleetCommand.HostMove(host.name(), move.version());
-                if (move.awaited().containsKey(identifier) && idle.contains(host.name())) {
-                    drained.add(named);
-                }
-                if (move.awaited().keySet().stream().noneMatch(view.members()::containsKey)) {
-                    assignments.add(
-                            Decision.append(new FleetCommand.Assign(named), EventKind.MOVE_FINISHED, host.name()));
-                }
-            });
+        for (HostName host : view.hosts().keySet()) {
+            (hasInFlight(host, now) ? busy : idle).add(host);
+        }
+        MoveCoordinator.Facts facts = new MoveCoordinator.Facts(
+                identifier,
+                TimeUnit.MILLISECONDS.toNanos(now),
+                busy,
+                view.members().containsKey(identifier) ? cutOffMembers : Set.of());
+        MoveCoordinator.Decision decision = MoveCoordinator.decide(view, watches, facts);
+        watches = decision.watches();
+        List<Command> commands = new ArrayList<>(decision.cancelled());
+        if (!decision.acknowledged().isEmpty()) {
+            commands.add(new FleetCommand.Acknowledge(identifier, decision.acknowledged()));
         }
-        if (!drained.isEmpty()) {
-            commands.add(new FleetCommand.Acknowledge(identifier, drained));
+        if (!decision.assigned().isEmpty()) {
+            commands.add(new FleetCommand.Assign(decision.assigned(), decision.lapsed()));
         }
-        commands.addAll(standingMoves.due(assignments, view, identifier, now));
         PlanningRound.confirmations(view, identifier, idle)
-                .forEach(decision -> decision.command().ifPresent(commands::add));
+                .forEach(confirmation -> confirmation.command().ifPresent(commands::add));
         return commands;
     }
 
--- a/src/main/java/org/cicadalead/bench/outcomes/OutcomeOracle.java
+++ b/src/main/java/org/cicadalead/bench/outcomes/OutcomeOracle.java
@@ -95,9 +95,7 @@
             }
             Command command = entry.command();
             if (command instanceof FleetCommand.Assign assign) {
-                HostState moved = before.hosts().get(assign.move().host());
-                boolean planned = !careless.contains(moved.move().orElseThrow().version());
-                moves += planned ? 1 : 0;
+                assign.moves().forEach(move -> noteMove(before, log.at(judgedOffset), move));
             }
             if (command instanceof MaintenanceCommand.Grant grant) {
                 noteRemoval(before, grant.host(), entry.timeMilliseconds());
@@ -111,6 +109,13 @@
         }
     }
 
+    /** Counts hosts that changed pool, unless it was a careless command that moved them. */
+    private void noteMove(SharedState before, SharedState after, FleetCommand.HostMove move) {
+        PoolName old = before.hosts().get(move.host()).pool();
+        boolean changed = !after.hosts().get(move.host()).pool().equals(old);
+        moves += changed && !careless.contains(move.moveVersion()) ? 1 : 0;
+    }
+
     private void noteRemoval(SharedState before, HostName name, long time) {
         HostState host = before.hosts().get(name);
         if (host.isAvailable()) {
@@ -184,7 +189,7 @@
         Map<HostName, PoolName> placed = new HashMap<>();
         for (BenchProcess process : running) {
             for (HostState host : process.view().hosts().values()) {
-                if (!host.isAvailable()) {
+                if (!process.places(host, hosts)) {
                     continue;
                 }
                 PoolName earlier = placed.putIfAbsent(host.name(), host.pool());
--- a/src/main/java/org/cicadalead/bench/outcomes/OutcomesDay.java
+++ b/src/main/java/org/cicadalead/bench/outcomes/OutcomesDay.java
@@ -7,7 +7,9 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.stream.Collectors;
 import org.cicadalead.bench.outcomes.Day.Incident;
 import org.cicadalead.bench.outcomes.OutcomesReport.PolicyOutcome;
 import org.cicadalead.logic.capacity.CapacityPolicy;
@@ -107,12 +109,17 @@
         Map<PoolName, Double> usage = demand.report(now);
         List<BenchProcess> running =
                 processes.stream().filter(process -> !isDown(process.zone())).toList();
+        Set<ProcessIdentifier> cutOff = running.stream()
+                .filter(process -> isCut(process.zone()))
+                .map(BenchProcess::identifier)
+                .collect(Collectors.toSet());
         for (BenchProcess process : running) {
+            process.setCutOff(isCut(process.zone()));
             if (isCut(process.zone())) {
                 continue;
             }
             process.follow(log, now);
-            List<Command> commands = process.act(hosts, usage, now);
+            List<Command> commands = process.act(hosts, usage, cutOff, now);
             commands.forEach(command -> append(command, process.identifier()));
             process.reboots().forEach((host, operation) -> {
                 if (hosts.reboot(host, operation)) {
