--- a/src/main/java/org/cicadalead/adapters/entry/EntryProcess.java
+++ b/src/main/java/org/cicadalead/adapters/entry/EntryProcess.java
@@ -6,6 +6,7 @@
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import java.io.IOException;
 import java.time.Duration;
+import java.util.Map;
 import java.util.Optional;
 import java.util.UUID;
 import org.cicadalead.adapters.administration.AdministrationServer;
@@ -19,6 +20,8 @@
 import org.cicadalead.adapters.membership.ContactTrackingLog;
 import org.cicadalead.adapters.membership.EntryMembership;
 import org.cicadalead.adapters.membership.MembershipStatus;
+import org.cicadalead.adapters.planning.PlanningService;
+import org.cicadalead.adapters.planning.WaveRoutes;
 import org.cicadalead.adapters.platform.HttpPlatform;
 import org.cicadalead.adapters.platform.HttpTaskPlatform;
 import org.cicadalead.adapters.replica.SharedStateReplica;
@@ -51,6 +54,7 @@
     private final EntryMembership membership;
     private final CallerServer callers;
     private final JobService jobs;
+    private final PlanningService planning;
     private final AdministrationServer administration;
     private final PrometheusMeterRegistry metrics = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
     private volatile boolean stopping;
@@ -77,11 +81,21 @@
                 sharedState.appender()::submit,
                 timeline,
                 timers);
+        planning = new PlanningService(
+                identifier,
+                replica::state,
+                new PlanningService.PlatformPorts(platform, platform),
+                Map::of,
+                sharedState.appender()::submit,
+                timers,
+                timeline);
+        planning.addPlacements(callers.placements());
         callers.addContext(JobRoutes.JOBS_PATH, jobs.routes());
         jobs.routes().addTo(administration);
         addRoutes();
         membership.start();
         sharedState.start();
+        planning.start();
         administration.start();
         timeline.emit(EventKind.PROCESS_STARTED, Optional.empty(), EventDetail.of("zone", settings.zone()));
     }
@@ -134,6 +148,7 @@
     @Override
     public void close() {
         callers.close();
+        planning.close();
         jobs.close();
         membership.close();
         sharedState.close();
@@ -146,6 +161,7 @@
         Gauge.builder("cicadalead.requests.in.flight", callers::inFlight).register(metrics);
         membership.register(metrics);
         membership.addTo(administration);
+        new WaveRoutes(replica::state, sharedState.appender(), timers::wallClockMilliseconds).addTo(administration);
         new StateRoutes(replica::state, sharedState.appender()).addTo(administration);
         new ConfigurationRoutes(identifier, replica::state, sharedState::peers).addTo(administration);
         administration.route("GET", "/healthz", exchange -> JsonExchange.answerText(exchange, OK, "ok\n"));
--- a/src/main/java/org/cicadalead/adapters/platform/HttpPlatform.java
+++ b/src/main/java/org/cicadalead/adapters/platform/HttpPlatform.java
@@ -16,13 +16,17 @@
 import org.cicadalead.model.configuration.NetworkAddress;
 import org.cicadalead.model.error.CicadaleadException;
 import org.cicadalead.model.error.ErrorKind;
+import org.cicadalead.model.fleet.HostCondition;
+import org.cicadalead.model.identity.HostName;
 import org.cicadalead.ports.HostDirectory;
+import org.cicadalead.ports.HostMaintenance;
 import org.cicadalead.ports.PlatformLog;
 
-/** The platform's log and host list over HTTP and JSON. Immutable and safe for use by several threads. */
-public final class HttpPlatform implements PlatformLog, HostDirectory {
+/** The platform's log, host list and reboots over HTTP and JSON. Immutable and safe for use by several threads. */
+public final class HttpPlatform implements PlatformLog, HostDirectory, HostMaintenance {
     private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(2);
     private static final Duration ANSWER_TIMEOUT = Duration.ofSeconds(5);
+    private static final String REBOOTS_PATH = "/reboots/";
     private static final int CREATED = 201;
     private static final int OK = 200;
 
@@ -69,6 +73,21 @@
         return List.of(parse(body, DirectoryEntry[].class, ErrorKind.PLATFORM_UNAVAILABLE));
     }
 
+    @Override
+    public void reboot(HostName host, long operation) {
+        HttpRequest request = request(REBOOTS_PATH + host, ANSWER_TIMEOUT)
+                .POST(HttpRequest.BodyPublishers.ofString("{\"operation\":" + operation + "}"))
+                .build();
+        send(request, OK, ErrorKind.PLATFORM_UNAVAILABLE);
+    }
+
+    @Override
+    public HostCondition condition(HostName host) {
+        HttpRequest request = request(REBOOTS_PATH + host, ANSWER_TIMEOUT).GET().build();
+        byte[] body = send(request, OK, ErrorKind.PLATFORM_UNAVAILABLE);
+        return parse(body, HostCondition.class, ErrorKind.PLATFORM_UNAVAILABLE);
+    }
+
     private HttpRequest.Builder request(String path, Duration timeout) {
         return HttpRequest.newBuilder(URI.create(baseAddress + path)).timeout(timeout);
     }
--- a/src/main/java/org/cicadalead/adapters/platform/PlatformMessages.java
+++ b/src/main/java/org/cicadalead/adapters/platform/PlatformMessages.java
@@ -35,4 +35,11 @@
      */
     @SuppressWarnings("ArrayRecordComponent")
     public record RecordAnswer(long offset, byte[] payload) {}
+
+    /**
+     * A request for a reboot.
+     *
+     * @param operation its number; one that is not higher than an earlier one changes nothing
+     */
+    public record RebootRequest(long operation) {}
 }
--- a/src/main/java/org/cicadalead/adapters/standin/PlatformStandIn.java
+++ b/src/main/java/org/cicadalead/adapters/standin/PlatformStandIn.java
@@ -29,6 +29,7 @@
     private final LogStandIn log = new LogStandIn();
     private final Map<HostName, HostHealth> hosts = new ConcurrentSkipListMap<>();
     private final TaskStandIn tasks = new TaskStandIn(System::nanoTime);
+    private final RebootStandIn reboots = new RebootStandIn(System::nanoTime);
     private final ExecutorService threads = HttpServers.daemonThreads("platform-stand-in");
     private final HttpServer server;
 
@@ -39,6 +40,7 @@
         server.createContext("/log/records", JsonExchange.guarded(this::handleLog));
         server.createContext("/hosts", JsonExchange.guarded(this::handleHosts));
         TaskStandInRoutes.addTo(server, tasks);
+        reboots.addTo(server);
         server.start();
     }
 
@@ -57,6 +59,11 @@
         return tasks;
     }
 
+    /** Returns its reboots, to cause faults. */
+    public RebootStandIn reboots() {
+        return reboots;
+    }
+
     /** Lists a host as live or leaving. */
     public void putHost(HostName host, HostHealth health) {
         hosts.put(host, health);
@@ -103,6 +110,7 @@
         JsonExchange.answer(
                 exchange,
                 hosts.entrySet().stream()
+                        .filter(entry -> !reboots.isAway(entry.getKey()))
                         .map(entry -> new DirectoryEntry(entry.getKey(), entry.getValue()))
                         .toList());
     }
--- a/src/main/java/org/cicadalead/cli/Subcommands.java
+++ b/src/main/java/org/cicadalead/cli/Subcommands.java
@@ -22,7 +22,15 @@
             JobsCommand.LIST,
             new PlatformStandInCommand(),
             new UpstreamStandInCommand(),
-            new BenchOutcomesCommand());
+            new BenchOutcomesCommand(),
+            WaveCommand.START,
+            WaveCommand.LIST,
+            WaveCommand.PAUSE,
+            WaveCommand.RESUME,
+            WaveCommand.ABORT,
+            WaveCommand.PLAN,
+            WaveCommand.DRAIN,
+            WaveCommand.RETURN);
 
     private Subcommands() {}
 
