--- a/src/main/java/org/cicadalead/logic/capacity/BudgetFeasibility.java
+++ b/src/main/java/org/cicadalead/logic/capacity/BudgetFeasibility.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import org.cicadalead.logic.configuration.ConfigurationMerger;
 import org.cicadalead.model.configuration.ConfigurationProblem;
@@ -45,79 +46,110 @@
      */
     public static List<ConfigurationProblem> problems(
             FleetConfiguration configuration, TreePMap<HostName, HostState> hosts) {
-        SharedState working = SharedState.empty()
-                .withConfiguration(new ConfigurationState(0, TreePMap.empty(), configuration))
-                .withHosts(allWorking(hosts));
-        CapacityIndex index = CapacityIndex.of(working);
+        CapacityIndex index = CapacityIndex.of(working(configuration, hosts));
         List<ConfigurationProblem> problems = new ArrayList<>();
         for (ServiceDefinition service : configuration.services().values()) {
-            problemOf(service, index.pool(service.pool())).ifPresent(problems::add);
+            if (missing(service, index) > 0) {
+                problems.add(problemOf(service, index.pool(service.pool())));
+            }
+        }
+        if (missingInFleet(index) > 0) {
+            problems.add(fleetProblem(configuration, index));
         }
-        fleetProblem(configuration, index).ifPresent(problems::add);
         return problems;
     }
 
     /**
-     * Returns the budgets that a publication itself would break: those that are new or raised, and those whose pool
-     * loses working hosts. A budget that failures have broken already does not refuse an unrelated change.
+     * Returns why a publication is refused: what keeps its budgets from holding on the hosts that exist and did not
+     * before, and the budgets that it would break at once, by a raised promise or by taking working hosts away. What
+     * failures or earlier publications have broken refuses no unrelated change.
      */
-    public static List<ConfigurationProblem> damage(SharedState before, SharedState after) {
-        CapacityIndex indexBefore = CapacityIndex.of(before);
-        CapacityIndex indexAfter = CapacityIndex.of(after);
+    public static List<ConfigurationProblem> refusals(SharedState before, SharedState after) {
+        FleetConfiguration configuration = after.configuration().merged();
+        CapacityIndex wholeBefore =
+                CapacityIndex.of(working(before.configuration().merged(), before.hosts()));
+        CapacityIndex wholeAfter = CapacityIndex.of(working(configuration, after.hosts()));
+        CapacityIndex nowBefore = CapacityIndex.of(before);
+        CapacityIndex nowAfter = CapacityIndex.of(after);
         List<ConfigurationProblem> problems = new ArrayList<>();
-        for (ServiceDefinition service :
-                after.configuration().merged().services().values()) {
-            PoolCapacity left = indexAfter.pool(service.pool());
-            ServiceDefinition earlier =
-                    before.configuration().merged().services().get(service.name());
-            boolean changed = earlier == null
-                    || !earlier.budget().equals(service.budget())
-                    || !earlier.pool().equals(service.pool());
-            boolean smaller =
-                    left.available() < indexBefore.pool(service.pool()).available();
-            if (changed || smaller) {
-                problemOf(service, left).ifPresent(problems::add);
+        for (ServiceDefinition service : configuration.services().values()) {
+            Optional<ServiceDefinition> earlier = Optional.ofNullable(
+                    before.configuration().merged().services().get(service.name()));
+            int missingBefore =
+                    earlier.map(found -> missing(found, wholeBefore)).orElse(0);
+            if (missing(service, wholeAfter) > Math.max(0, missingBefore)) {
+                problems.add(problemOf(service, wholeAfter.pool(service.pool())));
+            } else if (earlier.isPresent() && isDamaged(service, earlier.get(), nowBefore, nowAfter)) {
+                problems.add(problemOf(service, nowAfter.pool(service.pool())));
             }
         }
+        if (missingInFleet(wholeAfter) > Math.max(0, missingInFleet(wholeBefore))) {
+            problems.add(fleetProblem(configuration, wholeAfter));
+        }
         return problems;
     }
 
-    private static Optional<ConfigurationProblem> problemOf(ServiceDefinition service, PoolCapacity pool) {
+    private static boolean isDamaged(
+            ServiceDefinition service, ServiceDefinition earlier, CapacityIndex before, CapacityIndex after) {
+        boolean changed =
+                !earlier.budget().equals(service.budget()) || !earlier.pool().equals(service.pool());
+        boolean smaller = after.pool(service.pool()).available()
+                < before.pool(service.pool()).available();
+        int missing = missing(service, after);
+        return (changed || smaller) && missing > 0 && missing > missing(earlier, before);
+    }
+
+    private static int missing(ServiceDefinition service, CapacityIndex index) {
+        PoolCapacity pool = index.pool(service.pool());
+        return service.budget().minimumAvailable()
+                + pool.reserve(service.budget().cover())
+                - pool.available();
+    }
+
+    private static int missingInFleet(CapacityIndex index) {
+        int missing = 0;
+        for (PoolCapacity pool : index.pools()) {
+            missing += pool.promised() - pool.available();
+        }
+        return missing;
+    }
+
+    private static ConfigurationProblem problemOf(ServiceDefinition service, PoolCapacity pool) {
         int reserve = pool.reserve(service.budget().cover());
         int missing = service.budget().minimumAvailable() + reserve - pool.available();
-        if (missing <= 0) {
-            return Optional.empty();
-        }
-        return Optional.of(new ConfigurationProblem(
+        return new ConfigurationProblem(
                 service.place(),
                 "the service '" + service.name() + "' must keep "
                         + service.budget().minimumAvailable() + " hosts, and the pool '" + service.pool() + "' has "
                         + pool.available() + ", of which the largest failure that the budget covers ("
                         + service.budget().cover().label() + ") takes " + reserve + ": " + missing + " are missing",
-                ADVICE));
+                ADVICE);
     }
 
-    private static Optional<ConfigurationProblem> fleetProblem(FleetConfiguration configuration, CapacityIndex index) {
-        int missing = 0;
-        int beyondPromises = 0;
+    private static ConfigurationProblem fleetProblem(FleetConfiguration configuration, CapacityIndex index) {
+        PoolCapacity shortest = null;
         List<String> shortPools = new ArrayList<>();
         for (PoolCapacity pool : index.pools()) {
             int beyond = pool.available() - pool.promised();
-            missing += Math.max(0, -beyond);
-            beyondPromises += Math.max(0, beyond);
             if (beyond < 0) {
                 shortPools.add(pool.pool() + " misses " + -beyond);
+                shortest = shortest == null ? pool : shortest;
             }
         }
-        if (missing <= beyondPromises || shortPools.isEmpty()) {
-            return Optional.empty();
-        }
-        PoolName first = new PoolName(shortPools.get(0).split(" ", 2)[0]);
-        return Optional.of(new ConfigurationProblem(
-                configuration.pools().get(first).place(),
-                "the pools are promised " + missing + " hosts more than they have (" + String.join(", ", shortPools)
-                        + "), and only " + beyondPromises + " hosts are beyond the promises elsewhere",
-                ADVICE));
+        return new ConfigurationProblem(
+                configuration
+                        .pools()
+                        .get(Objects.requireNonNull(shortest).pool())
+                        .place(),
+                "all pools together are promised " + missingInFleet(index) + " hosts more than exist ("
+                        + String.join(", ", shortPools) + ")",
+                ADVICE);
+    }
+
+    private static SharedState working(FleetConfiguration configuration, TreePMap<HostName, HostState> hosts) {
+        return SharedState.empty()
+                .withConfiguration(new ConfigurationState(0, TreePMap.empty(), configuration))
+                .withHosts(allWorking(hosts));
     }
 
     private static TreePMap<HostName, HostState> allWorking(TreePMap<HostName, HostState> hosts) {
--- a/src/main/java/org/cicadalead/logic/state/ConfigurationFold.java
+++ b/src/main/java/org/cicadalead/logic/state/ConfigurationFold.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Collectors;
+import org.cicadalead.logic.capacity.BudgetFeasibility;
 import org.cicadalead.logic.configuration.ConfigurationMerger;
 import org.cicadalead.logic.configuration.ConfigurationMerger.MergeResult;
 import org.cicadalead.logic.fleet.HostDeclaration;
@@ -60,8 +61,12 @@
             return FoldResult.rejected(state, ErrorKind.INVALID_CONFIGURATION, describe(problems));
         }
         ConfigurationState configuration = new ConfigurationState(offset, units, merged.configuration());
-        SharedState changed = state.withConfiguration(configuration);
-        return FoldResult.accepted(HostDeclaration.reconcile(changed, offset, merged.configuration()), offset);
+        SharedState changed =
+                HostDeclaration.reconcile(state.withConfiguration(configuration), offset, merged.configuration());
+        BudgetFeasibility.refusals(state, changed).forEach(problem -> problems.add(problem.toString()));
+        return problems.isEmpty()
+                ? FoldResult.accepted(changed, offset)
+                : FoldResult.rejected(state, ErrorKind.INVALID_CONFIGURATION, describe(problems));
     }
 
     private static String describe(List<String> problems) {
