--- a/src/main/java/org/cicadalead/cli/Subcommands.java
+++ b/src/main/java/org/cicadalead/cli/Subcommands.java
@@ -10,15 +10,26 @@
             new EntryCommand(),
             new CheckCommand(),
             new PublishCommand(),
-            ShowCommand.STATUS,
+            new StatusCommand(),
+            new MoveCommand(),
+            new RemoveMemberCommand(),
             ShowCommand.POOLS,
             ShowCommand.HOSTS,
             new TimelineCommand(),
+            new ReferenceCommand(),
+            JobsCommand.SHOW,
+            JobsCommand.CANCEL,
+            JobsCommand.LIST,
             new PlatformStandInCommand(),
             new UpstreamStandInCommand());
 
     private Subcommands() {}
 
+    /** Returns every command. */
+    static List<Subcommand> all() {
+        return ALL;
+    }
+
     /** Finds the command whose name the arguments start with. */
     static Optional<Subcommand> find(List<String> arguments) {
         String joined = String.join(" ", arguments) + " ";
--- /dev/null
+++ b/src/test/java/org/cicadalead/adapters/time/SystemTimerServiceTest.java
@@ -0,0 +1,36 @@
+package org.cicadalead.adapters.time;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.junit.jupiter.api.Test;
+
+class SystemTimerServiceTest {
+    @Test
+    void acceptsSubscriptionsAfterItWasClosedWithoutCallingThemBack() {
+        SystemTimerService timers = new SystemTimerService(failure -> {});
+        AtomicBoolean called = new AtomicBoolean();
+        timers.close();
+        timers.after(Duration.ZERO, () -> called.set(true)).close();
+        assertFalse(called.get());
+    }
+
+    @Test
+    void reportsACallbackThatThrowsAndCallsTheNext() throws InterruptedException {
+        List<Throwable> failures = new CopyOnWriteArrayList<>();
+        try (SystemTimerService timers = new SystemTimerService(failures::add)) {
+            CountDownLatch next = new CountDownLatch(1);
+            timers.after(Duration.ZERO, () -> CompletableFuture.failedFuture(new IllegalStateException("broken"))
+                    .join());
+            timers.after(Duration.ofMillis(1), next::countDown);
+            next.await();
+        }
+        assertEquals(1, failures.size());
+    }
+}
