--- a/src/test/java/org/cicadalead/support/RandomRecords.java
+++ b/src/test/java/org/cicadalead/support/RandomRecords.java
@@ -41,6 +41,9 @@
             return container(generic);
         }
         Class<?> plain = (Class<?>) type;
+        if (plain.isEnum()) {
+            return plain.getEnumConstants()[random.nextInt(plain.getEnumConstants().length)];
+        }
         if (plain.isSealed()) {
             Class<?>[] permitted = plain.getPermittedSubclasses();
             return value(permitted[random.nextInt(permitted.length)]);
@@ -48,9 +51,6 @@
         if (plain.isRecord()) {
             return record(plain);
         }
-        if (plain.isEnum()) {
-            return plain.getEnumConstants()[random.nextInt(plain.getEnumConstants().length)];
-        }
         return simple(plain);
     }
 
