Refuse broken budgets in the fold; tell refusals from lost replies; no follow-up errors

A server error of the platform proves nothing by itself, as something between may have sent it after the append; only its problem document does. A definition that is left out for an error no longer makes references to it look wrong. A publication is refused with numbers where budgets cannot hold on the hosts that exist. Pools may be removed while hosts are in them, as the fold of moves takes those hosts on.

--- a/src/main/java/org/cicadalead/adapters/platform/HttpPlatform.java
+++ b/src/main/java/org/cicadalead/adapters/platform/HttpPlatform.java
@@ -16,6 +16,7 @@
 import org.cicadalead.model.configuration.NetworkAddress;
 import org.cicadalead.model.error.CicadaleadException;
 import org.cicadalead.model.error.ErrorKind;
+import org.cicadalead.model.error.Execution;
 import org.cicadalead.ports.HostDirectory;
 import org.cicadalead.ports.PlatformLog;
 
@@ -25,6 +26,9 @@
     private static final Duration ANSWER_TIMEOUT = Duration.ofSeconds(5);
     private static final int CREATED = 201;
     private static final int OK = 200;
+    private static final int FIRST_CLIENT_ERROR = 400;
+    private static final int REQUEST_TIMEOUT = 408;
+    private static final int FIRST_SERVER_ERROR = 500;
 
     private final ObjectMapper mapper = DomainMappers.json();
     private final HttpClient client;
@@ -73,13 +77,14 @@
         return HttpRequest.newBuilder(URI.create(baseAddress + path)).timeout(timeout);
     }
 
-    /** A failure to connect, or a refusal by the platform itself, proves that nothing was appended. */
+    /** A failure to connect, or a refusal by the platform itself, proves that the request did not run. */
     private byte[] send(HttpRequest request, int expectedStatus, ErrorKind kindAfterSending) {
         try {
             HttpResponse<byte[]> response = client.send(request, HttpResponse.BodyHandlers.ofByteArray());
             if (response.statusCode() != expectedStatus) {
                 throw new CicadaleadException(
-                        ErrorKind.PLATFORM_UNAVAILABLE, "The platform answered with status " + response.statusCode());
+                        provesNotRun(response) ? ErrorKind.PLATFORM_UNAVAILABLE : kindAfterSending,
+                        "The platform answered with status " + response.statusCode());
             }
             return response.body();
         } catch (ConnectException | HttpConnectTimeoutException failure) {
@@ -93,6 +98,24 @@
         }
     }
 
+    /**
+     * A client error is a refusal. A server error may come from something between, after the platform has acted; it is
+     * a refusal only when its problem document says so.
+     */
+    private boolean provesNotRun(HttpResponse<byte[]> response) {
+        int status = response.statusCode();
+        if (status >= FIRST_CLIENT_ERROR && status < FIRST_SERVER_ERROR) {
+            return status != REQUEST_TIMEOUT;
+        }
+        try {
+            return Execution.NOT_RUN
+                    .label()
+                    .equals(mapper.readTree(response.body()).path("execution").asText());
+        } catch (IOException notJson) {
+            return false;
+        }
+    }
+
     private <T> T parse(byte[] body, Class<T> type, ErrorKind kind) {
         try {
             return mapper.readValue(body, type);
--- a/src/main/java/org/cicadalead/adapters/standin/PlatformStandIn.java
+++ b/src/main/java/org/cicadalead/adapters/standin/PlatformStandIn.java
@@ -82,7 +82,16 @@
     }
 
     private void append(HttpExchange exchange) throws IOException {
-        long offset = log.append(exchange.getRequestBody().readAllBytes());
+        long offset;
+        try {
+            offset = log.append(exchange.getRequestBody().readAllBytes());
+        } catch (CicadaleadException lost) {
+            if (lost.kind() == ErrorKind.LOG_OUTCOME_UNKNOWN) {
+                exchange.close();
+                return;
+            }
+            throw lost;
+        }
         byte[] answer = JsonExchange.encode(new AppendAnswer(offset));
         exchange.sendResponseHeaders(CREATED, answer.length);
         exchange.getResponseBody().write(answer);
--- a/src/main/java/org/cicadalead/adapters/toml/CheckedTable.java
+++ b/src/main/java/org/cicadalead/adapters/toml/CheckedTable.java
@@ -127,6 +127,23 @@
         return tables;
     }
 
+    /** Returns a text without checking anything; empty when there is none. */
+    Optional<String> peekText(String key) {
+        return table.get(List.of(key)) instanceof String text ? Optional.of(text) : Optional.empty();
+    }
+
+    /** Returns the texts of a list without checking anything; empty when there is no list. */
+    List<String> peekTexts(String key) {
+        List<String> texts = new ArrayList<>();
+        if (table.get(List.of(key)) instanceof TomlArray array) {
+            array.toList().stream()
+                    .filter(String.class::isInstance)
+                    .map(String.class::cast)
+                    .forEach(texts::add);
+        }
+        return texts;
+    }
+
     /** Reports every key that was not asked for, with the nearest known one. */
     public void rejectUnknownKeys() {
         for (String key : table.keySet()) {
--- a/src/main/java/org/cicadalead/adapters/toml/ConfigurationFolderReader.java
+++ b/src/main/java/org/cicadalead/adapters/toml/ConfigurationFolderReader.java
@@ -20,10 +20,12 @@
     public static Folder read(Path folder) {
         List<ConfigurationProblem> problems = new ArrayList<>();
         List<ConfigurationUnit> units = new ArrayList<>();
+        UnreadNames unread = new UnreadNames();
         for (Path file : listFiles(folder)) {
-            units.add(ConfigurationUnitReader.read(file.getFileName().toString(), readText(file), problems));
+            String name = file.getFileName().toString();
+            units.add(ConfigurationUnitReader.read(name, readText(file), problems, unread));
         }
-        problems.addAll(ConfigurationMerger.merge(units).problems());
+        problems.addAll(ConfigurationMerger.merge(units, unread::mayContain).problems());
         return new Folder(units, problems);
     }
 
--- a/src/main/java/org/cicadalead/adapters/toml/ConfigurationUnitReader.java
+++ b/src/main/java/org/cicadalead/adapters/toml/ConfigurationUnitReader.java
@@ -43,6 +43,12 @@
 
     /** Reads the text of a file; definitions with errors are left out and the errors go to the list. */
     public static ConfigurationUnit read(String fileName, String text, List<ConfigurationProblem> problems) {
+        return read(fileName, text, problems, new UnreadNames());
+    }
+
+    /** Reads the text of a file; the names of definitions that are left out go to a collection of their own. */
+    static ConfigurationUnit read(
+            String fileName, String text, List<ConfigurationProblem> problems, UnreadNames unread) {
         TomlParseResult parsed = Toml.parse(text);
         for (TomlParseError error : parsed.errors()) {
             SourcePlace place = new SourcePlace(
@@ -54,6 +60,7 @@
         }
         CheckedTable root = new CheckedTable(fileName, parsed, new SourcePlace(fileName, 0, 0), problems);
         if (parsed.hasErrors()) {
+            unread.addAnyName();
             return new ConfigurationUnit(
                     fileName, digest(text), Optional.empty(), List.of(), List.of(), List.of(), List.of(), List.of());
         }
@@ -61,23 +68,30 @@
                 fileName,
                 digest(text),
                 root.optionalTable("deployment").flatMap(ConfigurationUnitReader::deployment),
-                each(root, "zone", ConfigurationUnitReader::zone),
-                each(root, "host", ConfigurationUnitReader::host),
-                each(root, "pool", ConfigurationUnitReader::pool),
-                each(root, "service", ConfigurationUnitReader::service),
-                each(root, "team", ConfigurationUnitReader::team));
+                each(root, "zone", ConfigurationUnitReader::zone, unread),
+                each(root, "host", ConfigurationUnitReader::host, unread),
+                each(root, "pool", ConfigurationUnitReader::pool, unread),
+                each(root, "service", ConfigurationUnitReader::service, unread),
+                each(root, "team", ConfigurationUnitReader::team, unread));
         root.rejectUnknownKeys();
         return unit;
     }
 
-    private static <T> List<T> each(CheckedTable root, String key, Function<CheckedTable, Optional<T>> reader) {
+    private static <T> List<T> each(
+            CheckedTable root, String key, Function<CheckedTable, Optional<T>> reader, UnreadNames unread) {
         List<T> definitions = new ArrayList<>();
         for (CheckedTable table : root.tables(key)) {
-            reader.apply(table).ifPresent(definitions::add);
+            reader.apply(table).ifPresentOrElse(definitions::add, () -> noteUnread(table, unread));
         }
         return definitions;
     }
 
+    /** The names that a definition with errors defines or refers to; if it has none, it may stand for any. */
+    private static void noteUnread(CheckedTable table, UnreadNames unread) {
+        table.peekText("name").ifPresentOrElse(unread::add, unread::addAnyName);
+        table.peekTexts("hosts").forEach(unread::add);
+    }
+
     private static Optional<DeploymentDefinition> deployment(CheckedTable table) {
         Optional<String> name = table.requiredText("name");
         Optional<Measure> firstMeasure = table.required("first-measure", ConfigurationUnitReader::measure);
--- a/src/main/java/org/cicadalead/logic/configuration/ConfigurationMerger.java
+++ b/src/main/java/org/cicadalead/logic/configuration/ConfigurationMerger.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Function;
+import java.util.function.Predicate;
 import org.cicadalead.model.configuration.ConfigurationProblem;
 import org.cicadalead.model.configuration.ConfigurationUnit;
 import org.cicadalead.model.configuration.DeploymentDefinition;
@@ -29,6 +30,14 @@
 
     /** Merges units; the order of the collection is the order of merging. */
     public static MergeResult merge(Collection<ConfigurationUnit> units) {
+        return merge(units, name -> false);
+    }
+
+    /**
+     * Merges units of which some definitions could not be read; a reference to such a definition is not reported, as
+     * its own error is.
+     */
+    public static MergeResult merge(Collection<ConfigurationUnit> units, Predicate<String> mayBeUnread) {
         List<ConfigurationProblem> problems = new ArrayList<>();
         Optional<DeploymentDefinition> deployment = Optional.empty();
         List<ZoneDefinition> zones = new ArrayList<>();
@@ -51,7 +60,7 @@
                 index("pool", pools, PoolDefinition::name, PoolDefinition::place, problems),
                 index("service", services, ServiceDefinition::name, ServiceDefinition::place, problems),
                 index("team", teams, TeamDefinition::name, TeamDefinition::place, problems));
-        ReferenceChecker.check(merged, problems);
+        new ReferenceChecker(merged, mayBeUnread, problems).check();
         return new MergeResult(merged, problems);
     }
 
--- a/src/main/java/org/cicadalead/logic/configuration/ReferenceChecker.java
+++ b/src/main/java/org/cicadalead/logic/configuration/ReferenceChecker.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.cicadalead.model.configuration.ConfigurationProblem;
 import org.cicadalead.model.configuration.FleetConfiguration;
 import org.cicadalead.model.configuration.HostDefinition;
@@ -14,25 +15,34 @@
 import org.cicadalead.model.configuration.SourcePlace;
 import org.cicadalead.model.identity.HostName;
 
-/** Checks that the references of a merged configuration resolve. Stateless; safe for use by several threads. */
+/** Checks that the references of a merged configuration resolve. For use by one thread. */
 final class ReferenceChecker {
-    private ReferenceChecker() {}
+    private final FleetConfiguration configuration;
+    private final Predicate<String> mayBeUnread;
+    private final List<ConfigurationProblem> problems;
 
-    static void check(FleetConfiguration configuration, List<ConfigurationProblem> problems) {
-        checkHosts(configuration, problems);
-        checkPools(configuration, problems);
-        checkServices(configuration, problems);
+    ReferenceChecker(
+            FleetConfiguration configuration, Predicate<String> mayBeUnread, List<ConfigurationProblem> problems) {
+        this.configuration = configuration;
+        this.mayBeUnread = mayBeUnread;
+        this.problems = problems;
     }
 
-    private static void checkHosts(FleetConfiguration configuration, List<ConfigurationProblem> problems) {
+    void check() {
+        checkHosts();
+        checkPools();
+        checkServices();
+    }
+
+    private void checkHosts() {
         Map<NetworkAddress, HostDefinition> addresses = new HashMap<>();
         for (HostDefinition host : configuration.hosts().values()) {
             if (!configuration.zones().containsKey(host.zone())) {
-                problems.add(unresolved(
+                reportUnresolved(
                         host.place(),
                         "availability zone",
                         host.zone().value(),
-                        configuration.zones().keySet()));
+                        configuration.zones().keySet());
             }
             HostDefinition earlier = addresses.putIfAbsent(host.address(), host);
             if (earlier != null) {
@@ -45,17 +55,17 @@
         }
     }
 
-    private static void checkPools(FleetConfiguration configuration, List<ConfigurationProblem> problems) {
+    private void checkPools() {
         Map<HostName, SourcePlace> places = new HashMap<>();
         Set<HostName> declared = new HashSet<>();
         for (PoolDefinition pool : configuration.pools().values()) {
             for (PoolDefinition.HostReference reference : pool.hosts()) {
                 declared.add(reference.host());
-                checkReference(configuration, places, reference, problems);
+                checkReference(places, reference);
             }
         }
         for (HostDefinition host : configuration.hosts().values()) {
-            if (!declared.contains(host.name())) {
+            if (!declared.contains(host.name()) && !mayBeUnread.test(host.name().value())) {
                 problems.add(new ConfigurationProblem(
                         host.place(),
                         "the host '" + host.name() + "' is in no pool",
@@ -64,17 +74,13 @@
         }
     }
 
-    private static void checkReference(
-            FleetConfiguration configuration,
-            Map<HostName, SourcePlace> places,
-            PoolDefinition.HostReference reference,
-            List<ConfigurationProblem> problems) {
+    private void checkReference(Map<HostName, SourcePlace> places, PoolDefinition.HostReference reference) {
         if (!configuration.hosts().containsKey(reference.host())) {
-            problems.add(unresolved(
+            reportUnresolved(
                     reference.place(),
                     "host",
                     reference.host().value(),
-                    configuration.hosts().keySet()));
+                    configuration.hosts().keySet());
         }
         SourcePlace earlier = places.putIfAbsent(reference.host(), reference.place());
         if (earlier != null) {
@@ -85,25 +91,27 @@
         }
     }
 
-    private static void checkServices(FleetConfiguration configuration, List<ConfigurationProblem> problems) {
+    private void checkServices() {
         for (ServiceDefinition service : configuration.services().values()) {
             if (!configuration.pools().containsKey(service.pool())) {
-                problems.add(unresolved(
+                reportUnresolved(
                         service.place(),
                         "pool",
                         service.pool().value(),
-                        configuration.pools().keySet()));
+                        configuration.pools().keySet());
             }
         }
     }
 
-    private static ConfigurationProblem unresolved(
-            SourcePlace place, String what, String name, Iterable<?> knownNames) {
-        return new ConfigurationProblem(
+    private void reportUnresolved(SourcePlace place, String what, String name, Iterable<?> knownNames) {
+        if (mayBeUnread.test(name)) {
+            return;
+        }
+        problems.add(new ConfigurationProblem(
                 place,
                 "there is no " + what + " '" + name + "'",
                 NearestName.find(name, knownNames)
                         .map(nearest -> "Did you mean '" + nearest + "'?")
-                        .orElse("Define it, or correct the name"));
+                        .orElse("Define it, or correct the name")));
     }
 }
--- a/src/main/java/org/cicadalead/logic/state/ConfigurationFold.java
+++ b/src/main/java/org/cicadalead/logic/state/ConfigurationFold.java
@@ -11,6 +11,7 @@
 import org.cicadalead.logic.fleet.HostDeclaration;
 import org.cicadalead.model.command.ConfigurationCommand;
 import org.cicadalead.model.command.ConfigurationCommand.UnitChange;
+import org.cicadalead.model.configuration.ConfigurationProblem;
 import org.cicadalead.model.configuration.ConfigurationUnit;
 import org.cicadalead.model.error.ErrorKind;
 import org.cicadalead.model.state.ConfigurationState;
@@ -53,19 +54,25 @@
 
     private static FoldResult acceptIfValid(SharedState state, long offset, TreePMap<String, VersionedUnit> units) {
         MergeResult merged = ConfigurationMerger.merge(contents(units));
-        List<String> problems = new ArrayList<>();
-        merged.problems().forEach(problem -> problems.add(problem.toString()));
-        problems.addAll(PoolRemovalChecker.problems(state, merged.configuration()));
-        if (!problems.isEmpty()) {
-            return FoldResult.rejected(state, ErrorKind.INVALID_CONFIGURATION, describe(problems));
+        if (!merged.isValid()) {
+            return refused(state, merged.problems());
         }
         ConfigurationState configuration = new ConfigurationState(offset, units, merged.configuration());
-        SharedState changed = state.withConfiguration(configuration);
-        return FoldResult.accepted(HostDeclaration.reconcile(changed, offset, merged.configuration()), offset);
+        SharedState changed =
+                HostDeclaration.reconcile(state.withConfiguration(configuration), offset, merged.configuration());
+        List<ConfigurationProblem> brokenBudgets = BudgetDamage.problems(state, changed);
+        return brokenBudgets.isEmpty() ? FoldResult.accepted(changed, offset) : refused(state, brokenBudgets);
     }
 
-    private static String describe(List<String> problems) {
-        String named = problems.stream().limit(MAXIMUM_NAMED_PROBLEMS).collect(Collectors.joining("\n"));
+    private static FoldResult refused(SharedState state, List<ConfigurationProblem> problems) {
+        return FoldResult.rejected(state, ErrorKind.INVALID_CONFIGURATION, describe(problems));
+    }
+
+    private static String describe(List<ConfigurationProblem> problems) {
+        String named = problems.stream()
+                .limit(MAXIMUM_NAMED_PROBLEMS)
+                .map(ConfigurationProblem::toString)
+                .collect(Collectors.joining("\n"));
         int others = problems.size() - MAXIMUM_NAMED_PROBLEMS;
         return others > 0 ? named + "\nand " + others + " more" : named;
     }
