--- a/src/main/java/org/cicadalead/adapters/entry/EntryProcess.java
+++ b/src/main/java/org/cicadalead/adapters/entry/EntryProcess.java
@@ -9,12 +9,18 @@
 import java.util.Optional;
 import java.util.UUID;
 import org.cicadalead.adapters.administration.AdministrationServer;
+import org.cicadalead.adapters.administration.ConfigurationRoutes;
 import org.cicadalead.adapters.administration.StateRoutes;
 import org.cicadalead.adapters.event.TimelineRecorder;
 import org.cicadalead.adapters.event.TimelineRoutes;
 import org.cicadalead.adapters.http.JsonExchange;
+import org.cicadalead.adapters.job.JobRoutes;
+import org.cicadalead.adapters.job.JobService;
+import org.cicadalead.adapters.membership.ContactTrackingLog;
 import org.cicadalead.adapters.membership.EntryMembership;
+import org.cicadalead.adapters.membership.MembershipStatus;
 import org.cicadalead.adapters.platform.HttpPlatform;
+import org.cicadalead.adapters.platform.HttpTaskPlatform;
 import org.cicadalead.adapters.replica.SharedStateReplica;
 import org.cicadalead.adapters.replica.SharedStateService;
 import org.cicadalead.adapters.request.CallerServer;
@@ -46,6 +52,7 @@
     private final SharedStateService sharedState;
     private final EntryMembership membership;
     private final CallerServer callers;
+    private final JobService jobs;
     private final AdministrationServer administration;
     private final PrometheusMeterRegistry metrics = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
     private volatile boolean stopping;
@@ -58,12 +65,22 @@
         timers = new SystemTimerService(failure ->
                 timeline.emit(EventKind.INTERNAL_FAILURE, Optional.empty(), EventDetail.of("failure", failure)));
         HttpPlatform platform = new HttpPlatform(settings.platformAddress());
-        sharedState = new SharedStateService(platform, identifier, replica, timers, timeline);
-        membership =
-                new EntryMembership(settings, identifier, replica::state, sharedState.appender(), timers, timeline);
+        ContactTrackingLog log = new ContactTrackingLog(platform, timers);
+        sharedState = new SharedStateService(log, identifier, replica, timers, timeline);
+        membership = new EntryMembership(settings, identifier, replica, sharedState.appender(), log, timers, timeline);
         sharedState.usePeers(membership.channel());
         callers = new CallerServer(settings, RequestLimits.DEFAULT, requestPorts());
         administration = new AdministrationServer(settings);
+        membership.addPlacements(callers.placements());
+        jobs = new JobService(
+                identifier,
+                replica,
+                new HttpTaskPlatform(settings.platformAddress()),
+                sharedState.appender()::submit,
+                timeline,
+                timers);
+        callers.addContext(JobRoutes.JOBS_PATH, jobs.routes());
+        jobs.routes().addTo(administration);
         addRoutes();
         membership.start();
         sharedState.start();
@@ -107,10 +124,10 @@
         sleep(settings.balancerDelay());
         callers.stopAccepting();
         long deadline = System.nanoTime() + settings.shutdownLimit().toNanos();
-        while ((callers.inFlight() > 0 || !callers.isWithoutLoans()) && System.nanoTime() < deadline) {
+        while ((left() > 0 || !callers.isWithoutLoans()) && System.nanoTime() < deadline) {
             sleep(SHUTDOWN_POLL);
         }
-        int left = callers.inFlight();
+        int left = left();
         if (left == 0) {
             callers.announceIdle();
         }
@@ -124,17 +141,22 @@
     @Override
     public void close() {
         callers.close();
+        jobs.close();
         membership.close();
         sharedState.close();
         administration.close();
         timers.close();
     }
 
+    private int left() {
+        return callers.inFlight() + jobs.routes().inFlight();
+    }
+
     private RequestPorts requestPorts() {
         return new RequestPorts(
                 identifier,
                 replica::state,
-                RequestPorts.viewOf(replica::state),
+                membership.view(),
                 Optional.of(membership.channel()),
                 timers,
                 timeline,
@@ -145,7 +167,9 @@
         Gauge.builder("cicadalead.state.offset", () -> replica.state().offset()).register(metrics);
         Gauge.builder("cicadalead.requests.in.flight", callers::inFlight).register(metrics);
         membership.register(metrics);
+        membership.addTo(administration);
         new StateRoutes(replica::state, sharedState.appender()).addTo(administration);
+        new ConfigurationRoutes(identifier, replica::state, sharedState::peers).addTo(administration);
         administration.route("GET", "/healthz", exchange -> JsonExchange.answerText(exchange, OK, "ok\n"));
         administration.route("GET", "/readyz", this::answerReady);
         administration.route("GET", "/metrics", exchange -> JsonExchange.answerText(exchange, OK, metrics.scrape()));
@@ -167,7 +191,7 @@
                 sharedState.follower().isReachable(),
                 state.offset(),
                 state.configuration().version(),
-                state.members().size(),
+                membership.status(),
                 callers.inFlight());
     }
 
@@ -188,7 +212,7 @@
      * @param platformReachable whether the last read reached the platform
      * @param offset offset that it has folded up to
      * @param configurationVersion the configuration in force here
-     * @param members entry processes that may place work
+     * @param membership entry processes that may place work, and what waits for whom
      * @param requestsInFlight requests not answered yet
      */
     public record StatusView(
@@ -198,6 +222,6 @@
             boolean platformReachable,
             long offset,
             long configurationVersion,
-            int members,
+            MembershipStatus membership,
             int requestsInFlight) {}
 }
--- a/src/main/java/org/cicadalead/adapters/http/JsonExchange.java
+++ b/src/main/java/org/cicadalead/adapters/http/JsonExchange.java
@@ -15,6 +15,7 @@
     /** Seconds that a refused caller should wait when nothing better is known. */
     public static final int DEFAULT_RETRY_AFTER_SECONDS = 1;
 
+    private static final String PROBLEM_TYPE = "application/problem+json";
     private static final ObjectMapper MAPPER = DomainMappers.json();
     private static final int OK = 200;
 
@@ -45,6 +46,11 @@
         answerBytes(exchange, OK, "application/json", MAPPER.writeValueAsBytes(value));
     }
 
+    /** Answers with a value as JSON under another status. */
+    public static void answer(HttpExchange exchange, int status, Object value) throws IOException {
+        answerBytes(exchange, status, "application/json", MAPPER.writeValueAsBytes(value));
+    }
+
     /** Answers with plain text. */
     public static void answerText(HttpExchange exchange, int status, String text) throws IOException {
         answerBytes(exchange, status, "text/plain; charset=utf-8", text.getBytes(StandardCharsets.UTF_8));
@@ -59,9 +65,24 @@
     public static void answerProblem(HttpExchange exchange, ErrorKind kind, String detail, int retryAfterSeconds)
             throws IOException {
         ProblemDocument problem = ProblemDocument.of(kind, detail, retryAfterSeconds);
+        setRetryAfter(exchange, problem);
+        answerBytes(exchange, kind.status(), PROBLEM_TYPE, MAPPER.writeValueAsBytes(problem));
+    }
+
+    /** Answers with a problem document but for the end of the answer, which closing the exchange brings. */
+    public static void beginProblem(HttpExchange exchange, ErrorKind kind, String detail, int retryAfterSeconds)
+            throws IOException {
+        ProblemDocument problem = ProblemDocument.of(kind, detail, retryAfterSeconds);
+        setRetryAfter(exchange, problem);
+        exchange.getResponseHeaders().set("Content-Type", PROBLEM_TYPE);
+        exchange.sendResponseHeaders(kind.status(), 0);
+        exchange.getResponseBody().write(MAPPER.writeValueAsBytes(problem));
+        exchange.getResponseBody().flush();
+    }
+
+    private static void setRetryAfter(HttpExchange exchange, ProblemDocument problem) {
         problem.retryAfterSeconds()
                 .ifPresent(seconds -> exchange.getResponseHeaders().set("Retry-After", String.valueOf(seconds)));
-        answerBytes(exchange, kind.status(), "application/problem+json", MAPPER.writeValueAsBytes(problem));
     }
 
     /** Encodes a value as JSON. */
--- a/src/main/java/org/cicadalead/adapters/request/CallerServer.java
+++ b/src/main/java/org/cicadalead/adapters/request/CallerServer.java
@@ -1,6 +1,7 @@
 package org.cicadalead.adapters.request;
 
 import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpHandler;
 import com.sun.net.httpserver.HttpServer;
 import java.time.Duration;
 import java.util.Optional;
@@ -66,6 +67,11 @@
         return inFlight.get();
     }
 
+    /** Adds a handler that answers by itself under a path. */
+    public void addContext(String path, HttpHandler handler) {
+        server.createContext(path, handler);
+    }
+
     /** Returns what has been placed on each host. */
     public PlacementControl placements() {
         return path;
@@ -113,7 +119,8 @@
     private void handle(HttpExchange raw) {
         inFlight.incrementAndGet();
         RequestIdentifier identifier = new RequestIdentifier(UUID.randomUUID().toString());
-        CallerExchange exchange = new CallerExchange(raw, identifier, inFlight::decrementAndGet);
+        CallerExchange exchange = new CallerExchange(raw, identifier, ports.timers(), inFlight::decrementAndGet);
+        exchange.followConnectionHeader();
         if (closing) {
             exchange.closeConnectionAfterAnswer();
         }
@@ -136,11 +143,17 @@
             throw new CicadaleadException(ErrorKind.SHUTTING_DOWN, "Send the request through another entry host");
         }
         RequestHead head = reader.readHead(exchange.raw());
+        if (head.bodyLength() == 0) {
+            exchange.bodyIsRead();
+        }
         RoutingIndex index = path.index();
         ServiceRoute route = reader.route(head, index);
         RequestTerms terms = reader.readTerms(
                 identifier, head, route.service(), index, ports.timers().nanoTime());
         RequestBody body = readBody(exchange, head);
+        if (body.isWhole()) {
+            exchange.bodyIsRead();
+        }
         bufferedBytes.addAndGet(body.kept().length);
         CallerRequest request = new CallerRequest(terms, head, body, exchange, AnswerListener.NONE);
         exchange.onClosed(() -> {
@@ -163,7 +176,6 @@
                         Optional.of(identifier.value()),
                         EventDetail.of("kind", refused.kind().code()));
         metrics.failed(refused.kind());
-        exchange.closeConnectionAfterAnswer();
         exchange.refuse(refused.kind(), refused.getMessage(), RETRY_AFTER_SECONDS);
     }
 }
--- /dev/null
+++ b/src/main/java/org/cicadalead/cli/MoveCommand.java
@@ -0,0 +1,146 @@
+package org.cicadalead.cli;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.Option;
+import org.apache.commons.cli.Options;
+import org.cicadalead.model.error.CicadaleadException;
+import org.cicadalead.model.error.ErrorKind;
+
+/** Moves a host to another pool, or gives its move up. Stateless. */
+final class MoveCommand implements Subcommand {
+    private static final Duration DEFAULT_TIMEOUT = Duration.ofMinutes(5);
+    private static final long POLL_MILLISECONDS = 200;
+
+    @Override
+    public String words() {
+        return "move";
+    }
+
+    @Override
+    public String argumentsUsage() {
+        return "HOST --to POOL [--wait] [--timeout DURATION] | HOST --cancel";
+    }
+
+    @Override
+    public String summary() {
+        return "moves a host to another pool";
+    }
+
+    @Override
+    public List<String> examples() {
+        return List.of("cicadalead move kingston-07 --to routes --wait", "cicadalead move kingston-07 --cancel");
+    }
+
+    @Override
+    public Options options() {
+        return AddressOption.options()
+                .addOption(Option.builder()
+                        .longOpt("to")
+                        .hasArg()
+                        .argName("POOL")
+                        .desc("the pool that the host goes to")
+                        .build())
+                .addOption(Option.builder()
+                        .longOpt("cancel")
+                        .desc("give up the move that is in progress")
+                        .build())
+                .addOption(Option.builder()
+                        .longOpt("wait")
+                        .desc("wait until the host belongs to the pool")
+                        .build())
+                .addOption(Option.builder()
+                        .longOpt("timeout")
+                        .hasArg()
+                        .argName("DURATION")
+                        .desc("how long to wait at most (5m)")
+                        .build());
+    }
+
+    @Override
+    public ExitCode run(CommandLine arguments, Console console) {
+        AdministrationClient client = AddressOption.client(arguments);
+        String host = OptionReader.onlyArgument(arguments, "host");
+        if (arguments.hasOption("cancel")) {
+            JsonNode answer = post(client, "/moves/cancel", Map.of("host", host));
+            console.result(answer, "The host stays in '" + text(answer, "to") + "'");
+            return ExitCode.DONE;
+        }
+        if (!arguments.hasOption("to")) {
+            throw OptionReader.badUsage("Name the pool with --to, or give the move up with --cancel");
+        }
+        String pool = arguments.getOptionValue("to");
+        JsonNode answer = post(client, "/moves", Map.of("host", host, "destination", pool));
+        if (!arguments.hasOption("wait")) {
+            console.result(
+                    answer,
+                    host + " is withdrawn from '" + text(answer, "from") + "' at offset " + text(answer, "offset")
+                            + "; 'cicadalead status' shows whom the move waits for");
+            return ExitCode.DONE;
+        }
+        Duration timeout = OptionReader.duration(arguments, "timeout").orElse(DEFAULT_TIMEOUT);
+        awaitAssigned(client, host, pool, timeout, console);
+        console.result(answer, host + " belongs to '" + pool + "'");
+        return ExitCode.DONE;
+    }
+
+    private static JsonNode post(AdministrationClient client, String path, Object body) {
+        return client.parse(client.post(path, body), JsonNode.class);
+    }
+
+    private static void awaitAssigned(
+            AdministrationClient client, String host, String pool, Duration timeout, Console console) {
+        long deadline = System.nanoTime() + timeout.toNanos();
+        String shown = "";
+        while (System.nanoTime() - deadline < 0) {
+            JsonNode state = find(client.parse(client.get("/hosts"), JsonNode.class), "name", host);
+            if (state.path("move").isNull() || state.path("move").isMissingNode()) {
+                requirePool(state, host, pool);
+                return;
+            }
+            JsonNode blocked =
+                    client.parse(client.get("/members"), JsonNode.class).path("blocked");
+            String reason = find(blocked, "host", host).path("reason").asText("");
+            if (!reason.equals(shown)) {
+                console.progress("waiting: " + reason);
+                shown = reason;
+            }
+            pause();
+        }
+        throw new CicadaleadException(
+                ErrorKind.OUTCOME_UNKNOWN, "The move goes on; it was not over after " + timeout + ": " + shown);
+    }
+
+    private static void requirePool(JsonNode state, String host, String pool) {
+        if (!text(state, "pool").equals(pool)) {
+            throw new CicadaleadException(
+                    ErrorKind.CONFLICT, "The move was given up; " + host + " is in '" + text(state, "pool") + "'");
+        }
+    }
+
+    private static JsonNode find(JsonNode rows, String field, String value) {
+        for (JsonNode row : rows) {
+            if (text(row, field).equals(value)) {
+                return row;
+            }
+        }
+        return rows.path(-1);
+    }
+
+    private static String text(JsonNode node, String field) {
+        return node.path(field).asText("");
+    }
+
+    private static void pause() {
+        try {
+            TimeUnit.MILLISECONDS.sleep(POLL_MILLISECONDS);
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+            throw new CicadaleadException(ErrorKind.OUTCOME_UNKNOWN, "Interrupted", interrupted);
+        }
+    }
+}
--- a/src/main/java/org/cicadalead/cli/Subcommands.java
+++ b/src/main/java/org/cicadalead/cli/Subcommands.java
@@ -10,11 +10,16 @@
             new EntryCommand(),
             new CheckCommand(),
             new PublishCommand(),
-            ShowCommand.STATUS,
+            new StatusCommand(),
+            new MoveCommand(),
+            new RemoveMemberCommand(),
             ShowCommand.POOLS,
             ShowCommand.HOSTS,
             new TimelineCommand(),
             new ReferenceCommand(),
+            JobsCommand.SHOW,
+            JobsCommand.CANCEL,
+            JobsCommand.LIST,
             new PlatformStandInCommand(),
             new UpstreamStandInCommand());
 
--- a/src/main/java/org/cicadalead/model/event/EventKind.java
+++ b/src/main/java/org/cicadalead/model/event/EventKind.java
@@ -67,6 +67,12 @@
             4101,
             EventSeverity.WARNING,
             "A process stopped without its leave in the log; another one has to remove it"),
+    /** A member that has ended without leaving is being removed. */
+    MEMBER_REMOVED(4102, EventSeverity.WARNING, "A member that has ended without leaving is being removed"),
+    /** A process became a member. */
+    MEMBER_JOINED(4103, EventSeverity.INFORMATION, "A process became a member"),
+    /** A process is no member any more. */
+    MEMBER_LEFT(4104, EventSeverity.INFORMATION, "A process is no member any more"),
     /** The observed health of a host changed. */
     HOST_OBSERVED(5001, EventSeverity.INFORMATION, "The observed health of a host changed"),
     /** The platform announced that a host leaves. */
@@ -77,6 +83,14 @@
     MOVE_STARTED(5101, EventSeverity.INFORMATION, "A host was withdrawn from its pool"),
     /** A host was assigned to its new pool. */
     MOVE_FINISHED(5102, EventSeverity.INFORMATION, "A host was assigned to its new pool"),
+    /** A move waits for nobody any more, and its assignment is being appended. */
+    MOVE_ASSIGNING(
+            5103, EventSeverity.DETAIL, "A move waits for nobody any more, and its assignment is being appended"),
+    /** A process has nothing in flight on a withdrawn host and has acknowledged. */
+    MOVE_ACKNOWLEDGED(
+            5104, EventSeverity.DETAIL, "A process has nothing in flight on a withdrawn host and has acknowledged"),
+    /** A move was given up; the host stays in its pool. */
+    MOVE_CANCELLED(5105, EventSeverity.INFORMATION, "A move was given up; the host stays in its pool"),
     /** A maintenance wave started. */
     WAVE_STARTED(5201, EventSeverity.INFORMATION, "A maintenance wave started"),
     /** The phase of a maintenance wave changed. */
@@ -91,6 +105,36 @@
     MAINTENANCE_FAILED(5206, EventSeverity.WARNING, "A host did not come back from maintenance"),
     /** The next host of a maintenance wave has to wait. */
     MAINTENANCE_WITHHELD(5207, EventSeverity.INFORMATION, "The next host of a maintenance wave has to wait"),
+    /** A job was accepted in the log. */
+    JOB_ACCEPTED(6001, EventSeverity.INFORMATION, "A job was accepted in the log"),
+    /** A job was refused as not run. */
+    JOB_REFUSED(6002, EventSeverity.INFORMATION, "A job was refused as not run"),
+    /** A job was placed on a host under a new epoch. */
+    JOB_PLACED(6003, EventSeverity.INFORMATION, "A job was placed on a host under a new epoch"),
+    /** A job's task runs. */
+    JOB_STARTED(6004, EventSeverity.DETAIL, "A job's task runs"),
+    /** A job's task is to be stopped. */
+    JOB_STOP_REQUESTED(6005, EventSeverity.INFORMATION, "A job's task is to be stopped"),
+    /** A job waits again for a host. */
+    JOB_RETURNED(6006, EventSeverity.INFORMATION, "A job waits again for a host"),
+    /** A job finished. */
+    JOB_FINISHED(6007, EventSeverity.INFORMATION, "A job finished"),
+    /** A job was given up. */
+    JOB_FAILED(6008, EventSeverity.WARNING, "A job was given up"),
+    /** A job was cancelled and no task of it runs. */
+    JOB_CANCELLED(6009, EventSeverity.INFORMATION, "A job was cancelled and no task of it runs"),
+    /** A job's task wrote a checkpoint or changed its speed. */
+    JOB_PROGRESSED(6010, EventSeverity.DETAIL, "A job's task wrote a checkpoint or changed its speed"),
+    /** A host gets no jobs as it fails everything. */
+    JOB_HOST_BARRED(6011, EventSeverity.WARNING, "A host gets no jobs as it fails everything"),
+    /** A host that failed everything gets jobs again. */
+    JOB_HOST_RETURNED(6012, EventSeverity.INFORMATION, "A host that failed everything gets jobs again"),
+    /** A task of an earlier epoch is being stopped. */
+    ORPHAN_TASK_STOPPED(6013, EventSeverity.WARNING, "A task of an earlier epoch is being stopped"),
+    /** The platform's tasks cannot be reached. */
+    TASK_PLATFORM_UNAVAILABLE(6014, EventSeverity.WARNING, "The platform's tasks cannot be reached"),
+    /** The platform's tasks can be reached again. */
+    TASK_PLATFORM_RETURNED(6015, EventSeverity.INFORMATION, "The platform's tasks can be reached again"),
     /** A host is to replace one that a pool is missing. */
     REPLACEMENT_PLANNED(7001, EventSeverity.INFORMATION, "A host is to replace one that a pool is missing"),
     /** A host is lent to a pool whose demand outlasts a move. */
