--- a/src/main/java/org/cicadalead/adapters/http/JsonExchange.java
+++ b/src/main/java/org/cicadalead/adapters/http/JsonExchange.java
@@ -15,6 +15,8 @@
     /** Seconds that a refused caller should wait when nothing better is known. */
     public static final int DEFAULT_RETRY_AFTER_SECONDS = 1;
 
+    private static final int DISCARD_BUFFER_BYTES = 8 * 1_024;
+    private static final long MOST_IGNORED_BYTES = 64 * 1_024;
     private static final String PROBLEM_TYPE = "application/problem+json";
     private static final ObjectMapper MAPPER = DomainMappers.json();
     private static final int OK = 200;
@@ -35,12 +37,30 @@
         try {
             handler.handle(exchange);
         } catch (CicadaleadException failure) {
+            readRestOfBody(exchange);
             answerProblem(exchange, failure.kind(), failure.getMessage());
         } catch (RuntimeException failure) {
+            readRestOfBody(exchange);
             answerProblem(exchange, ErrorKind.INTERNAL, failure.toString());
         }
     }
 
+    /** A connection is used again only when the body of its last request was read. */
+    private static void readRestOfBody(HttpExchange exchange) throws IOException {
+        discardBody(exchange, MOST_IGNORED_BYTES);
+    }
+
+    /** Reads up to a number of bytes of the request's body; skipping would go past its end in the JDK's server. */
+    public static void discardBody(HttpExchange exchange, long mostBytes) throws IOException {
+        byte[] buffer = new byte[DISCARD_BUFFER_BYTES];
+        long left = mostBytes;
+        int read = 0;
+        while (left > 0 && read >= 0) {
+            read = exchange.getRequestBody().read(buffer);
+            left -= read;
+        }
+    }
+
     /** Answers with a value as JSON. */
     public static void answer(HttpExchange exchange, Object value) throws IOException {
         answerBytes(exchange, OK, "application/json", MAPPER.writeValueAsBytes(value));
@@ -90,10 +110,10 @@
         return MAPPER.writeValueAsBytes(value);
     }
 
-    /** Reads a JSON body. */
+    /** Reads a JSON body to its end, so that the connection can be used again. */
     public static <T> T readBody(HttpExchange exchange, Class<T> type) throws IOException {
         try {
-            return MAPPER.readValue(exchange.getRequestBody(), type);
+            return MAPPER.readValue(exchange.getRequestBody().readAllBytes(), type);
         } catch (com.fasterxml.jackson.core.JsonProcessingException malformed) {
             throw new CicadaleadException(
                     ErrorKind.MALFORMED_REQUEST,
--- a/src/main/java/org/cicadalead/adapters/request/CallerExchange.java
+++ b/src/main/java/org/cicadalead/adapters/request/CallerExchange.java
@@ -115,7 +115,7 @@
         JsonExchange.beginProblem(exchange, kind, detail, retryAfterSeconds);
         TimerService.Subscription limit = timers.after(DISCARD_TIME, this::finish);
         try {
-            exchange.getRequestBody().skip(DISCARDED_BYTES);
+            JsonExchange.discardBody(exchange, DISCARDED_BYTES);
         } catch (IOException stopped) {
             // The time is over, or the caller is gone; either way nothing more is read.
         } finally {
