Run a request once for each idempotency key, through any entry process

The home of a key (rendezvous hashing over the members) grants the run. KeyedRequestsTest failed first when a process joined: it did not know the sets of members before it, and ran a key again. A newcomer now asks every other member for as long as keys are remembered, and every set of members is taken from the fold, not sampled.

--- a/src/main/java/org/cicadalead/adapters/entry/EntryProcess.java
+++ b/src/main/java/org/cicadalead/adapters/entry/EntryProcess.java
@@ -24,6 +24,7 @@
 import org.cicadalead.adapters.replica.SharedStateReplica;
 import org.cicadalead.adapters.replica.SharedStateService;
 import org.cicadalead.adapters.request.CallerServer;
+import org.cicadalead.adapters.request.MemberWatch;
 import org.cicadalead.adapters.request.RequestPorts;
 import org.cicadalead.adapters.time.SystemTimerService;
 import org.cicadalead.model.configuration.NetworkAddress;
@@ -55,6 +56,7 @@
     private final JobService jobs;
     private final AdministrationServer administration;
     private final PrometheusMeterRegistry metrics = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+    private final MemberWatch memberWatch = new MemberWatch(identifier);
     private volatile boolean stopping;
 
     /** Starts a process. */
@@ -66,6 +68,7 @@
                 timeline.emit(EventKind.INTERNAL_FAILURE, Optional.empty(), EventDetail.of("failure", failure)));
         HttpPlatform platform = new HttpPlatform(settings.platformAddress());
         ContactTrackingLog log = new ContactTrackingLog(platform, timers);
+        replica.addListener(memberWatch);
         sharedState = new SharedStateService(log, identifier, replica, timers, timeline);
         membership = new EntryMembership(settings, identifier, replica, sharedState.appender(), log, timers, timeline);
         sharedState.usePeers(membership.channel());
@@ -158,6 +161,7 @@
                 replica::state,
                 membership.view(),
                 Optional.of(membership.channel()),
+                memberWatch,
                 timers,
                 timeline,
                 metrics);
--- a/src/main/java/org/cicadalead/adapters/request/CallerRequest.java
+++ b/src/main/java/org/cicadalead/adapters/request/CallerRequest.java
@@ -2,9 +2,12 @@
 
 import java.io.IOException;
 import java.io.InputStream;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.UnaryOperator;
 import org.cicadalead.logic.request.RequestProgress;
+import org.cicadalead.model.error.ErrorKind;
 import org.cicadalead.model.request.RequestPhase;
 import org.cicadalead.model.request.RequestTerms;
 
@@ -20,6 +23,7 @@
     private final AnswerListener listener;
     private final AtomicReference<RequestProgress> progress;
     private final AtomicReference<InputStream> upstreamAnswer = new AtomicReference<>(InputStream.nullInputStream());
+    private final AtomicBoolean told = new AtomicBoolean();
     private volatile boolean longWork;
 
     CallerRequest(
@@ -32,6 +36,11 @@
         this.progress = new AtomicReference<>(RequestProgress.admitted(terms.idempotent()));
     }
 
+    /** Returns this request, before it was submitted, with a listener. */
+    CallerRequest withListener(AnswerListener newListener) {
+        return new CallerRequest(terms, head, body, exchange, newListener);
+    }
+
     RequestTerms terms() {
         return terms;
     }
@@ -48,8 +57,18 @@
         return exchange;
     }
 
-    AnswerListener listener() {
-        return listener;
+    /** Tells the listener that the upstream answered; only the first of these calls counts. */
+    void tellAnswered(Optional<KeptAnswer> answer) {
+        if (told.compareAndSet(false, true)) {
+            answer.ifPresentOrElse(listener::onAnswered, listener::onAnsweredLong);
+        }
+    }
+
+    /** Tells the listener that the request failed; only the first of these calls counts. */
+    void tellFailed(ErrorKind kind) {
+        if (told.compareAndSet(false, true)) {
+            listener.onFailed(kind);
+        }
     }
 
     /** Tells whether it waits, or runs, as long work. */
--- a/src/main/java/org/cicadalead/adapters/request/CallerServer.java
+++ b/src/main/java/org/cicadalead/adapters/request/CallerServer.java
@@ -18,10 +18,12 @@
 import org.cicadalead.model.event.EventDetail;
 import org.cicadalead.model.event.EventKind;
 import org.cicadalead.model.identity.RequestIdentifier;
+import org.cicadalead.model.identity.ServiceName;
 import org.cicadalead.model.request.RequestLimits;
 import org.cicadalead.model.request.RequestTerms;
 import org.cicadalead.model.settings.EntrySettings;
 import org.cicadalead.ports.PlacementControl;
+import org.cicadalead.ports.TimerService;
 
 /**
  * Takes callers' requests over HTTP/1.1, admits them, and hands them to the request path. Safe for use by several
@@ -29,6 +31,7 @@
  */
 public final class CallerServer implements AutoCloseable {
     private static final int RETRY_AFTER_SECONDS = 1;
+    private static final Duration KEYED_TICK = Duration.ofMillis(100);
     private static final Duration STOP_WAIT = Duration.ofHours(1);
 
     private final RequestPorts ports;
@@ -36,6 +39,8 @@
     private final RequestReader reader;
     private final RequestMetrics metrics;
     private final RequestPath path;
+    private final Optional<KeyedRequests> keyed;
+    private final TimerService.Subscription keyedTicks;
     private final AtomicInteger inFlight = new AtomicInteger();
     private final AtomicLong bufferedBytes = new AtomicLong();
     private final ExecutorService threads = HttpServers.daemonThreads("caller");
@@ -50,6 +55,8 @@
         this.reader = new RequestReader(limits);
         this.metrics = new RequestMetrics(ports.metrics());
         this.path = new RequestPath(ports, limits, settings.zone(), metrics, threads);
+        this.keyed = ports.peers().map(peers -> new KeyedRequests(ports, peers));
+        this.keyedTicks = ports.timers().every(KEYED_TICK, () -> keyed.ifPresent(KeyedRequests::tick));
         this.server = HttpServers.bind(
                 settings.callerAddress().address(), settings.callerAddress().port());
         server.setExecutor(threads);
@@ -113,6 +120,7 @@
     public void close() {
         server.stop(0);
         path.close();
+        keyedTicks.close();
         threads.shutdownNow();
     }
 
@@ -155,14 +163,49 @@
             exchange.bodyIsRead();
         }
         bufferedBytes.addAndGet(body.kept().length);
-        CallerRequest request = new CallerRequest(terms, head, body, exchange, AnswerListener.NONE);
-        exchange.onClosed(() -> {
-            bufferedBytes.addAndGet(-body.kept().length);
-            path.remove(request);
-        });
+        exchange.onClosed(() -> bufferedBytes.addAndGet(-body.kept().length));
+        if (head.idempotencyKey().isPresent()) {
+            claim(new CallerRequest(terms, head, body, exchange, AnswerListener.NONE), route);
+        } else {
+            submit(new CallerRequest(terms, head, body, exchange, AnswerListener.NONE), route);
+        }
+    }
+
+    private void submit(CallerRequest request, ServiceRoute route) {
+        request.exchange().onClosed(() -> path.remove(request));
         path.submit(request, route);
     }
 
+    /** A request with an idempotency key runs only when the key's home grants it. */
+    private void claim(CallerRequest request, ServiceRoute route) {
+        if (keyed.isEmpty()) {
+            throw new CicadaleadException(
+                    ErrorKind.KEY_HISTORY_UNKNOWN, "This process knows no others that may have seen the key");
+        }
+        if (!request.body().isWhole()) {
+            throw new CicadaleadException(
+                    ErrorKind.BODY_TOO_LARGE,
+                    "With an Idempotency-Key a body may have " + limits.bufferedBodyBytes() + " bytes");
+        }
+        ServiceName service = route.service().name();
+        keyed.get()
+                .claim(service, request.head(), request.body())
+                .thenAccept(claim -> threads.execute(() -> onClaimed(request, route, claim)));
+    }
+
+    private void onClaimed(CallerRequest request, ServiceRoute route, KeyedRequests.Claim claim) {
+        String detail = "Resend it with the same key to learn more; it is run at most once";
+        switch (claim.answer().verdict()) {
+            case GRANTED -> submit(request.withListener(keyed.orElseThrow().listenerFor(claim)), route);
+            case ANSWERED -> path.answer(request, claim.answer().answer().orElseThrow());
+            case ANSWERED_WITHOUT_COPY -> path.refuse(request, ErrorKind.ALREADY_RAN, detail);
+            case IN_PROGRESS -> path.refuse(request, ErrorKind.KEY_IN_PROGRESS, detail);
+            case REUSED -> path.refuse(request, ErrorKind.KEY_REUSED, "Use a new key for a new request");
+            case FULL -> path.refuse(request, ErrorKind.QUEUE_FULL, "Too many idempotency keys are remembered");
+            default -> path.refuse(request, ErrorKind.KEY_HISTORY_UNKNOWN, detail);
+        }
+    }
+
     /** While too much is kept already, bodies stay with their callers until a worker takes them. */
     private RequestBody readBody(CallerExchange exchange, RequestHead head) {
         int kept = bufferedBytes.get() < limits.bufferedBytes() ? limits.bufferedBodyBytes() : 0;
--- a/src/main/java/org/cicadalead/adapters/request/RequestPath.java
+++ b/src/main/java/org/cicadalead/adapters/request/RequestPath.java
@@ -86,6 +86,17 @@
         enqueue(request, dispatcher, route);
     }
 
+    /** Answers a request with an answer that was kept. */
+    void answer(CallerRequest request, KeptAnswer answer) {
+        attempts.write(request, answer, Optional.empty());
+        ports.events().emit(EventKind.REQUEST_REPLAYED, Optional.of(request.cause()));
+    }
+
+    /** Refuses a request that was not submitted. */
+    void refuse(CallerRequest request, ErrorKind kind, String detail) {
+        fail(request, kind, detail, RETRY_AFTER_SECONDS);
+    }
+
     /** Forgets a request that is over. */
     void remove(CallerRequest request) {
         active.remove(request);
@@ -209,6 +220,8 @@
             return;
         }
         if (!request.exchange().isOpen()) {
+            boolean notRun = request.progress().executionAfter(outcome) == Execution.NOT_RUN;
+            request.tellFailed(notRun ? ErrorKind.CANCELLED : ErrorKind.OUTCOME_UNKNOWN);
             return;
         }
         boolean again = RetryPolicy.tryAgain(
@@ -265,6 +278,7 @@
     }
 
     private void fail(CallerRequest request, ErrorKind kind, String detail, int retryAfterSeconds) {
+        request.tellFailed(kind);
         if (!request.exchange().isOpen()) {
             return;
         }
@@ -277,7 +291,6 @@
                         EventDetail.of("service", request.terms().service()),
                         EventDetail.of("attempts", request.progress().attempts()));
         metrics.failed(kind);
-        request.listener().onFailed(kind);
         request.exchange().refuse(kind, detail, retryAfterSeconds);
     }
 
--- a/src/main/java/org/cicadalead/adapters/request/RequestPorts.java
+++ b/src/main/java/org/cicadalead/adapters/request/RequestPorts.java
@@ -19,6 +19,7 @@
  * @param view whether work may be placed on a host now
  * @param peers the other entry processes; without them a process uses one slot of each worker and runs no request that
  *     carries an idempotency key
+ * @param memberWatch every change of the members
  * @param timers time
  * @param events where decisions are reported
  * @param metrics where measurements are kept
@@ -28,6 +29,7 @@
         Supplier<SharedState> state,
         PlacementView view,
         Optional<PeerChannel> peers,
+        MemberWatch memberWatch,
         TimerService timers,
         EventSink events,
         MeterRegistry metrics) {
--- a/src/main/java/org/cicadalead/adapters/request/UpstreamAttempt.java
+++ b/src/main/java/org/cicadalead/adapters/request/UpstreamAttempt.java
@@ -92,11 +92,11 @@
             if (ahead.length <= KEPT_ANSWER_BYTES) {
                 hold.release();
                 KeptAnswer answer = new KeptAnswer(response.statusCode(), forwarded(response), ahead);
-                request.listener().onAnswered(answer);
+                request.tellAnswered(Optional.of(answer));
                 write(request, answer, contentLength(response));
                 return outcomeOf(response);
             }
-            request.listener().onAnsweredLong();
+            request.tellAnswered(Optional.empty());
             return stream(request, response, ahead, body);
         }
     }
--- a/src/main/java/org/cicadalead/model/error/ErrorKind.java
+++ b/src/main/java/org/cicadalead/model/error/ErrorKind.java
@@ -137,6 +137,13 @@
             Execution.UNKNOWN,
             RetryAdvice.ONLY_IF_IDEMPOTENT,
             "The idempotency key may have been used before this process could know"),
+    /** The request ran under this idempotency key, and its answer is too long to be kept. */
+    ALREADY_RAN(
+            "already-ran",
+            409,
+            Execution.RAN,
+            RetryAdvice.NEVER,
+            "The request ran under this idempotency key, and its answer is too long to be kept"),
     /** The settings file cannot be used. */
     INVALID_SETTINGS("invalid-settings", 500, Execution.NOT_RUN, RetryAdvice.NEVER, "The settings file cannot be used"),
     /** An internal error. */
--- a/src/main/java/org/cicadalead/model/event/EventKind.java
+++ b/src/main/java/org/cicadalead/model/event/EventKind.java
@@ -25,6 +25,8 @@
     REQUEST_ANSWER_CUT(2004, EventSeverity.WARNING, "An answer broke off, and so was not passed on as whole"),
     /** A request is tried again on another host. */
     REQUEST_RETRIED(2005, EventSeverity.DETAIL, "A request is tried again on another host"),
+    /** A resent request got the answer of its first run. */
+    REQUEST_REPLAYED(2006, EventSeverity.DETAIL, "A resent request got the answer of its first run"),
     /** A host failed too often and gets no requests for a while. */
     HOST_EJECTED(2010, EventSeverity.WARNING, "A host failed too often and gets no requests for a while"),
     /** An ejected host answered again. */
--- /dev/null
+++ b/src/test/java/org/cicadalead/adapters/request/KeyedRequestsTest.java
@@ -0,0 +1,142 @@
+package org.cicadalead.adapters.request;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.net.http.HttpResponse;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicReference;
+import org.cicadalead.bench.requests.SyntheticFleet;
+import org.cicadalead.model.identity.ProcessIdentifier;
+import org.cicadalead.model.state.SharedState;
+import org.cicadalead.ports.PeerTopic;
+import org.cicadalead.support.CallerFixture;
+import org.cicadalead.support.FakePeerNetwork;
+import org.cicadalead.support.FakeUpstream;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Requests with one idempotency key through several entry processes; the worker's count is the judge. */
+class KeyedRequestsTest {
+    private static final int KEYS = 12;
+
+    private final FakePeerNetwork network = new FakePeerNetwork();
+    private final FakeUpstream upstream = new FakeUpstream((socket, number) -> {
+        String text = "run-" + number;
+        FakeUpstream.send(socket, "HTTP/1.1 200 OK\r\nContent-Length: " + text.length() + "\r\n\r\n" + text);
+        return true;
+    });
+    private final AtomicReference<SharedState> state = new AtomicReference<>(CallerFixture.stateOf(upstream));
+    private final List<CallerFixture> entries = new ArrayList<>();
+
+    @BeforeEach
+    void startThreeEntries() {
+        for (String name : List.of("a", "b", "c")) {
+            join(name);
+        }
+        for (String name : List.of("a", "b", "c")) {
+            entries.add(entry(name));
+        }
+        awaitReady();
+    }
+
+    @AfterEach
+    void close() {
+        entries.forEach(CallerFixture::close);
+        upstream.close();
+    }
+
+    @Test
+    void aResentRequestRunsOnceThroughAnyEntryProcess() {
+        for (int key = 0; key < KEYS; key++) {
+            String first = post(0, "key-" + key, "body").body();
+            assertEquals(first, post(1, "key-" + key, "body").body());
+            assertEquals(first, post(2, "key-" + key, "body").body());
+        }
+        assertEquals(KEYS, upstream.heads().size());
+    }
+
+    @Test
+    void anotherRequestUnderAUsedKeyIsRefused() {
+        post(0, "key", "body");
+        assertEquals(422, post(1, "key", "other body").statusCode());
+        assertEquals(1, upstream.heads().size());
+    }
+
+    @Test
+    void aKeyStaysOneRunWhenAnEntryProcessJoins() {
+        List<String> first = new ArrayList<>();
+        for (int key = 0; key < KEYS; key++) {
+            first.add(post(0, "key-" + key, "body").body());
+        }
+        join("d");
+        entries.add(entry("d"));
+        awaitReady();
+        for (int key = 0; key < KEYS; key++) {
+            assertEquals(first.get(key), post(3, "key-" + key, "body").body());
+        }
+        assertEquals(KEYS, upstream.heads().size());
+    }
+
+    @Test
+    void aKeyWhoseHomeIsGoneIsUnknownAndNotRunAgain() {
+        for (int key = 0; key < KEYS; key++) {
+            post(1, "key-" + key, "body");
+        }
+        network.cutOff(new ProcessIdentifier("a"));
+        state.set(SyntheticFleet.withoutMember(state.get(), new ProcessIdentifier("a")));
+        int unknown = 0;
+        for (int key = 0; key < KEYS; key++) {
+            HttpResponse<String> again = post(2, "key-" + key, "body");
+            unknown += again.statusCode() == 409 ? 1 : 0;
+            assertTrue(again.statusCode() == 200 || again.body().contains("key-history-unknown"), again.body());
+        }
+        assertTrue(unknown > 0 && unknown < KEYS, "unknown: " + unknown);
+        assertEquals(KEYS, upstream.heads().size());
+    }
+
+    @Test
+    void aKeyWhoseHomeIsCutOffIsUnknownAndNotRun() {
+        network.cutOff(new ProcessIdentifier("a"));
+        for (int key = 0; key < KEYS; key++) {
+            HttpResponse<String> answer = post(1, "key-" + key, "body");
+            assertTrue(answer.statusCode() == 200 || answer.body().contains("key-history-unknown"), answer.body());
+        }
+        assertTrue(upstream.heads().size() < KEYS);
+    }
+
+    @Test
+    void aLostAnswerOfTheHomeRunsNothing() {
+        network.loseAnswers(PeerTopic.KEYED_REQUEST, true);
+        int ran = 0;
+        for (int key = 0; key < KEYS; key++) {
+            ran += post(0, "key-" + key, "body").statusCode() == 200 ? 1 : 0;
+        }
+        assertEquals(ran, upstream.heads().size());
+        assertTrue(ran < KEYS);
+    }
+
+    private HttpResponse<String> post(int entry, String key, String body) {
+        return entries.get(entry).post(body, "Idempotency-Key", key);
+    }
+
+    private void join(String name) {
+        state.updateAndGet(
+                held -> SyntheticFleet.withMember(held, new ProcessIdentifier(name), SyntheticFleet.zone(0)));
+    }
+
+    private CallerFixture entry(String name) {
+        ProcessIdentifier process = new ProcessIdentifier(name);
+        return new CallerFixture(
+                process, state, Optional.empty(), Optional.of(network.channel(process, SyntheticFleet.zone(0))));
+    }
+
+    private void awaitReady() {
+        while (!entries.stream().allMatch(entry -> entry.server().isReady())) {
+            Thread.onSpinWait();
+        }
+    }
+}
--- a/src/test/java/org/cicadalead/support/CallerFixture.java
+++ b/src/test/java/org/cicadalead/support/CallerFixture.java
@@ -17,6 +17,7 @@
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicReference;
 import org.cicadalead.adapters.request.CallerServer;
+import org.cicadalead.adapters.request.MemberWatch;
 import org.cicadalead.adapters.request.RequestPorts;
 import org.cicadalead.adapters.time.SystemTimerService;
 import org.cicadalead.bench.requests.SyntheticFleet;
@@ -26,6 +27,7 @@
 import org.cicadalead.model.settings.EntrySettings;
 import org.cicadalead.model.settings.EntrySettings.BindAddress;
 import org.cicadalead.model.state.SharedState;
+import org.cicadalead.ports.PeerChannel;
 import org.cicadalead.ports.PlacementView;
 
 /** A caller server in front of some workers, without peers and without a platform. */
@@ -47,14 +49,21 @@
     }
 
     public CallerFixture(Optional<PlacementView> view, FakeUpstream... upstreams) {
-        List<NetworkAddress> addresses =
-                Arrays.stream(upstreams).map(FakeUpstream::address).toList();
-        state = new AtomicReference<>(new SyntheticFleet(1, 1, upstreams.length, 2, TIMEOUT, 10).state(addresses));
+        this(new ProcessIdentifier("process"), new AtomicReference<>(stateOf(upstreams)), view, Optional.empty());
+    }
+
+    public CallerFixture(
+            ProcessIdentifier process,
+            AtomicReference<SharedState> state,
+            Optional<PlacementView> view,
+            Optional<PeerChannel> peers) {
+        this.state = state;
         RequestPorts ports = new RequestPorts(
-                new ProcessIdentifier("process"),
+                process,
                 state::get,
                 view.orElse(RequestPorts.viewOf(state::get)),
-                Optional.empty(),
+                peers,
+                new MemberWatch(process),
                 timers,
                 (kind, cause, details) -> {},
                 new SimpleMeterRegistry());
@@ -70,6 +79,13 @@
         server = new CallerServer(settings, LIMITS, ports);
     }
 
+    /** Returns the state of a fleet with one service on some workers. */
+    public static SharedState stateOf(FakeUpstream... upstreams) {
+        List<NetworkAddress> addresses =
+                Arrays.stream(upstreams).map(FakeUpstream::address).toList();
+        return new SyntheticFleet(1, 1, upstreams.length, 2, TIMEOUT, 10).state(addresses);
+    }
+
     public CallerServer server() {
         return server;
     }
