--- a/src/main/java/org/cicadalead/adapters/http/JsonExchange.java
+++ b/src/main/java/org/cicadalead/adapters/http/JsonExchange.java
@@ -15,6 +15,9 @@
     /** Seconds that a refused caller should wait when nothing better is known. */
     public static final int DEFAULT_RETRY_AFTER_SECONDS = 1;
 
+    private static final int DISCARD_BUFFER_BYTES = 8 * 1_024;
+    private static final long MOST_IGNORED_BYTES = 64 * 1_024;
+    private static final String PROBLEM_TYPE = "application/problem+json";
     private static final ObjectMapper MAPPER = DomainMappers.json();
     private static final int OK = 200;
 
@@ -40,6 +43,22 @@
         }
     }
 
+    /** A connection is used again only when the body of its last request, also an empty one, was read to its end. */
+    private static void readRestOfBody(HttpExchange exchange) throws IOException {
+        discardBody(exchange, MOST_IGNORED_BYTES);
+    }
+
+    /** Reads up to a number of bytes of the request's body; skipping would go past its end in the JDK's server. */
+    public static void discardBody(HttpExchange exchange, long mostBytes) throws IOException {
+        byte[] buffer = new byte[DISCARD_BUFFER_BYTES];
+        long left = mostBytes;
+        int read = 0;
+        while (left > 0 && read >= 0) {
+            read = exchange.getRequestBody().read(buffer);
+            left -= read;
+        }
+    }
+
     /** Answers with a value as JSON. */
     public static void answer(HttpExchange exchange, Object value) throws IOException {
         answerBytes(exchange, OK, "application/json", MAPPER.writeValueAsBytes(value));
@@ -64,9 +83,24 @@
     public static void answerProblem(HttpExchange exchange, ErrorKind kind, String detail, int retryAfterSeconds)
             throws IOException {
         ProblemDocument problem = ProblemDocument.of(kind, detail, retryAfterSeconds);
+        setRetryAfter(exchange, problem);
+        answerBytes(exchange, kind.status(), PROBLEM_TYPE, MAPPER.writeValueAsBytes(problem));
+    }
+
+    /** Answers with a problem document but for the end of the answer, which closing the exchange brings. */
+    public static void beginProblem(HttpExchange exchange, ErrorKind kind, String detail, int retryAfterSeconds)
+            throws IOException {
+        ProblemDocument problem = ProblemDocument.of(kind, detail, retryAfterSeconds);
+        setRetryAfter(exchange, problem);
+        exchange.getResponseHeaders().set("Content-Type", PROBLEM_TYPE);
+        exchange.sendResponseHeaders(kind.status(), 0);
+        exchange.getResponseBody().write(MAPPER.writeValueAsBytes(problem));
+        exchange.getResponseBody().flush();
+    }
+
+    private static void setRetryAfter(HttpExchange exchange, ProblemDocument problem) {
         problem.retryAfterSeconds()
                 .ifPresent(seconds -> exchange.getResponseHeaders().set("Retry-After", String.valueOf(seconds)));
-        answerBytes(exchange, kind.status(), "application/problem+json", MAPPER.writeValueAsBytes(problem));
     }
 
     /** Encodes a value as JSON. */
@@ -74,10 +108,10 @@
         return MAPPER.writeValueAsBytes(value);
     }
 
-    /** Reads a JSON body. */
+    /** Reads a JSON body to its end, so that the connection can be used again. */
     public static <T> T readBody(HttpExchange exchange, Class<T> type) throws IOException {
         try {
-            return MAPPER.readValue(exchange.getRequestBody(), type);
+            return MAPPER.readValue(exchange.getRequestBody().readAllBytes(), type);
         } catch (com.fasterxml.jackson.core.JsonProcessingException malformed) {
             throw new CicadaleadException(
                     ErrorKind.MALFORMED_REQUEST,
@@ -101,6 +135,7 @@
 
     private static void answerBytes(HttpExchange exchange, int status, String contentType, byte[] body)
             throws IOException {
+        readRestOfBody(exchange);
         exchange.getResponseHeaders().set("Content-Type", contentType);
         boolean head = "HEAD".equals(exchange.getRequestMethod());
         exchange.sendResponseHeaders(status, head ? -1 : body.length);
--- a/src/main/java/org/cicadalead/adapters/request/CallerExchange.java
+++ b/src/main/java/org/cicadalead/adapters/request/CallerExchange.java
@@ -3,12 +3,15 @@
 import com.sun.net.httpserver.HttpExchange;
 import java.io.IOException;
 import java.io.OutputStream;
+import java.time.Duration;
 import java.util.List;
+import java.util.Locale;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicReference;
 import org.cicadalead.adapters.http.JsonExchange;
 import org.cicadalead.model.error.ErrorKind;
 import org.cicadalead.model.identity.RequestIdentifier;
+import org.cicadalead.ports.TimerService;
 
 /**
  * A caller's exchange, answered at most once. An answer that cannot be finished is aborted by closing the connection,
@@ -22,12 +25,19 @@
         CLOSED
     }
 
+    private static final String CLOSE = "close";
+    private static final Duration DISCARD_TIME = Duration.ofSeconds(1);
+    private static final long DISCARDED_BYTES = 4 * 1_024 * 1_024;
+
     private final HttpExchange exchange;
+    private final TimerService timers;
+    private volatile boolean bodyRead;
     private final List<Runnable> onClosed = new CopyOnWriteArrayList<>();
     private final AtomicReference<Stage> stage = new AtomicReference<>(Stage.OPEN);
 
-    CallerExchange(HttpExchange exchange, RequestIdentifier identifier, Runnable onClosed) {
+    CallerExchange(HttpExchange exchange, RequestIdentifier identifier, TimerService timers, Runnable onClosed) {
         this.exchange = exchange;
+        this.timers = timers;
         this.onClosed.add(onClosed);
         // The server makes both streams when they are first asked for, and closing relies on them.
         exchange.getRequestBody();
@@ -48,9 +58,17 @@
         return stage.get() == Stage.OPEN;
     }
 
+    /** Makes the connection close after the answer when the caller asked for it among other options. */
+    void followConnectionHeader() {
+        List<String> options = exchange.getRequestHeaders().getOrDefault(HeaderRules.CONNECTION, List.of());
+        if (options.stream().anyMatch(option -> option.toLowerCase(Locale.ROOT).contains(CLOSE))) {
+            closeConnectionAfterAnswer();
+        }
+    }
+
     /** Makes the connection close after the answer. */
     void closeConnectionAfterAnswer() {
-        exchange.getResponseHeaders().set(HeaderRules.CONNECTION, "close");
+        exchange.getResponseHeaders().set(HeaderRules.CONNECTION, CLOSE);
     }
 
     /** Begins the answer; false when another thread has answered or aborted. */
@@ -66,19 +84,45 @@
         }
     }
 
+    /** Notes that nothing of the caller's body is left unread. */
+    void bodyIsRead() {
+        bodyRead = true;
+    }
+
     /** Answers with a problem document, unless an answer was begun. */
     void refuse(ErrorKind kind, String detail, int retryAfterSeconds) {
         if (!begin()) {
             return;
         }
         try {
-            JsonExchange.answerProblem(exchange, kind, detail, retryAfterSeconds);
+            if (bodyRead) {
+                JsonExchange.answerProblem(exchange, kind, detail, retryAfterSeconds);
+            } else {
+                refuseWhileSending(kind, detail, retryAfterSeconds);
+            }
             finish();
         } catch (IOException callerGone) {
             abort();
         }
     }
 
+    /**
+     * Answers at once, and holds the end of the answer back while the caller still sends its body: closing the
+     * connection before could make the caller lose the answer to a reset.
+     */
+    private void refuseWhileSending(ErrorKind kind, String detail, int retryAfterSeconds) throws IOException {
+        closeConnectionAfterAnswer();
+        JsonExchange.beginProblem(exchange, kind, detail, retryAfterSeconds);
+        TimerService.Subscription limit = timers.after(DISCARD_TIME, this::finish);
+        try {
+            JsonExchange.discardBody(exchange, DISCARDED_BYTES);
+        } catch (IOException stopped) {
+            // The time is over, or the caller is gone; either way nothing more is read.
+        } finally {
+            limit.close();
+        }
+    }
+
     /** Closes the connection without finishing the answer. */
     void abort() {
         if (stage.getAndSet(Stage.CLOSED) == Stage.CLOSED) {
