--- a/src/main/java/org/cicadalead/adapters/http/JsonExchange.java
+++ b/src/main/java/org/cicadalead/adapters/http/JsonExchange.java
@@ -37,8 +37,10 @@
         try {
             handler.handle(exchange);
         } catch (CicadaleadException failure) {
+            readRestOfBody(exchange);
             answerProblem(exchange, failure.kind(), failure.getMessage());
         } catch (RuntimeException failure) {
+            readRestOfBody(exchange);
             answerProblem(exchange, ErrorKind.INTERNAL, failure.toString());
         }
     }
@@ -48,6 +50,12 @@
         discardBody(exchange, MOST_IGNORED_BYTES);
     }
 
+    /** The end of an empty body is read without waiting for the sender. */
+    private static boolean isWithoutBody(HttpExchange exchange) {
+        String length = exchange.getRequestHeaders().getFirst("Content-Length");
+        return !exchange.getRequestHeaders().containsKey("Transfer-Encoding") && (length == null || length.equals("0"));
+    }
+
     /** Reads up to a number of bytes of the request's body; skipping would go past its end in the JDK's server. */
     public static void discardBody(HttpExchange exchange, long mostBytes) throws IOException {
         byte[] buffer = new byte[DISCARD_BUFFER_BYTES];
@@ -135,7 +143,9 @@
 
     private static void answerBytes(HttpExchange exchange, int status, String contentType, byte[] body)
             throws IOException {
-        readRestOfBody(exchange);
+        if (isWithoutBody(exchange)) {
+            readRestOfBody(exchange);
+        }
         exchange.getResponseHeaders().set("Content-Type", contentType);
         boolean head = "HEAD".equals(exchange.getRequestMethod());
         exchange.sendResponseHeaders(status, head ? -1 : body.length);
--- a/src/main/java/org/cicadalead/adapters/job/JobRoutes.java
+++ b/src/main/java/org/cicadalead/adapters/job/JobRoutes.java
@@ -190,6 +190,8 @@
     }
 
     private static void answerFailure(HttpExchange exchange, CicadaleadException failure) {
+        // The body may not have been read, and then the connection cannot be used again.
+        exchange.getResponseHeaders().set("Connection", "close");
         try (exchange) {
             JsonExchange.answerProblem(exchange, failure.kind(), failure.getMessage());
         } catch (IOException gone) {
