End the raw requests of the bad-input test by closing, as the server may now keep their connections

Cause: five cases waited 60 s each for the end of a connection that the server rightly kept open (302 s in all).

--- a/src/test/java/org/cicadalead/adapters/request/BadInputTest.java
+++ b/src/test/java/org/cicadalead/adapters/request/BadInputTest.java
@@ -43,8 +43,8 @@
                 "Content-Length: 99999999~~|413",
             })
     void refusesAHeadThatIsWrong(String rest, int status) {
-        String raw = fixture.sendRaw(
-                "POST " + CallerFixture.PATH + " HTTP/1.1\r\nHost: a\r\n" + rest.replace("~", "\r\n") + "\r\n");
+        String raw = fixture.sendRaw("POST " + CallerFixture.PATH + " HTTP/1.1\r\nHost: a\r\nConnection: close\r\n"
+                + rest.replace("~", "\r\n") + "\r\n");
         assertTrue(raw.startsWith("HTTP/1.1 " + status), raw);
         assertEquals(0, upstream.heads().size());
         assertEquals("ran", fixture.get().body());
