--- a/src/main/java/org/cicadalead/adapters/job/JobRunner.java
+++ b/src/main/java/org/cicadalead/adapters/job/JobRunner.java
@@ -95,9 +95,9 @@
         }
     }
 
-    /** Returns the place of this process among the runners, 0 for the one that acts first. */
-    public int rank() {
-        return turn.rank(state.get());
+    /** Tells whether this process is the one that acts at present, and should run a round at every change. */
+    public boolean isActing() {
+        return turn.rank(state.get()) == 0 || turn.isIncumbent(lastActOfOthers.get(), timers.nanoTime());
     }
 
     /** Runs one round. The state is read before the tasks, as the reconciler demands. */
--- a/src/main/java/org/cicadalead/adapters/job/JobService.java
+++ b/src/main/java/org/cicadalead/adapters/job/JobService.java
@@ -20,8 +20,8 @@
 
 /** The long jobs of one entry process: desk, routes, events and a thread for the runner. Safe for several threads. */
 public final class JobService implements PlacementControl, AutoCloseable {
-    private static final Duration FIRST_RANK_PERIOD = Duration.ofMillis(500);
-    private static final Duration OTHER_RANK_PERIOD = Duration.ofSeconds(2);
+    private static final Duration ACTING_PERIOD = Duration.ofMillis(500);
+    private static final Duration STANDBY_PERIOD = Duration.ofSeconds(2);
 
     private final SharedStateReplica replica;
     private final JobRoutes routes;
@@ -88,12 +88,13 @@
     }
 
     private void run() {
+        long lastRound = System.nanoTime();
         while (!closed) {
             try {
-                Duration period = runner.rank() == 0 ? FIRST_RANK_PERIOD : OTHER_RANK_PERIOD;
-                boolean signalled = signals.tryAcquire(period.toMillis(), TimeUnit.MILLISECONDS);
-                signals.drainPermits();
-                if (!signalled || runner.rank() == 0) {
+                Duration period = runner.isActing() ? ACTING_PERIOD : STANDBY_PERIOD;
+                boolean signalled = awaitSignal(lastRound + period.toNanos());
+                if (!signalled || runner.isActing()) {
+                    lastRound = System.nanoTime();
                     runner.runOnce();
                 }
             } catch (InterruptedException interrupted) {
@@ -104,4 +105,12 @@
             }
         }
     }
+
+    /** Waits for a signal until the next round is due; false when it is due. */
+    private boolean awaitSignal(long due) throws InterruptedException {
+        long left = due - System.nanoTime();
+        boolean signalled = signals.tryAcquire(Math.max(0, left), TimeUnit.NANOSECONDS);
+        signals.drainPermits();
+        return signalled && due - System.nanoTime() > 0;
+    }
 }
--- a/src/main/java/org/cicadalead/adapters/job/RunnerTurn.java
+++ b/src/main/java/org/cicadalead/adapters/job/RunnerTurn.java
@@ -3,18 +3,22 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import org.cicadalead.model.identity.ProcessIdentifier;
 import org.cicadalead.model.state.SharedState;
 
 /**
  * Spreads the runners of several processes over time, so that mostly one appends: the first member acts at once, others
- * only when work has been left undone for a while. It saves appends and never decides on safety. For one thread.
+ * only when work has been left undone for a while, and then go on as long as no other does. It saves appends and never
+ * decides on safety. For one thread.
  */
 final class RunnerTurn {
     private static final Duration STAGGER = Duration.ofSeconds(2);
+    private static final Duration INCUMBENCY = Duration.ofSeconds(10);
     private static final int HIGHEST_RANK = 2;
 
     private final ProcessIdentifier self;
+    private Optional<Long> actedAt = Optional.empty();
     private boolean workLeft;
     private long workSince;
 
@@ -33,7 +37,18 @@
             workSince = now;
         }
         long quietSince = Math.max(workSince, lastActOfOthers);
-        return now - quietSince >= STAGGER.multipliedBy(rank(state)).toNanos();
+        boolean due = now - quietSince >= STAGGER.multipliedBy(rank(state)).toNanos();
+        boolean may = due || isIncumbent(lastActOfOthers, now);
+        if (may) {
+            actedAt = Optional.of(now);
+        }
+        return may;
+    }
+
+    /** Tells whether this process acted a short while ago and no other has since: then it goes on without waiting. */
+    boolean isIncumbent(long lastActOfOthers, long now) {
+        return actedAt.filter(acted -> acted > lastActOfOthers && now - acted < INCUMBENCY.toNanos())
+                .isPresent();
     }
 
     /** Returns the place of this process among the members, 0 for the first or when it is no member. */
--- /dev/null
+++ b/src/test/java/org/cicadalead/adapters/job/JobDeskTest.java
@@ -0,0 +1,147 @@
+package org.cicadalead.adapters.job;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import org.cicadalead.adapters.replica.SharedStateReplica;
+import org.cicadalead.model.command.Command;
+import org.cicadalead.model.command.CommandOutcome;
+import org.cicadalead.model.command.CommandOutcome.Accepted;
+import org.cicadalead.model.command.CommandOutcome.Rejected;
+import org.cicadalead.model.command.JobCommand;
+import org.cicadalead.model.error.CicadaleadException;
+import org.cicadalead.model.error.ErrorKind;
+import org.cicadalead.model.job.JobSize;
+import org.cicadalead.support.Commands;
+import org.cicadalead.support.JobFleet;
+import org.cicadalead.support.ManualTimerService;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+class JobDeskTest {
+    private static final int WAVE = 2_000;
+    private static final Duration LONG_TIME = Duration.ofMinutes(1);
+
+    private final ManualTimerService timers = new ManualTimerService();
+    private final SharedStateReplica replica = new SharedStateReplica();
+    private final JobDesk desk = new JobDesk(replica::state, this::append, timers);
+    private final List<Command> appended = new ArrayList<>();
+    private CompletableFuture<CommandOutcome> answerOfTheLog = new CompletableFuture<>();
+    private boolean readBack = true;
+
+    @BeforeEach
+    void configure() {
+        replica.addListener(desk);
+        fold(JobFleet.configuration(2, 2));
+    }
+
+    @Test
+    void answersASubmissionOnlyOnceItsRecordWasReadBack() {
+        readBack = false;
+        CompletableFuture<CommandOutcome> answer = desk.submit(JobFleet.submission(1, false));
+        timers.advance(JobDesk.BATCH_DELAY);
+        assertEquals(1, appended.size());
+        assertFalse(answer.isDone());
+        fold(appended.get(0));
+        assertInstanceOf(Accepted.class, answer.join());
+    }
+
+    @Test
+    void answersEveryCancellationOfAWaveWithFewRecords() {
+        List<CompletableFuture<CommandOutcome>> answers = new ArrayList<>();
+        for (int number = 0; number < JobFleet.QUOTA; number++) {
+            desk.submit(JobFleet.submission(number, false));
+        }
+        timers.advance(JobDesk.BATCH_DELAY);
+        appended.clear();
+        for (int number = 0; number < WAVE; number++) {
+            answers.add(desk.cancel(JobFleet.job(number % JobFleet.QUOTA)));
+        }
+        timers.advance(JobDesk.BATCH_DELAY);
+        assertEquals(1, appended.size());
+        answers.forEach(answer -> assertInstanceOf(Accepted.class, answer.join()));
+    }
+
+    @Test
+    void writesALargeWaveInRecordsOfBoundedSize() {
+        readBack = false;
+        for (int number = 0; number < JobCommand.MAXIMUM_ENTRIES + 1; number++) {
+            desk.submit(JobFleet.submission(number, false));
+        }
+        timers.advance(JobDesk.BATCH_DELAY);
+        assertEquals(2, appended.size());
+    }
+
+    @Test
+    void givesEachOfABatchItsOwnAnswer() {
+        List<CompletableFuture<CommandOutcome>> answers = new ArrayList<>();
+        for (int number = 0; number <= JobFleet.QUOTA; number++) {
+            answers.add(desk.submit(JobFleet.submission(number, false)));
+        }
+        timers.advance(JobDesk.BATCH_DELAY);
+        assertInstanceOf(Accepted.class, answers.get(0).join());
+        Rejected last =
+                assertInstanceOf(Rejected.class, answers.get(JobFleet.QUOTA).join());
+        assertEquals(ErrorKind.QUOTA_EXCEEDED, last.kind());
+    }
+
+    @Test
+    void refusesWithoutAnAppendWhatCanNeverRun() {
+        var submission = JobFleet.submission(1, "red", new JobSize(JobFleet.PROCESSORS + 1, 1, 0), 3, false);
+        assertInstanceOf(Rejected.class, desk.submit(submission).join());
+        timers.advance(LONG_TIME);
+        assertTrue(appended.isEmpty());
+    }
+
+    @Test
+    void tellsThatNothingWasAppendedWhenTheLogRefused() {
+        assertEquals(ErrorKind.PLATFORM_UNAVAILABLE, failureAfter(ErrorKind.PLATFORM_UNAVAILABLE));
+    }
+
+    @Test
+    void tellsThatTheOutcomeIsUnknownWhenTheReplyWasLost() {
+        assertEquals(ErrorKind.LOG_OUTCOME_UNKNOWN, failureAfter(ErrorKind.LOG_OUTCOME_UNKNOWN));
+    }
+
+    @Test
+    void tellsThatTheOutcomeIsUnknownWhenTheRecordIsNotReadBackInTime() {
+        readBack = false;
+        CompletableFuture<CommandOutcome> answer = desk.submit(JobFleet.submission(1, false));
+        timers.advance(LONG_TIME);
+        assertEquals(ErrorKind.LOG_OUTCOME_UNKNOWN, failureOf(answer));
+    }
+
+    private ErrorKind failureAfter(ErrorKind kind) {
+        readBack = false;
+        answerOfTheLog = CompletableFuture.failedFuture(new CicadaleadException(kind, "test"));
+        CompletableFuture<CommandOutcome> answer = desk.submit(JobFleet.submission(1, false));
+        timers.advance(JobDesk.BATCH_DELAY);
+        return failureOf(answer);
+    }
+
+    private static ErrorKind failureOf(CompletableFuture<CommandOutcome> answer) {
+        CompletionException failure = assertThrows(CompletionException.class, answer::join);
+        return assertInstanceOf(CicadaleadException.class, failure.getCause()).kind();
+    }
+
+    private CompletableFuture<CommandOutcome> append(Command command) {
+        appended.add(command);
+        if (readBack) {
+            fold(command);
+        }
+        return answerOfTheLog;
+    }
+
+    private void fold(Command command) {
+        long offset = replica.state().offset() + 1;
+        replica.apply(offset, Commands.envelope("command-" + offset, offset - 1, command));
+    }
+}
