--- a/src/main/java/org/cicadalead/adapters/entry/EntryProcess.java
+++ b/src/main/java/org/cicadalead/adapters/entry/EntryProcess.java
@@ -5,7 +5,9 @@
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import java.io.IOException;
+import java.nio.file.Path;
 import java.time.Duration;
+import java.util.Map;
 import java.util.Optional;
 import java.util.UUID;
 import org.cicadalead.adapters.administration.AdministrationServer;
@@ -19,12 +21,16 @@
 import org.cicadalead.adapters.membership.ContactTrackingLog;
 import org.cicadalead.adapters.membership.EntryMembership;
 import org.cicadalead.adapters.membership.MembershipStatus;
+import org.cicadalead.adapters.planning.PlanningService;
+import org.cicadalead.adapters.planning.WaveRoutes;
 import org.cicadalead.adapters.platform.HttpPlatform;
 import org.cicadalead.adapters.platform.HttpTaskPlatform;
 import org.cicadalead.adapters.replica.SharedStateReplica;
 import org.cicadalead.adapters.replica.SharedStateService;
 import org.cicadalead.adapters.request.CallerServer;
 import org.cicadalead.adapters.request.RequestPorts;
+import org.cicadalead.adapters.security.OperatorGate;
+import org.cicadalead.adapters.security.SharedKeyFile;
 import org.cicadalead.adapters.time.SystemTimerService;
 import org.cicadalead.model.configuration.NetworkAddress;
 import org.cicadalead.model.event.EventDetail;
@@ -50,9 +56,11 @@
     private final TimelineRecorder timeline;
     private final SystemTimerService timers;
     private final SharedStateService sharedState;
+    private final SharedKeyFile keys;
     private final EntryMembership membership;
     private final CallerServer callers;
     private final JobService jobs;
+    private final PlanningService planning;
     private final AdministrationServer administration;
     private final PrometheusMeterRegistry metrics = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
     private volatile boolean stopping;
@@ -66,11 +74,14 @@
                 timeline.emit(EventKind.INTERNAL_FAILURE, Optional.empty(), EventDetail.of("failure", failure)));
         HttpPlatform platform = new HttpPlatform(settings.platformAddress());
         ContactTrackingLog log = new ContactTrackingLog(platform, timers);
+        keys = new SharedKeyFile(settings.keyFile().map(Path::of), timeline);
+        EntryMembership.requireKeysBeyondLoopback(settings, keys.keys());
         sharedState = new SharedStateService(log, identifier, replica, timers, timeline);
-        membership = new EntryMembership(settings, identifier, replica, sharedState.appender(), log, timers, timeline);
+        membership = new EntryMembership(
+                settings, identifier, replica, sharedState.appender(), log, keys::keys, timers, timeline);
         sharedState.usePeers(membership.channel());
         callers = new CallerServer(settings, RequestLimits.DEFAULT, requestPorts());
-        administration = new AdministrationServer(settings);
+        administration = new AdministrationServer(settings, new OperatorGate(keys::keys, System::currentTimeMillis));
         membership.addPlacements(callers.placements());
         jobs = new JobService(
                 identifier,
@@ -80,11 +91,23 @@
                 timeline,
                 timers);
         membership.addPlacements(jobs);
+        planning = new PlanningService(
+                identifier,
+                replica::state,
+                new PlanningService.PlatformPorts(platform, platform),
+                Map::of,
+                sharedState.appender()::submit,
+                timers,
+                timeline);
+        planning.addPlacements(callers.placements());
+        planning.addPlacements(jobs);
         callers.addContext(JobRoutes.JOBS_PATH, jobs.routes());
         jobs.routes().addTo(administration);
         addRoutes();
+        keys.start(timers);
         membership.start();
         sharedState.start();
+        planning.start();
         administration.start();
         timeline.emit(EventKind.PROCESS_STARTED, Optional.empty(), EventDetail.of("zone", settings.zone()));
     }
@@ -142,8 +165,10 @@
     @Override
     public void close() {
         callers.close();
+        planning.close();
         jobs.close();
         membership.close();
+        keys.close();
         sharedState.close();
         administration.close();
         timers.close();
@@ -169,6 +194,7 @@
         Gauge.builder("cicadalead.requests.in.flight", callers::inFlight).register(metrics);
         membership.register(metrics);
         membership.addTo(administration);
+        new WaveRoutes(replica::state, sharedState.appender(), timers::wallClockMilliseconds).addTo(administration);
         new StateRoutes(replica::state, sharedState.appender()).addTo(administration);
         new ConfigurationRoutes(identifier, replica::state, sharedState::peers).addTo(administration);
         administration.route("GET", "/healthz", exchange -> JsonExchange.answerText(exchange, OK, "ok\n"));
--- a/src/main/java/org/cicadalead/adapters/membership/StatusReporter.java
+++ b/src/main/java/org/cicadalead/adapters/membership/StatusReporter.java
@@ -40,7 +40,12 @@
                     : peer.map(PeerChannel.PeerStatus::appliedOffset).orElse(0L);
             Liveness liveness = own ? Liveness.SELF : liveness(peer, history.apply(member.process()));
             views.add(new MemberView(
-                    member.process(), member.zone(), member.peerAddress(), member.version(), offset, liveness));
+                    member.process(),
+                    member.zone(),
+                    member.peerAddress().toString(),
+                    member.version(),
+                    offset,
+                    liveness));
         }
         views.sort(Comparator.comparing(MemberView::zone).thenComparing(MemberView::process));
         return views;
--- a/src/main/java/org/cicadalead/adapters/peer/TcpPeerChannel.java
+++ b/src/main/java/org/cicadalead/adapters/peer/TcpPeerChannel.java
@@ -24,6 +24,7 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Supplier;
+import org.cicadalead.adapters.security.SharedKeys;
 import org.cicadalead.logic.membership.PeerEvidence;
 import org.cicadalead.model.configuration.NetworkAddress;
 import org.cicadalead.model.error.CicadaleadException;
--- a/src/main/java/org/cicadalead/adapters/platform/HttpPlatform.java
+++ b/src/main/java/org/cicadalead/adapters/platform/HttpPlatform.java
@@ -16,15 +16,23 @@
 import org.cicadalead.model.configuration.NetworkAddress;
 import org.cicadalead.model.error.CicadaleadException;
 import org.cicadalead.model.error.ErrorKind;
+import org.cicadalead.model.error.Execution;
+import org.cicadalead.model.fleet.HostCondition;
+import org.cicadalead.model.identity.HostName;
 import org.cicadalead.ports.HostDirectory;
+import org.cicadalead.ports.HostMaintenance;
 import org.cicadalead.ports.PlatformLog;
 
-/** The platform's log and host list over HTTP and JSON. Immutable and safe for use by several threads. */
-public final class HttpPlatform implements PlatformLog, HostDirectory {
+/** The platform's log, host list and reboots over HTTP and JSON. Immutable and safe for use by several threads. */
+public final class HttpPlatform implements PlatformLog, HostDirectory, HostMaintenance {
     private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(2);
     private static final Duration ANSWER_TIMEOUT = Duration.ofSeconds(5);
+    private static final String REBOOTS_PATH = "/reboots/";
     private static final int CREATED = 201;
     private static final int OK = 200;
+    private static final int FIRST_CLIENT_ERROR = 400;
+    private static final int REQUEST_TIMEOUT = 408;
+    private static final int FIRST_SERVER_ERROR = 500;
 
     private final ObjectMapper mapper = DomainMappers.json();
     private final HttpClient client;
@@ -69,17 +77,33 @@
         return List.of(parse(body, DirectoryEntry[].class, ErrorKind.PLATFORM_UNAVAILABLE));
     }
 
+    @Override
+    public void reboot(HostName host, long operation) {
+        HttpRequest request = request(REBOOTS_PATH + host, ANSWER_TIMEOUT)
+                .POST(HttpRequest.BodyPublishers.ofString("{\"operation\":" + operation + "}"))
+                .build();
+        send(request, OK, ErrorKind.PLATFORM_UNAVAILABLE);
+    }
+
+    @Override
+    public HostCondition condition(HostName host) {
+        HttpRequest request = request(REBOOTS_PATH + host, ANSWER_TIMEOUT).GET().build();
+        byte[] body = send(request, OK, ErrorKind.PLATFORM_UNAVAILABLE);
+        return parse(body, HostCondition.class, ErrorKind.PLATFORM_UNAVAILABLE);
+    }
+
     private HttpRequest.Builder request(String path, Duration timeout) {
         return HttpRequest.newBuilder(URI.create(baseAddress + path)).timeout(timeout);
     }
 
-    /** A failure to connect, or a refusal by the platform itself, proves that nothing was appended. */
+    /** A failure to connect, or a refusal by the platform itself, proves that the request did not run. */
     private byte[] send(HttpRequest request, int expectedStatus, ErrorKind kindAfterSending) {
         try {
             HttpResponse<byte[]> response = client.send(request, HttpResponse.BodyHandlers.ofByteArray());
             if (response.statusCode() != expectedStatus) {
                 throw new CicadaleadException(
-                        ErrorKind.PLATFORM_UNAVAILABLE, "The platform answered with status " + response.statusCode());
+                        provesNotRun(response) ? ErrorKind.PLATFORM_UNAVAILABLE : kindAfterSending,
+                        "The platform answered with status " + response.statusCode());
             }
             return response.body();
         } catch (ConnectException | HttpConnectTimeoutException failure) {
@@ -93,6 +117,24 @@
         }
     }
 
+    /**
+     * A client error is a refusal. A server error may come from something between, after the platform has acted; it is
+     * a refusal only when its problem document says so.
+     */
+    private boolean provesNotRun(HttpResponse<byte[]> response) {
+        int status = response.statusCode();
+        if (status >= FIRST_CLIENT_ERROR && status < FIRST_SERVER_ERROR) {
+            return status != REQUEST_TIMEOUT;
+        }
+        try {
+            return Execution.NOT_RUN
+                    .label()
+                    .equals(mapper.readTree(response.body()).path("execution").asText());
+        } catch (IOException notJson) {
+            return false;
+        }
+    }
+
     private <T> T parse(byte[] body, Class<T> type, ErrorKind kind) {
         try {
             return mapper.readValue(body, type);
--- a/src/main/java/org/cicadalead/cli/Subcommands.java
+++ b/src/main/java/org/cicadalead/cli/Subcommands.java
@@ -22,7 +22,16 @@
             JobsCommand.LIST,
             new BenchJobsCommand(),
             new PlatformStandInCommand(),
-            new UpstreamStandInCommand());
+            new UpstreamStandInCommand(),
+            new BenchOutcomesCommand(),
+            WaveCommand.START,
+            WaveCommand.LIST,
+            WaveCommand.PAUSE,
+            WaveCommand.RESUME,
+            WaveCommand.ABORT,
+            WaveCommand.PLAN,
+            WaveCommand.DRAIN,
+            WaveCommand.RETURN);
 
     private Subcommands() {}
 
--- a/src/main/java/org/cicadalead/logic/planning/MaintenancePlanner.java
+++ b/src/main/java/org/cicadalead/logic/planning/MaintenancePlanner.java
@@ -16,8 +16,8 @@
 import org.cicadalead.model.fleet.HostState;
 import org.cicadalead.model.fleet.MaintenanceStep;
 import org.cicadalead.model.fleet.WaveChange;
+import org.cicadalead.model.fleet.WaveHost;
 import org.cicadalead.model.fleet.WaveHostProgress;
-import org.cicadalead.model.fleet.WavePhase;
 import org.cicadalead.model.identity.HostName;
 import org.cicadalead.model.identity.PoolName;
 import org.cicadalead.model.identity.RackName;
@@ -104,8 +104,7 @@
     private Optional<Decision> stopOf(WaveState wave) {
         int failedAgain = 0;
         boolean missing = false;
-        for (Map.Entry<HostName, org.cicadalead.model.fleet.WaveHost> entry :
-                wave.hosts().entrySet()) {
+        for (Map.Entry<HostName, WaveHost> entry : wave.hosts().entrySet()) {
             HostState host = state.hosts().get(entry.getKey());
             missing |= host == null && !entry.getValue().progress().isTerminal();
             if (host != null
@@ -139,12 +138,22 @@
     }
 
     private int byPace(WaveState wave) {
+        return dueHosts(wave, input.nowMilliseconds());
+    }
+
+    /** Tells whether a wave wants another host out at a time. */
+    static boolean isDue(WaveState wave, long nowMilliseconds) {
+        return dueHosts(wave, nowMilliseconds) > 0;
+    }
+
+    /** Returns how many hosts a wave is behind its pace. */
+    private static int dueHosts(WaveState wave, long nowMilliseconds) {
         if (wave.periodMilliseconds() == 0) {
             return Integer.MAX_VALUE;
         }
-        double elapsed = (double) (input.nowMilliseconds() - wave.startedMilliseconds()) / wave.periodMilliseconds();
-        int due =
-                (int) Math.ceil(Math.min(1, Math.max(0, elapsed)) * wave.hosts().size());
+        double elapsed = (double) (nowMilliseconds - wave.startedMilliseconds()) / wave.periodMilliseconds();
+        int due = (int)
+                Math.floor(Math.min(1, Math.max(0, elapsed)) * wave.hosts().size());
         return due - (wave.hosts().size() - wave.count(WaveHostProgress.WAITING));
     }
 
@@ -232,9 +241,4 @@
     private RackName rackOf(HostState host) {
         return state.configuration().merged().hosts().get(host.name()).rack();
     }
-
-    /** Tells whether any wave is running. */
-    static boolean isAnyRunning(SharedState state) {
-        return state.waves().values().stream().anyMatch(wave -> wave.phase() == WavePhase.RUNNING);
-    }
 }
--- a/src/test/java/org/cicadalead/adapters/peer/TcpPeerChannelTest.java
+++ b/src/test/java/org/cicadalead/adapters/peer/TcpPeerChannelTest.java
@@ -19,6 +19,7 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
+import org.cicadalead.adapters.security.SharedKeys;
 import org.cicadalead.adapters.time.SystemTimerService;
 import org.cicadalead.model.configuration.NetworkAddress;
 import org.cicadalead.model.error.CicadaleadException;
