--- a/src/main/java/org/cicadalead/cli/Main.java
+++ b/src/main/java/org/cicadalead/cli/Main.java
@@ -16,6 +16,7 @@
 import org.cicadalead.adapters.event.LastingLogManager;
 import org.cicadalead.adapters.event.LogFormat;
 import org.cicadalead.adapters.event.LogSetup;
+import org.cicadalead.adapters.http.HttpServers;
 import org.cicadalead.model.error.CicadaleadException;
 import org.cicadalead.model.error.ErrorKind;
 
@@ -28,6 +29,7 @@
     /** Runs one command and exits with its code. */
     public static void main(String[] arguments) {
         System.setProperty(LastingLogManager.PROPERTY, LastingLogManager.class.getName());
+        HttpServers.configureProcess();
         System.exit(run(List.of(arguments), System.out, System.err).code());
     }
 
