--- /dev/null
+++ b/src/test/java/org/cicadalead/adapters/replica/ReplicaRecoveryTest.java
@@ -0,0 +1,165 @@
+package org.cicadalead.adapters.replica;
+
+import static org.cicadalead.support.Commands.change;
+import static org.cicadalead.support.Commands.publish;
+import static org.cicadalead.support.Commands.team;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.function.UnaryOperator;
+import org.cicadalead.model.command.CommandOutcome;
+import org.cicadalead.model.identity.ProcessIdentifier;
+import org.junit.jupiter.api.Test;
+
+class ReplicaRecoveryTest {
+    private static final String FILE = "kitchens.toml";
+
+    private final FaultyLog log = new FaultyLog();
+    private final FakeNetwork network = new FakeNetwork((from, to) -> true);
+    private final List<ReplicaUnderTest> replicas = new ArrayList<>();
+
+    @Test
+    void aRestartedProcessIsNotReadyBeforeItReachedTheEndOfTheLog() {
+        ReplicaUnderTest writer = start("writer");
+        publishAndRead(writer, 1, 0);
+        ReplicaUnderTest restarted = start("restarted");
+        assertFalse(restarted.isReady());
+        restarted.read();
+        assertTrue(restarted.isReady());
+        assertEquals(writer.state(), restarted.state());
+    }
+
+    @Test
+    void aProcessThatStartsWithoutThePlatformTakesTheStateOfAPeer() {
+        ReplicaUnderTest writer = start("writer");
+        publishAndRead(writer, 1, 0);
+        log.setOutage(true);
+        ReplicaUnderTest started = start("started");
+        goOn(started);
+        assertEquals(writer.state(), started.state());
+        assertTrue(started.isReady());
+    }
+
+    @Test
+    void aProcessThatStartsWithNeitherPlatformNorPeerIsNotReady() {
+        log.setOutage(true);
+        ReplicaUnderTest started = start("started");
+        goOn(started);
+        assertFalse(started.isReady());
+    }
+
+    @Test
+    void aProcessTakesRecordsFromAPeerWhileItsOwnWayToThePlatformIsCut() {
+        ReplicaUnderTest writer = start("writer");
+        ReplicaUnderTest cut = start("cut");
+        publishAndRead(writer, 1, 0);
+        cut.read();
+        cut.setCutFromPlatform(true);
+        publishAndRead(writer, 2, 1);
+        goOn(cut);
+        assertEquals(2, cut.state().configuration().version());
+    }
+
+    @Test
+    void aPeerThatIsBehindTakesNothingBack() {
+        ReplicaUnderTest behind = start("behind");
+        ReplicaUnderTest ahead = start("ahead");
+        publishAndRead(ahead, 1, 0);
+        behind.read();
+        publishAndRead(ahead, 2, 1);
+        ahead.setCutFromPlatform(true);
+        goOn(ahead);
+        assertEquals(2, ahead.state().configuration().version());
+        assertEquals(1, behind.state().configuration().version());
+    }
+
+    @Test
+    void aProcessStartsFromACheckpointWhereTheBeginningHasExpired() {
+        ReplicaUnderTest writer = start("writer");
+        publishAndRead(writer, 1, 0);
+        long basis = awaitCheckpoint(writer);
+        log.expireBefore(basis + 1);
+        network.leave(writer.process());
+        ReplicaUnderTest started = start("started");
+        goOn(started);
+        assertEquals(writer.state().configuration(), started.state().configuration());
+        assertTrue(started.isReady());
+    }
+
+    @Test
+    void aProcessThatIsAheadOfTheNewestCheckpointDoesNotReturnToIt() {
+        ReplicaUnderTest writer = start("writer");
+        publishAndRead(writer, 1, 0);
+        awaitCheckpoint(writer);
+        publishAndRead(writer, 2, 1);
+        long version = writer.state().configuration().version();
+        log.expireBefore(log.endOffset() + 1);
+        goOn(writer);
+        assertEquals(version, writer.state().configuration().version());
+    }
+
+    @Test
+    void aProcessDoesNotFoldOverAGapWhereNothingBridgesIt() {
+        ReplicaUnderTest writer = start("writer");
+        publishAndRead(writer, 1, 0);
+        publishAndRead(writer, 2, 1);
+        network.leave(writer.process());
+        log.expireBefore(2);
+        ReplicaUnderTest started = start("started");
+        goOn(started);
+        assertEquals(0, started.state().offset());
+        assertFalse(started.isReady());
+    }
+
+    @Test
+    void anAppendWhoseReplyWasLostTakesEffectOnce() {
+        ReplicaUnderTest writer = start("writer");
+        writer.read();
+        log.loseReplies(1);
+        Publication publication = writer.submitTracked(publish(change(team(FILE, 1), 0)));
+        goOn(writer);
+        assertInstanceOf(CommandOutcome.Accepted.class, publication.outcome().getNow(new CommandOutcome.Duplicate()));
+        assertEquals(1, writer.state().configuration().version());
+        long copies =
+                log.everything().stream().filter(record -> record.offset() <= 2).count();
+        assertEquals(2, copies);
+    }
+
+    private ReplicaUnderTest start(String name) {
+        ReplicaUnderTest replica = new ReplicaUnderTest(
+                new ProcessIdentifier(name),
+                log,
+                UnaryOperator.identity(),
+                new Random(1),
+                (kind, cause, details) -> {});
+        replica.connect(network.join(replica.process(), () -> replica.state().offset()));
+        replicas.add(replica);
+        return replica;
+    }
+
+    private static void publishAndRead(ReplicaUnderTest replica, int share, long replacedVersion) {
+        replica.read();
+        replica.submitTracked(publish(change(team(FILE, share), replacedVersion)));
+        replica.advance(Duration.ofMillis(100));
+        replica.read();
+    }
+
+    private static void goOn(ReplicaUnderTest replica) {
+        for (int round = 0; round < 20; round++) {
+            replica.read();
+            replica.advance(Duration.ofMillis(500));
+        }
+    }
+
+    private static long awaitCheckpoint(ReplicaUnderTest replica) {
+        goOn(replica);
+        goOn(replica);
+        return replica.state().checkpoint().newest().orElseThrow().basis();
+    }
+}
