--- a/src/main/java/org/cicadalead/adapters/peer/PeerHandshake.java
+++ b/src/main/java/org/cicadalead/adapters/peer/PeerHandshake.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Optional;
 import javax.crypto.spec.SecretKeySpec;
+import org.cicadalead.adapters.security.SharedKeys;
 
 /**
  * The handshake of one connection: a challenge in each direction, then from the dialing side a proof of identity, and
--- a/src/main/java/org/cicadalead/adapters/quickstart/QuickstartFleet.java
+++ b/src/main/java/org/cicadalead/adapters/quickstart/QuickstartFleet.java
@@ -157,7 +157,15 @@
     private EntryProcess newEntry(ZoneName zone) {
         BindAddress anyPort = new BindAddress(LOOPBACK, 0);
         return new EntryProcess(new EntrySettings(
-                zone, anyPort, anyPort, anyPort, platform.address(), List.of(), BALANCER_DELAY, SHUTDOWN_LIMIT));
+                zone,
+                anyPort,
+                anyPort,
+                anyPort,
+                platform.address(),
+                List.of(),
+                BALANCER_DELAY,
+                SHUTDOWN_LIMIT,
+                Optional.empty()));
     }
 
     private static void awaitReady(EntryProcess entry) {
--- a/src/main/java/org/cicadalead/adapters/toml/EntrySettingsReader.java
+++ b/src/main/java/org/cicadalead/adapters/toml/EntrySettingsReader.java
@@ -58,6 +58,7 @@
                 milliseconds(table, "balancer-delay-milliseconds", EntrySettings.DEFAULT_BALANCER_DELAY);
         Duration shutdownLimit =
                 milliseconds(table, "shutdown-limit-milliseconds", EntrySettings.DEFAULT_SHUTDOWN_LIMIT);
+        Optional<String> keyFile = table.optionalText("key-file");
         table.rejectUnknownKeys();
         if (!problems.isEmpty()) {
             throw new CicadaleadException(
@@ -72,7 +73,8 @@
                 platform.orElseThrow(),
                 peers,
                 balancerDelay,
-                shutdownLimit);
+                shutdownLimit,
+                keyFile);
     }
 
     private static Duration milliseconds(CheckedTable table, String key, Duration missing) {
--- a/src/main/java/org/cicadalead/logic/state/ConfigurationFold.java
+++ b/src/main/java/org/cicadalead/logic/state/ConfigurationFold.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Collectors;
+import org.cicadalead.logic.capacity.BudgetFeasibility;
 import org.cicadalead.logic.configuration.ConfigurationMerger;
 import org.cicadalead.logic.configuration.ConfigurationMerger.MergeResult;
 import org.cicadalead.logic.fleet.HostDeclaration;
@@ -60,7 +61,7 @@
         ConfigurationState configuration = new ConfigurationState(offset, units, merged.configuration());
         SharedState changed =
                 HostDeclaration.reconcile(state.withConfiguration(configuration), offset, merged.configuration());
-        List<ConfigurationProblem> brokenBudgets = BudgetDamage.problems(state, changed);
+        List<ConfigurationProblem> brokenBudgets = BudgetFeasibility.refusals(state, changed);
         return brokenBudgets.isEmpty() ? FoldResult.accepted(changed, offset) : refused(state, brokenBudgets);
     }
 
