--- a/src/main/java/org/cicadalead/adapters/replica/CheckpointWriter.java
+++ b/src/main/java/org/cicadalead/adapters/replica/CheckpointWriter.java
@@ -26,9 +26,6 @@
     /** Time between two looks at whether a checkpoint is due. */
     static final Duration PERIOD = Duration.ofSeconds(2);
 
-    /** Largest part in bytes; a record holds it with room for what stands around it. */
-    static final int MAXIMUM_PART_BYTES = 256 << 10;
-
     private static final int MAXIMUM_LOOKS_TO_WAIT = 5;
 
     private final SnapshotCodec snapshots = new SnapshotCodec();
@@ -98,7 +95,11 @@
 
     private void appendParts(SharedState state) {
         byte[] whole = snapshots.encode(state);
-        appendPart(state.offset(), SnapshotCodec.digest(whole), SnapshotParts.split(whole, MAXIMUM_PART_BYTES), 0);
+        appendPart(
+                state.offset(),
+                SnapshotCodec.digest(whole),
+                SnapshotParts.split(whole, SnapshotParts.MAXIMUM_CHECKPOINT_PART_BYTES),
+                0);
     }
 
     /** Appends the parts one after the other; a rejected one ends the attempt, as another checkpoint took over. */
--- /dev/null
+++ b/src/main/java/org/cicadalead/bench/state/StartBench.java
@@ -0,0 +1,63 @@
+package org.cicadalead.bench.state;
+
+import java.time.Duration;
+import java.util.List;
+import org.cicadalead.adapters.codec.SnapshotCodec;
+import org.cicadalead.adapters.replica.SharedStateReplica;
+import org.cicadalead.adapters.replica.SharedStateService;
+import org.cicadalead.adapters.replica.SnapshotParts;
+import org.cicadalead.adapters.standin.LogStandIn;
+import org.cicadalead.adapters.time.SystemTimerService;
+import org.cicadalead.model.command.CheckpointCommand;
+import org.cicadalead.model.error.CicadaleadException;
+import org.cicadalead.model.error.ErrorKind;
+import org.cicadalead.model.identity.ProcessIdentifier;
+
+/** Measures how long a process takes to be ready from a log whose beginning has expired. Stateless. */
+public final class StartBench {
+    private static final int RECORDS_AFTER_CHECKPOINT = 10_000;
+    private static final Duration LIMIT = Duration.ofSeconds(30);
+    private static final Duration POLL = Duration.ofMillis(1);
+    private static final double NANOSECONDS_A_MILLISECOND = 1e6;
+
+    private StartBench() {}
+
+    /** Returns the milliseconds until ready, with a checkpoint and the most records that may follow it. */
+    public static double millisecondsUntilReady(FleetSize size) {
+        SyntheticLog records = new SyntheticLog(size);
+        long basis = records.append(new CheckpointCommand.Begin(0, System.currentTimeMillis()));
+        byte[] whole = new SnapshotCodec().encode(records.state());
+        List<byte[]> parts = SnapshotParts.split(whole, SnapshotParts.MAXIMUM_CHECKPOINT_PART_BYTES);
+        String digest = SnapshotCodec.digest(whole);
+        for (int index = 0; index < parts.size(); index++) {
+            records.append(new CheckpointCommand.Part(basis, index, parts.size(), digest, parts.get(index)));
+        }
+        for (int count = 0; count < RECORDS_AFTER_CHECKPOINT; count++) {
+            records.observe(count);
+        }
+        LogStandIn log = new LogStandIn();
+        records.records().forEach(log::append);
+        log.expireBefore(basis + 1);
+        return start(log, records.state().offset());
+    }
+
+    private static double start(LogStandIn log, long lastOffset) {
+        SharedStateReplica replica = new SharedStateReplica();
+        long start = System.nanoTime();
+        try (SystemTimerService timers = new SystemTimerService(failure -> {});
+                SharedStateService service = new SharedStateService(
+                        log, new ProcessIdentifier("bench"), replica, timers, (kind, cause, details) -> {})) {
+            service.start();
+            while (!service.isReady() || replica.state().offset() < lastOffset) {
+                if (System.nanoTime() - start > LIMIT.toNanos()) {
+                    throw new CicadaleadException(ErrorKind.INTERNAL, "The process did not become ready");
+                }
+                Thread.sleep(POLL.toMillis());
+            }
+            return (System.nanoTime() - start) / NANOSECONDS_A_MILLISECOND;
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+            throw new CicadaleadException(ErrorKind.CANCELLED, "Interrupted", interrupted);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/cicadalead/cli/BenchStateCommand.java
@@ -0,0 +1,87 @@
+package org.cicadalead.cli;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.Options;
+import org.cicadalead.adapters.codec.DomainMappers;
+import org.cicadalead.bench.state.FleetSize;
+import org.cicadalead.bench.state.InForceBench;
+import org.cicadalead.bench.state.InForceBench.InForceResult;
+import org.cicadalead.bench.state.StartBench;
+import org.cicadalead.bench.state.StateBench;
+import org.cicadalead.bench.state.StateBenchResult;
+
+/** Measures the shared state up to the target's size. Stateless. */
+final class BenchStateCommand implements Subcommand {
+    private static final List<Integer> DIVISORS = List.of(8, 4, 2, 1);
+    private static final String DEPLOYMENT = "blue-mountain";
+
+    @Override
+    public String words() {
+        return "bench state";
+    }
+
+    @Override
+    public String argumentsUsage() {
+        return "";
+    }
+
+    @Override
+    public String summary() {
+        return "measures folding, memory, snapshots and the time until in force";
+    }
+
+    @Override
+    public List<String> examples() {
+        return List.of("cicadalead bench state --json");
+    }
+
+    @Override
+    public Options options() {
+        return new Options();
+    }
+
+    @Override
+    public ExitCode run(CommandLine arguments, Console console) {
+        List<StateBenchResult> sizes = new ArrayList<>();
+        for (int divisor : DIVISORS) {
+            console.progress("measuring 1/" + divisor + " of the target");
+            sizes.add(StateBench.run(FleetSize.TARGET.dividedBy(divisor)));
+        }
+        console.progress("measuring the time until ready");
+        List<StartResult> starts = new ArrayList<>();
+        for (int divisor : DIVISORS) {
+            FleetSize size = FleetSize.TARGET.dividedBy(divisor);
+            starts.add(new StartResult(size.hosts(), StartBench.millisecondsUntilReady(size)));
+        }
+        console.progress("measuring the time until in force");
+        InForceResult inForce = InForceBench.run(DEPLOYMENT);
+        BenchResult result = new BenchResult(sizes, starts, inForce);
+        console.result(
+                result, TextTable.ofRows(DomainMappers.json().valueToTree(sizes)) + "\n" + starts + "\n" + inForce);
+        return ExitCode.DONE;
+    }
+
+    /**
+     * All figures.
+     *
+     * @param sizes figures of each size
+     * @param starts times until ready from a checkpoint
+     * @param inForce times until in force
+     */
+    record BenchResult(List<StateBenchResult> sizes, List<StartResult> starts, InForceResult inForce) {
+        BenchResult {
+            sizes = List.copyOf(sizes);
+            starts = List.copyOf(starts);
+        }
+    }
+
+    /**
+     * The time until ready from a checkpoint with 10,000 records after it.
+     *
+     * @param hosts hosts of the fleet
+     * @param milliseconds time from the start to ready at the log's end
+     */
+    record StartResult(int hosts, double milliseconds) {}
+}
--- a/src/main/java/org/cicadalead/cli/Subcommands.java
+++ b/src/main/java/org/cicadalead/cli/Subcommands.java
@@ -21,6 +21,7 @@
             JobsCommand.CANCEL,
             JobsCommand.LIST,
             new BenchJobsCommand(),
+            new BenchStateCommand(),
             new PlatformStandInCommand(),
             new UpstreamStandInCommand(),
             new BenchOutcomesCommand(),
