--- a/src/main/java/org/cicadalead/adapters/membership/MemberWatch.java
+++ b/src/main/java/org/cicadalead/adapters/membership/MemberWatch.java
@@ -100,7 +100,7 @@
             }
         }
         histories.keySet().retainAll(suspects);
-        removeEnded(current);
+        removeEnded(current, heard);
     }
 
     private void probe(Member member) {
@@ -124,9 +124,9 @@
                         before == null ? EvidenceHistory.first(evidence, startedAt) : before.with(evidence, startedAt));
     }
 
-    private void removeEnded(SharedState current) {
+    private void removeEnded(SharedState current, Set<ProcessIdentifier> heard) {
         for (MembershipCommand.Leave removal :
-                MemberRemoval.decide(current, self, Map.copyOf(histories), timers.nanoTime())) {
+                MemberRemoval.decide(current, self, heard, Map.copyOf(histories), timers.nanoTime())) {
             if (removing.add(removal.process())) {
                 events.emit(EventKind.MEMBER_REMOVED, Optional.empty(), EventDetail.of("member", removal.process()));
                 submit.apply(removal).whenComplete((outcome, failure) -> removing.remove(removal.process()));
--- a/src/test/java/org/cicadalead/adapters/membership/MoveLoopTest.java
+++ b/src/test/java/org/cicadalead/adapters/membership/MoveLoopTest.java
@@ -159,6 +159,15 @@
         assertFalse(world.truth().members().containsKey(near.identifier()));
     }
 
+    @Test
+    void removesAllMembersOfAZoneThatWereKilledAndGoesOn() {
+        near.kill();
+        nearToo.kill();
+        world.withdraw(HOST, BLUE);
+        world.pass(A_WHILE);
+        assertEquals(BLUE, pool());
+    }
+
     @Test
     void doesNotWaitForAProcessThatJoinsAfterTheWithdrawal() {
         near.paused = true;
