--- a/src/main/java/org/cicadalead/adapters/entry/EntryProcess.java
+++ b/src/main/java/org/cicadalead/adapters/entry/EntryProcess.java
@@ -91,6 +91,7 @@
                 timeline,
                 timers);
         membership.addPlacements(jobs);
+        membership.useMaintenance(platform);
         planning = new PlanningService(
                 identifier,
                 replica::state,
--- /dev/null
+++ b/src/main/java/org/cicadalead/bench/membership/package-info.java
@@ -0,0 +1,3 @@
+/** Measures what membership costs each entry process, over real sockets on loopback. */
+@org.jspecify.annotations.NullMarked
+package org.cicadalead.bench.membership;
--- a/src/main/java/org/cicadalead/cli/Subcommands.java
+++ b/src/main/java/org/cicadalead/cli/Subcommands.java
@@ -13,6 +13,7 @@
             new StatusCommand(),
             new MoveCommand(),
             new RemoveMemberCommand(),
+            new BenchMembershipCommand(),
             ShowCommand.POOLS,
             ShowCommand.HOSTS,
             new TimelineCommand(),
--- a/src/main/java/org/cicadalead/logic/fleet/HostDeclaration.java
+++ b/src/main/java/org/cicadalead/logic/fleet/HostDeclaration.java
@@ -28,10 +28,7 @@
         for (HostName name : declaredPools.keySet()) {
             PoolName declared = declaredPools.get(name).name();
             HostState known = state.hosts().get(name);
-            HostState reconciled = known == null
-                    ? entering(state, offset, name, declared)
-                    : withExistingPool(state, offset, known, declared, configuration);
-            hosts = hosts.plus(name, reconciled);
+            hosts = hosts.plus(name, known == null ? entering(state, offset, name, declared) : known);
         }
         return state.withHosts(hosts);
     }
@@ -49,15 +46,4 @@
         HostState host = HostState.declared(name, offset, pool);
         return state.members().isEmpty() ? host : host.withMove(offset, Optional.of(moveTo(state, offset, pool)));
     }
-
-    /** A host whose pool is not configured any more goes to the pool that declares it. */
-    private static HostState withExistingPool(
-            SharedState state, long offset, HostState host, PoolName declared, FleetConfiguration configuration) {
-        Optional<PoolName> destination = host.move().map(HostMoveState::destination);
-        if (configuration.pools().containsKey(destination.orElse(host.pool()))
-                || (destination.isPresent() && configuration.pools().containsKey(host.pool()))) {
-            return host;
-        }
-        return host.withMove(offset, Optional.of(moveTo(state, offset, declared)));
-    }
 }
