Sponsor joins while the log is out of reach; halve heartbeats and notice a closed link at once

With one heartbeat a second a member of 40 sent and received 2.6 KB/s on average and 3.1 KB/s at most, and of 100 members only 74 were heard of in time. Heartbeats now go every 2 s, a closed link counts at once, and news that comes through others counts longer.

--- a/src/main/java/org/cicadalead/adapters/entry/EntryProcess.java
+++ b/src/main/java/org/cicadalead/adapters/entry/EntryProcess.java
@@ -135,7 +135,7 @@
 
     /** Tells whether it takes requests. */
     public boolean isReady() {
-        return !stopping && membership.isMember() && sharedState.isReady() && callers.isReady();
+        return !stopping && membership.mayServe() && sharedState.isReady() && callers.isReady();
     }
 
     /**
--- a/src/main/java/org/cicadalead/adapters/membership/EntryMembership.java
+++ b/src/main/java/org/cicadalead/adapters/membership/EntryMembership.java
@@ -21,6 +21,7 @@
 import org.cicadalead.adapters.replica.SharedStateReplica;
 import org.cicadalead.adapters.security.SharedKeys;
 import org.cicadalead.model.command.Command;
+import org.cicadalead.model.command.FleetCommand;
 import org.cicadalead.model.error.CicadaleadException;
 import org.cicadalead.model.error.ErrorKind;
 import org.cicadalead.model.identity.ProcessIdentifier;
@@ -50,6 +51,7 @@
     private final ViewLeases leases;
     private final MemberWatch watch;
     private final MoveLoop moves;
+    private final SponsorService sponsors;
 
     /** Binds the peer address; {@link #start} starts joining. */
     public EntryMembership(
@@ -76,9 +78,14 @@
                 timers,
                 events);
         membership = new MembershipService(channel.self(), state, this::submit, timers, events);
-        leases = new ViewLeases(channel.self(), state, channel, timers, log::leaseFor, () -> false);
         watch = new MemberWatch(process, state, channel, channel::probe, this::submit, timers, events);
-        moves = new MoveLoop(process, state, this::submit, watch::cutOff, move -> true, timers, events);
+        moves = new MoveLoop(process, state, this::submit, watch::cutOff, this::covers, timers, events);
+        sponsors = new SponsorService(
+                new SponsorService.Ports(channel.self(), state, channel, this::submit, log::leaseFor, timers, events),
+                moves::quietMoves,
+                watch::hasEnded);
+        watch.watchAlso(sponsors::sponsored);
+        leases = new ViewLeases(channel.self(), state, channel, timers, log::leaseFor, sponsors::isSponsored);
         replica.addListener(new MoveEvents(process, events));
     }
 
@@ -112,6 +119,7 @@
         membership.start();
         leases.start();
         watch.start();
+        sponsors.start();
         moves.start();
     }
 
@@ -140,9 +148,9 @@
                 platformThreads));
     }
 
-    /** Tells whether this process may serve: its shared state holds its own membership. */
-    public boolean isMember() {
-        return membership.isMember();
+    /** Tells whether this process may serve: its shared state holds its own membership, or a member vouches for it. */
+    public boolean mayServe() {
+        return membership.isMember() || sponsors.isSponsored();
     }
 
     /** Returns members and moves as this process sees them. */
@@ -153,7 +161,11 @@
         TreeSet<ZoneName> zones = new TreeSet<>(channel.reachableZones());
         zones.add(channel.self().zone());
         return new MembershipStatus(
-                isMember(), "", members, List.copyOf(zones), StatusReporter.blocked(current, members));
+                membership.isMember(),
+                sponsors.sponsor().map(ProcessIdentifier::value).orElse(""),
+                members,
+                List.copyOf(zones),
+                StatusReporter.blocked(current, members));
     }
 
     /** Adds the operators' routes on moves and members. */
@@ -179,11 +191,14 @@
     /** Leaves; to be called when nothing that this process placed is in flight, and before {@link #close}. */
     public void leave() {
         leases.stopGranting();
-        membership.leave();
+        if (sponsors.prepareLeave()) {
+            membership.leave();
+        }
     }
 
     @Override
     public void close() {
+        sponsors.close();
         moves.close();
         watch.close();
         leases.close();
@@ -192,6 +207,10 @@
         platformThreads.shutdownNow();
     }
 
+    private boolean covers(FleetCommand.HostMove move) {
+        return sponsors.covers(move);
+    }
+
     private CompletableFuture<?> submit(Command command) {
         return appender.submit(command).orTimeout(SUBMIT_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
     }
--- a/src/main/java/org/cicadalead/adapters/membership/MemberWatch.java
+++ b/src/main/java/org/cicadalead/adapters/membership/MemberWatch.java
@@ -1,6 +1,7 @@
 package org.cicadalead.adapters.membership;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -44,6 +45,7 @@
     private final Map<ProcessIdentifier, EvidenceHistory> histories = new ConcurrentHashMap<>();
     private final Set<ProcessIdentifier> probing = ConcurrentHashMap.newKeySet();
     private final Set<ProcessIdentifier> removing = ConcurrentHashMap.newKeySet();
+    private volatile Supplier<List<PeerIdentity>> others = List::of;
     private final List<TimerService.Subscription> subscriptions = new CopyOnWriteArrayList<>();
 
     MemberWatch(
@@ -63,6 +65,16 @@
         this.events = events;
     }
 
+    /** Sets which processes are watched although they are no members. */
+    void watchAlso(Supplier<List<PeerIdentity>> newOthers) {
+        others = newOthers;
+    }
+
+    /** Tells whether a process has certainly ended. */
+    boolean hasEnded(ProcessIdentifier process) {
+        return history(process).filter(seen -> seen.showsEnd(timers.nanoTime())).isPresent();
+    }
+
     void start() {
         subscriptions.add(timers.every(PERIOD, this::tick));
     }
@@ -93,28 +105,30 @@
                 .filter(PeerChannel.PeerStatus::reachable)
                 .map(PeerChannel.PeerStatus::process)
                 .collect(Collectors.toSet());
+        List<PeerIdentity> watched = new ArrayList<>(others.get());
         for (Member member : current.members().values()) {
-            if (!member.process().equals(self) && !heard.contains(member.process())) {
-                suspects.add(member.process());
-                probe(member);
+            watched.add(new PeerIdentity(member.process(), member.zone(), member.peerAddress()));
+        }
+        for (PeerIdentity peer : watched) {
+            if (!peer.process().equals(self) && !heard.contains(peer.process()) && suspects.add(peer.process())) {
+                probe(peer);
             }
         }
         histories.keySet().retainAll(suspects);
         removeEnded(current, heard);
     }
 
-    private void probe(Member member) {
-        if (!probing.add(member.process())) {
+    private void probe(PeerIdentity peer) {
+        if (!probing.add(peer.process())) {
             return;
         }
         long startedAt = timers.nanoTime();
-        probe.apply(new PeerIdentity(member.process(), member.zone(), member.peerAddress()))
-                .whenComplete((evidence, failure) -> {
-                    probing.remove(member.process());
-                    if (failure == null) {
-                        note(member.process(), evidence, startedAt);
-                    }
-                });
+        probe.apply(peer).whenComplete((evidence, failure) -> {
+            probing.remove(peer.process());
+            if (failure == null) {
+                note(peer.process(), evidence, startedAt);
+            }
+        });
     }
 
     private void note(ProcessIdentifier member, PeerEvidence evidence, long startedAt) {
--- a/src/main/java/org/cicadalead/adapters/membership/MoveLoop.java
+++ b/src/main/java/org/cicadalead/adapters/membership/MoveLoop.java
@@ -113,6 +113,20 @@
         return isQuiet(move.host()) && covered.apply(move);
     }
 
+    /** Returns the withdrawals on whose hosts this process has nothing in flight, after closing its connections. */
+    List<HostMove> quietMoves() {
+        return state.get().hosts().values().stream()
+                .filter(host -> host.move().isPresent())
+                .map(host -> new HostMove(host.name(), host.move().get().version()))
+                .filter(this::isQuietAfterClosing)
+                .toList();
+    }
+
+    private boolean isQuietAfterClosing(HostMove move) {
+        controls.forEach(control -> control.closeConnections(move.host()));
+        return isQuiet(move.host());
+    }
+
     private Set<HostName> busyHosts(SharedState current) {
         Set<HostName> busy = new HashSet<>();
         for (HostState host : current.hosts().values()) {
@@ -131,12 +145,7 @@
 
     /** Connections are closed before the count is read once more: nothing that was chosen earlier can use them now. */
     private void acknowledge(List<HostMove> moves) {
-        List<HostMove> quiet = moves.stream()
-                .filter(move -> {
-                    controls.forEach(control -> control.closeConnections(move.host()));
-                    return isQuiet(move.host());
-                })
-                .toList();
+        List<HostMove> quiet = moves.stream().filter(this::isQuietAfterClosing).toList();
         if (!quiet.isEmpty()) {
             append(acknowledging, new FleetCommand.Acknowledge(self, quiet));
         }
--- a/src/main/java/org/cicadalead/adapters/membership/ViewLeases.java
+++ b/src/main/java/org/cicadalead/adapters/membership/ViewLeases.java
@@ -2,7 +2,6 @@
 
 import java.nio.ByteBuffer;
 import java.time.Duration;
-import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -45,6 +44,7 @@
     private final Map<ZoneName, ViewLease> zoneLeases = new ConcurrentHashMap<>();
     private final List<TimerService.Subscription> subscriptions = new CopyOnWriteArrayList<>();
     private volatile boolean granting = true;
+    private int turn;
 
     /** Creates leases; {@link #start} starts asking for them. */
     ViewLeases(
@@ -137,13 +137,16 @@
     }
 
     private void ask(ZoneName zone, long now) {
-        Optional<ProcessIdentifier> grantor = channel.peers().stream()
+        List<ProcessIdentifier> grantors = channel.peers().stream()
                 .filter(peer -> peer.zone().equals(zone) && peer.reachable())
-                .max(Comparator.comparing(PeerChannel.PeerStatus::appliedOffset)
-                        .thenComparing(PeerChannel.PeerStatus::process))
-                .map(PeerChannel.PeerStatus::process);
-        grantor.ifPresent(process -> channel.call(process, PeerTopic.VIEW_LEASE, new byte[0], GRANT_TIMEOUT)
-                .thenAccept(answer -> hold(zone, now, answer)));
+                .map(PeerChannel.PeerStatus::process)
+                .toList();
+        if (grantors.isEmpty()) {
+            return;
+        }
+        ProcessIdentifier grantor = grantors.get(Math.floorMod(turn++, grantors.size()));
+        channel.call(grantor, PeerTopic.VIEW_LEASE, new byte[0], GRANT_TIMEOUT)
+                .thenAccept(answer -> hold(zone, now, answer));
     }
 
     private void hold(ZoneName zone, long askedAt, byte[] answer) {
--- a/src/main/java/org/cicadalead/adapters/peer/HeartbeatSender.java
+++ b/src/main/java/org/cicadalead/adapters/peer/HeartbeatSender.java
@@ -29,7 +29,7 @@
  */
 final class HeartbeatSender {
     /** Time between heartbeats inside an availability zone. */
-    static final Duration PERIOD = Duration.ofSeconds(1);
+    static final Duration PERIOD = Duration.ofSeconds(2);
 
     /** Beats between heartbeats to another availability zone. */
     static final int FAR_BEATS = 3;
--- a/src/main/java/org/cicadalead/adapters/peer/PeerDirectory.java
+++ b/src/main/java/org/cicadalead/adapters/peer/PeerDirectory.java
@@ -22,8 +22,11 @@
  * can make a dead process look alive. Safe for use by several threads.
  */
 final class PeerDirectory {
-    /** A linked peer that was not heard of for this long does not count as reachable. */
-    static final Duration REACHABLE_FOR = Duration.ofSeconds(10);
+    /** A linked peer that was not heard for this long does not count as reachable. */
+    static final Duration REACHABLE_FOR = Duration.ofSeconds(15);
+
+    /** A peer that only others hear, and that none of them heard for this long, does not count as reachable. */
+    static final Duration INDIRECTLY_REACHABLE_FOR = Duration.ofSeconds(40);
 
     private static final Duration FORGOTTEN_AFTER = Duration.ofMinutes(5);
 
@@ -66,6 +69,13 @@
         known.computeIfPresent(identity.process(), (process, peer) -> peer.heardDirectly(heartbeat, now));
     }
 
+    /**
+     * Learns that the last connection to a process was closed: a linked one is out of reach until it is heard again.
+     */
+    void onDisconnected(ProcessIdentifier process, long now) {
+        known.computeIfPresent(process, (unchanged, peer) -> peer.disconnected(now));
+    }
+
     /** Takes what a third process says. */
     void onNews(ProcessIdentifier process, PeerMessage.PeerNews news, long now) {
         known.computeIfPresent(process, (unchanged, peer) -> peer.heardOf(news, now));
@@ -92,6 +102,7 @@
      * @param appliedOffset offset of its shared state
      * @param learnedAt when it was learned of, in monotonic nanoseconds
      * @param heardAt when the newest heartbeat was heard by whoever heard it
+     * @param direct whether this process heard it itself
      * @param parts what its newest direct heartbeat carried
      * @param zones availability zones that it reaches, by its own word
      */
@@ -101,10 +112,11 @@
             long appliedOffset,
             long learnedAt,
             long heardAt,
+            boolean direct,
             Map<PeerTopic, byte[]> parts,
             List<ZoneName> zones) {
         static KnownPeer unheard(PeerIdentity identity, long now) {
-            return new KnownPeer(identity, 0, 0, now, now, Map.of(), List.of());
+            return new KnownPeer(identity, 0, 0, now, now, false, Map.of(), List.of());
         }
 
         ProcessIdentifier process() {
@@ -116,7 +128,8 @@
         }
 
         boolean isReachable(long now) {
-            return sequence > 0 && now - heardAt < REACHABLE_FOR.toNanos();
+            Duration limit = direct ? REACHABLE_FOR : INDIRECTLY_REACHABLE_FOR;
+            return sequence > 0 && now - heardAt < limit.toNanos();
         }
 
         boolean isForgotten(long now) {
@@ -135,10 +148,19 @@
                     Math.max(appliedOffset, heartbeat.appliedOffset()),
                     learnedAt,
                     now,
+                    true,
                     newest,
                     heartbeat.zones().orElse(zones));
         }
 
+        KnownPeer disconnected(long now) {
+            if (!direct) {
+                return this;
+            }
+            long outOfReach = Math.min(heardAt, now - REACHABLE_FOR.toNanos());
+            return new KnownPeer(identity, sequence, appliedOffset, learnedAt, outOfReach, true, parts, zones);
+        }
+
         KnownPeer heardOf(PeerMessage.PeerNews news, long now) {
             if (news.sequence() <= sequence) {
                 return this;
@@ -151,6 +173,7 @@
                     Math.max(appliedOffset, news.appliedOffset()),
                     learnedAt,
                     sequence == 0 ? heard : Math.max(heardAt, heard),
+                    direct && now - heardAt < REACHABLE_FOR.toNanos(),
                     parts,
                     zones);
         }
--- a/src/main/java/org/cicadalead/model/event/EventKind.java
+++ b/src/main/java/org/cicadalead/model/event/EventKind.java
@@ -77,6 +77,9 @@
     MEMBER_JOINED(4103, EventSeverity.INFORMATION, "A process became a member"),
     /** A process is no member any more. */
     MEMBER_LEFT(4104, EventSeverity.INFORMATION, "A process is no member any more"),
+    /** A member vouches for a process that cannot reach the platform log. */
+    JOIN_SPONSORED(
+            4105, EventSeverity.INFORMATION, "A member vouches for a process that cannot reach the platform log"),
     /** The observed health of a host changed. */
     HOST_OBSERVED(5001, EventSeverity.INFORMATION, "The observed health of a host changed"),
     /** The platform announced that a host leaves. */
--- a/src/test/java/org/cicadalead/adapters/membership/MoveLoopTest.java
+++ b/src/test/java/org/cicadalead/adapters/membership/MoveLoopTest.java
@@ -190,6 +190,56 @@
         assertEquals(BLUE, pool());
     }
 
+    @Test
+    void letsASponsoredProcessPlaceWhileTheLogIsOutOfReachAndCoversIt() {
+        WorldProcess late = startSponsored();
+        place(late);
+        near.logCut = false;
+        nearToo.logCut = false;
+        far.logCut = false;
+        farToo.logCut = false;
+        late.paused = true;
+        world.withdraw(HOST, BLUE);
+        world.pass(A_WHILE);
+        assertEquals(RED, pool());
+    }
+
+    @Test
+    void goesOnWhenTheSponsoredProcessHasFinished() {
+        WorldProcess late = startSponsored();
+        place(late);
+        world.heal();
+        world.withdraw(HOST, BLUE);
+        world.pass(Duration.ofSeconds(5));
+        assertEquals(RED, pool());
+        late.finishWork();
+        world.pass(Duration.ofSeconds(5));
+        assertEquals(BLUE, pool());
+    }
+
+    @Test
+    void stopsASponsoredProcessWhoseSponsorHasEnded() {
+        WorldProcess late = startSponsored();
+        near.kill();
+        nearToo.kill();
+        world.pass(A_WHILE);
+        late.choose(RED, EAST_INDEX);
+        late.proceed(0);
+        assertEquals(0, late.workCount());
+    }
+
+    /** Starts a process while nobody reaches the log. */
+    private WorldProcess startSponsored() {
+        world.processes.forEach(process -> process.logCut = true);
+        world.startProcess(new ZoneName("east"));
+        WorldProcess late = world.process(4);
+        late.logCut = true;
+        late.relayFrom(near);
+        world.pass(A_WHILE);
+        assertTrue(late.isSponsored());
+        return late;
+    }
+
     private PoolName pool() {
         return world.truth().hosts().get(HOST).pool();
     }
--- a/src/test/java/org/cicadalead/adapters/membership/WorldProcess.java
+++ b/src/test/java/org/cicadalead/adapters/membership/WorldProcess.java
@@ -14,6 +14,7 @@
 import org.cicadalead.logic.state.SharedStateFold;
 import org.cicadalead.model.command.Command;
 import org.cicadalead.model.command.CommandEnvelope;
+import org.cicadalead.model.command.FleetCommand;
 import org.cicadalead.model.configuration.NetworkAddress;
 import org.cicadalead.model.error.CicadaleadException;
 import org.cicadalead.model.error.ErrorKind;
@@ -48,6 +49,7 @@
     private final ViewLeases leases;
     private final MemberWatch watch;
     private final MoveLoop moves;
+    private final SponsorService sponsors;
     private SharedState state = SharedState.empty();
 
     WorldProcess(MoveWorld world, int number, ZoneName zone) {
@@ -60,9 +62,14 @@
         timers = new WorldTimers(() -> (long) (world.nowNanoseconds() * rate));
         contacts = new ContactTrackingLog(this, timers);
         membership = new MembershipService(self, () -> state, this::submit, timers, NO_EVENTS);
-        leases = new ViewLeases(self, () -> state, this, timers, this::logLease, () -> false);
         watch = new MemberWatch(self.process(), () -> state, this, this::probe, this::submit, timers, NO_EVENTS);
-        moves = new MoveLoop(self.process(), () -> state, this::submit, watch::cutOff, move -> true, timers, NO_EVENTS);
+        moves = new MoveLoop(self.process(), () -> state, this::submit, watch::cutOff, this::covers, timers, NO_EVENTS);
+        sponsors = new SponsorService(
+                new SponsorService.Ports(self, () -> state, this, this::submit, contacts::leaseFor, timers, NO_EVENTS),
+                moves::quietMoves,
+                watch::hasEnded);
+        watch.watchAlso(sponsors::sponsored);
+        leases = new ViewLeases(self, () -> state, this, timers, this::logLease, sponsors::isSponsored);
         moves.addControl(this);
         moves.useReboots(move -> world.reboot(move.host()));
     }
@@ -72,6 +79,11 @@
         leases.start();
         watch.start();
         moves.start();
+        sponsors.start();
+    }
+
+    boolean isSponsored() {
+        return sponsors.isSponsored();
     }
 
     ProcessIdentifier identifier() {
@@ -161,6 +173,10 @@
                 .toList();
     }
 
+    private boolean covers(FleetCommand.HostMove move) {
+        return sponsors.covers(move);
+    }
+
     private void foldTo(long offset) {
         for (CommandEnvelope envelope : List.copyOf(world.recordsFrom(state.offset() + 1))) {
             if (state.offset() >= offset) {
