--- a/src/main/java/org/cicadalead/adapters/entry/EntryProcess.java
+++ b/src/main/java/org/cicadalead/adapters/entry/EntryProcess.java
@@ -57,6 +57,7 @@
     private final SystemTimerService timers;
     private final SharedStateService sharedState;
     private final SharedKeyFile keys;
+    private final OperatorGate gate;
     private final EntryMembership membership;
     private final CallerServer callers;
     private final JobService jobs;
@@ -81,7 +82,8 @@
                 settings, identifier, replica, sharedState.appender(), log, keys::keys, timers, timeline);
         sharedState.usePeers(membership.channel());
         callers = new CallerServer(settings, RequestLimits.DEFAULT, requestPorts());
-        administration = new AdministrationServer(settings, new OperatorGate(keys::keys, System::currentTimeMillis));
+        gate = new OperatorGate(keys::keys, System::currentTimeMillis);
+        administration = new AdministrationServer(settings, gate);
         membership.addPlacements(callers.placements());
         jobs = new JobService(
                 identifier,
@@ -193,6 +195,7 @@
     private void addRoutes() {
         Gauge.builder("cicadalead.state.offset", () -> replica.state().offset()).register(metrics);
         Gauge.builder("cicadalead.requests.in.flight", callers::inFlight).register(metrics);
+        Gauge.builder("cicadalead.administration.refusals", gate::refusals).register(metrics);
         membership.register(metrics);
         membership.addTo(administration);
         new WaveRoutes(replica::state, sharedState.appender(), timers::wallClockMilliseconds).addTo(administration);
--- a/src/main/java/org/cicadalead/adapters/membership/EntryMembership.java
+++ b/src/main/java/org/cicadalead/adapters/membership/EntryMembership.java
@@ -183,6 +183,8 @@
                 .register(metrics);
         FunctionCounter.builder("cicadalead.peers.rejected.frames", counters, PeerCounters::framesRejected)
                 .register(metrics);
+        FunctionCounter.builder("cicadalead.peers.failed.parts", counters, PeerCounters::failedParts)
+                .register(metrics);
         FunctionCounter.builder(
                         "cicadalead.peers.authentication.failures", counters, PeerCounters::authenticationFailures)
                 .register(metrics);
--- a/src/main/java/org/cicadalead/adapters/peer/HeartbeatSender.java
+++ b/src/main/java/org/cicadalead/adapters/peer/HeartbeatSender.java
@@ -38,12 +38,13 @@
     static final int ZONE_BEATS = 5;
 
     /** Most processes that one heartbeat brings news of. */
-    static final int NEWS_LIMIT = 24;
+    static final int NEWS_LIMIT = 40;
 
     private final PeerIdentity self;
     private final PeerDirectory directory;
     private final LongSupplier appliedOffset;
     private final Supplier<Collection<Member>> members;
+    private final PeerCounters counters;
     private final Map<PeerTopic, Supplier<byte[]>> contributors = new ConcurrentHashMap<>();
     private final Map<ProcessIdentifier, Long> dialedBy = new ConcurrentHashMap<>();
     private LinkPlan links = new LinkPlan(new TreeSet<>(), new TreeSet<>());
@@ -54,7 +55,9 @@
             PeerIdentity self,
             PeerDirectory directory,
             LongSupplier appliedOffset,
-            Supplier<Collection<Member>> members) {
+            Supplier<Collection<Member>> members,
+            PeerCounters counters) {
+        this.counters = counters;
         this.self = self;
         this.directory = directory;
         this.appliedOffset = appliedOffset;
@@ -133,12 +136,21 @@
 
     private PeerMessage.Heartbeat heartbeat(long now, List<PeerMessage.PeerNews> news) {
         Map<PeerTopic, byte[]> parts = new EnumMap<>(PeerTopic.class);
-        contributors.forEach((topic, part) -> parts.put(topic, part.get()));
+        contributors.forEach((topic, part) -> take(topic, part, parts));
         Optional<List<ZoneName>> zones =
                 sequence % ZONE_BEATS == 1 ? Optional.of(directory.reachableZones(now)) : Optional.empty();
         return new PeerMessage.Heartbeat(sequence, appliedOffset.getAsLong(), parts, zones, news);
     }
 
+    /** A part that fails is left out; the heartbeat itself goes on. */
+    private void take(PeerTopic topic, Supplier<byte[]> part, Map<PeerTopic, byte[]> parts) {
+        try {
+            parts.put(topic, part.get());
+        } catch (RuntimeException failure) {
+            counters.failedParts.increment();
+        }
+    }
+
     /** News in turn of the processes that the receiver does not hear itself. */
     private List<PeerMessage.PeerNews> newsFor(ProcessIdentifier receiver, long now) {
         boolean near = links.ownZone().contains(receiver);
--- a/src/main/java/org/cicadalead/adapters/peer/PeerConnection.java
+++ b/src/main/java/org/cicadalead/adapters/peer/PeerConnection.java
@@ -264,6 +264,9 @@
             counters.authenticationFailures.increment();
             listener.onUnproven(this);
             close();
+        } catch (RuntimeException fault) {
+            listener.onRejected(this, "internal failure: " + fault);
+            close();
         }
     }
 
--- a/src/main/java/org/cicadalead/adapters/peer/PeerCounters.java
+++ b/src/main/java/org/cicadalead/adapters/peer/PeerCounters.java
@@ -9,8 +9,14 @@
     final LongAdder framesSent = new LongAdder();
     final LongAdder framesReceived = new LongAdder();
     final LongAdder framesRejected = new LongAdder();
+    final LongAdder failedParts = new LongAdder();
     final LongAdder authenticationFailures = new LongAdder();
 
+    /** Returns parts of heartbeats that could not be made. */
+    public long failedParts() {
+        return failedParts.sum();
+    }
+
     /** Returns bytes handed to sockets. */
     public long bytesSent() {
         return bytesSent.sum();
--- a/src/main/java/org/cicadalead/adapters/peer/PeerMessageCodec.java
+++ b/src/main/java/org/cicadalead/adapters/peer/PeerMessageCodec.java
@@ -23,6 +23,9 @@
     /** Most entries of any list in a message. */
     static final int MAXIMUM_ENTRIES = 256;
 
+    /** Ages of news travel in this unit, rounded down. */
+    static final long AGE_UNIT_MILLISECONDS = 100;
+
     private static final int MAXIMUM_CODES = 4;
     private static final int MAXIMUM_CODE_BYTES = 64;
     private static final int MAXIMUM_PART_BYTES = 64 * 1024;
@@ -104,7 +107,8 @@
             if (news.memberVersion() == 0) {
                 packIdentity(packer, news.identity().orElseThrow());
             }
-            packer.packLong(news.sequence()).packLong(news.appliedOffset()).packLong(news.ageMilliseconds());
+            packer.packLong(news.sequence()).packLong(heartbeat.appliedOffset() - news.appliedOffset());
+            packer.packLong(news.ageMilliseconds() / AGE_UNIT_MILLISECONDS);
         }
     }
 
@@ -140,7 +144,11 @@
             long version = unpacker.unpackLong();
             Optional<PeerIdentity> identity = version == 0 ? Optional.of(unpackIdentity(unpacker)) : Optional.empty();
             news.add(new PeerMessage.PeerNews(
-                    version, identity, unpacker.unpackLong(), unpacker.unpackLong(), unpacker.unpackLong()));
+                    version,
+                    identity,
+                    unpacker.unpackLong(),
+                    appliedOffset - unpacker.unpackLong(),
+                    unpacker.unpackLong() * AGE_UNIT_MILLISECONDS));
         }
         return new PeerMessage.Heartbeat(sequence, appliedOffset, parts, zones, news);
     }
--- a/src/main/java/org/cicadalead/adapters/peer/TcpPeerChannel.java
+++ b/src/main/java/org/cicadalead/adapters/peer/TcpPeerChannel.java
@@ -92,7 +92,7 @@
         }
         directory = new PeerDirectory(self.process());
         dialer = new PeerDialer(self, directory, options.seeds(), this::dial, timers);
-        heartbeats = new HeartbeatSender(self, directory, options.appliedOffset(), options.members());
+        heartbeats = new HeartbeatSender(self, directory, options.appliedOffset(), options.members(), counters);
         members = options.members();
     }
 
