--- a/src/main/java/org/cicadalead/adapters/entry/EntryProcess.java
+++ b/src/main/java/org/cicadalead/adapters/entry/EntryProcess.java
@@ -28,6 +28,7 @@
 import org.cicadalead.adapters.replica.SharedStateReplica;
 import org.cicadalead.adapters.replica.SharedStateService;
 import org.cicadalead.adapters.request.CallerServer;
+import org.cicadalead.adapters.request.MemberWatch;
 import org.cicadalead.adapters.request.RequestPorts;
 import org.cicadalead.adapters.security.OperatorGate;
 import org.cicadalead.adapters.security.SharedKeyFile;
@@ -35,6 +36,7 @@
 import org.cicadalead.model.configuration.NetworkAddress;
 import org.cicadalead.model.event.EventDetail;
 import org.cicadalead.model.event.EventKind;
+import org.cicadalead.model.fleet.HostState;
 import org.cicadalead.model.identity.ProcessIdentifier;
 import org.cicadalead.model.request.RequestLimits;
 import org.cicadalead.model.settings.EntrySettings;
@@ -64,6 +66,7 @@
     private final PlanningService planning;
     private final AdministrationServer administration;
     private final PrometheusMeterRegistry metrics = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+    private final MemberWatch memberWatch = new MemberWatch(identifier);
     private volatile boolean stopping;
 
     /** Starts a process. */
@@ -77,10 +80,19 @@
         ContactTrackingLog log = new ContactTrackingLog(platform, timers);
         keys = new SharedKeyFile(settings.keyFile().map(Path::of), timeline);
         EntryMembership.requireKeysBeyondLoopback(settings, keys.keys());
+        replica.addListener(memberWatch);
         sharedState = new SharedStateService(log, identifier, replica, timers, timeline);
         membership = new EntryMembership(
                 settings, identifier, replica, sharedState.appender(), log, keys::keys, timers, timeline);
         sharedState.usePeers(membership.channel());
+        planning = new PlanningService(
+                identifier,
+                replica::state,
+                new PlanningService.PlatformPorts(platform, platform),
+                Map::of,
+                sharedState.appender()::submit,
+                timers,
+                timeline);
         callers = new CallerServer(settings, RequestLimits.DEFAULT, requestPorts());
         gate = new OperatorGate(keys::keys, System::currentTimeMillis);
         administration = new AdministrationServer(settings, gate);
@@ -94,14 +106,6 @@
                 timers);
         membership.addPlacements(jobs);
         membership.useMaintenance(platform);
-        planning = new PlanningService(
-                identifier,
-                replica::state,
-                new PlanningService.PlatformPorts(platform, platform),
-                Map::of,
-                sharedState.appender()::submit,
-                timers,
-                timeline);
         planning.addPlacements(callers.placements());
         planning.addPlacements(jobs);
         callers.addContext(JobRoutes.JOBS_PATH, jobs.routes());
@@ -151,10 +155,10 @@
         sleep(settings.balancerDelay());
         callers.stopAccepting();
         long deadline = System.nanoTime() + settings.shutdownLimit().toNanos();
-        while ((inFlight() > 0 || !callers.isWithoutLoans()) && System.nanoTime() < deadline) {
+        while ((left() > 0 || !callers.isWithoutLoans()) && System.nanoTime() < deadline) {
             sleep(SHUTDOWN_POLL);
         }
-        int left = inFlight();
+        int left = left();
         if (left == 0) {
             callers.announceIdle();
         }
@@ -177,21 +181,28 @@
         timers.close();
     }
 
+    private int left() {
+        return callers.inFlight() + jobs.routes().inFlight();
+    }
+
+    /** The platform's announcement counts at once, also while the log cannot be told. */
+    private boolean mayPlace(HostState chosen) {
+        return !planning.leavingHosts().contains(chosen.name())
+                && membership.view().mayPlace(chosen);
+    }
+
     private RequestPorts requestPorts() {
         return new RequestPorts(
                 identifier,
                 replica::state,
-                membership.view(),
+                this::mayPlace,
                 Optional.of(membership.channel()),
+                memberWatch,
                 timers,
                 timeline,
                 metrics);
     }
 
-    private int inFlight() {
-        return callers.inFlight() + jobs.routes().inFlight();
-    }
-
     private void addRoutes() {
         Gauge.builder("cicadalead.state.offset", () -> replica.state().offset()).register(metrics);
         Gauge.builder("cicadalead.requests.in.flight", callers::inFlight).register(metrics);
