--- a/src/main/java/org/cicadalead/adapters/entry/EntryProcess.java
+++ b/src/main/java/org/cicadalead/adapters/entry/EntryProcess.java
@@ -59,6 +59,7 @@
     private final SystemTimerService timers;
     private final SharedStateService sharedState;
     private final SharedKeyFile keys;
+    private final OperatorGate gate;
     private final EntryMembership membership;
     private final CallerServer callers;
     private final JobService jobs;
@@ -93,7 +94,8 @@
                 timers,
                 timeline);
         callers = new CallerServer(settings, RequestLimits.DEFAULT, requestPorts());
-        administration = new AdministrationServer(settings, new OperatorGate(keys::keys, System::currentTimeMillis));
+        gate = new OperatorGate(keys::keys, System::currentTimeMillis);
+        administration = new AdministrationServer(settings, gate);
         membership.addPlacements(callers.placements());
         jobs = new JobService(
                 identifier,
@@ -103,6 +105,7 @@
                 timeline,
                 timers);
         membership.addPlacements(jobs);
+        membership.useMaintenance(platform);
         planning.addPlacements(callers.placements());
         planning.addPlacements(jobs);
         callers.addContext(JobRoutes.JOBS_PATH, jobs.routes());
@@ -138,7 +141,7 @@
 
     /** Tells whether it takes requests. */
     public boolean isReady() {
-        return !stopping && membership.isMember() && sharedState.isReady() && callers.isReady();
+        return !stopping && membership.mayServe() && sharedState.isReady() && callers.isReady();
     }
 
     /**
@@ -203,6 +206,7 @@
     private void addRoutes() {
         Gauge.builder("cicadalead.state.offset", () -> replica.state().offset()).register(metrics);
         Gauge.builder("cicadalead.requests.in.flight", callers::inFlight).register(metrics);
+        Gauge.builder("cicadalead.administration.refusals", gate::refusals).register(metrics);
         membership.register(metrics);
         membership.addTo(administration);
         new WaveRoutes(replica::state, sharedState.appender(), timers::wallClockMilliseconds).addTo(administration);
