--- a/src/main/java/org/cicadalead/adapters/quickstart/QuickstartDay.java
+++ b/src/main/java/org/cicadalead/adapters/quickstart/QuickstartDay.java
@@ -6,24 +6,29 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Consumer;
-import org.cicadalead.adapters.entry.EntryProcess;
 import org.cicadalead.model.command.ConfigurationCommand.UnitChange;
 import org.cicadalead.model.configuration.ConfigurationUnit;
 import org.cicadalead.model.configuration.SourcePlace;
 import org.cicadalead.model.configuration.TeamDefinition;
+import org.cicadalead.model.identity.RackName;
 import org.cicadalead.model.identity.ServiceName;
 import org.cicadalead.model.identity.TeamName;
+import org.cicadalead.model.identity.WaveIdentifier;
 
 /**
- * Plays a deployment's day in short: bursts by turns, a configuration change and a replaced entry host. Used by one
- * thread, which starts the callers' threads.
+ * Plays a deployment's day in short: bursts by turns, a configuration change, a maintenance wave, a replaced entry
+ * process and a failed rack. Used by one thread, which starts the callers' threads.
  */
 public final class QuickstartDay {
     private static final int CALLERS_PER_SERVICE = 10;
     private static final double MEAN_PAUSE_MILLISECONDS = 50;
     private static final double BURST_FACTOR = 5;
     private static final double QUIET_FACTOR = 0.05;
-    private static final int CHANGE_PARTS = 4;
+    private static final int PARTS = 4;
+    private static final double MILLISECONDS_PER_SECOND = 1_000;
+    private static final long POLL_MILLISECONDS = 20;
+    private static final Duration WAVE_LIMIT = Duration.ofSeconds(60);
+    private static final WaveIdentifier WAVE = new WaveIdentifier("quickstart-wave");
 
     private final QuickstartFleet fleet;
     private final Duration duration;
@@ -43,24 +48,52 @@
 
     /** Plays the day and counts. */
     public QuickstartReport play() {
+        FleetWatch watch = new FleetWatch(fleet);
+        Thread watcher = start(watch, "fleet-watch");
         List<Thread> callers = startCallers();
-        long part = duration.toMillis() / CHANGE_PARTS;
+        long part = duration.toMillis() / PARTS;
+        List<RackName> racks = fleet.racks();
         pause(part);
         progress.accept("publishing a configuration change");
         double inForceSeconds = changeConfiguration();
         nextBurst();
+        progress.accept("maintenance wave over the rack " + racks.get(0));
+        long waveStart = System.nanoTime();
+        fleet.startWave(WAVE, racks.get(0));
         pause(part);
         progress.accept("replacing an entry process");
-        EntryProcess replaced = fleet.entries().get(0);
-        int left = fleet.replaceEntry(replaced, fleet.deployment().zones().get(0));
+        int left = fleet.replaceEntry(
+                fleet.entries().get(0), fleet.deployment().zones().get(0));
         progress.accept("entry process replaced, " + left + " requests left behind");
         nextBurst();
+        Optional<Double> waveSeconds = awaitWave(waveStart);
+        RackName failing = racks.get(racks.size() - 1);
+        progress.accept("the rack " + failing + " fails: " + fleet.failRack(failing) + " hosts at once");
         pause(part);
         nextBurst();
         pause(part);
         running = false;
         callers.forEach(QuickstartDay::join);
-        return report(inForceSeconds);
+        watch.stop();
+        join(watcher);
+        return report(inForceSeconds, waveSeconds, watch);
+    }
+
+    private Optional<Double> awaitWave(long start) {
+        long deadline = System.nanoTime() + WAVE_LIMIT.toNanos();
+        while (!fleet.isOver(WAVE)) {
+            if (System.nanoTime() > deadline) {
+                progress.accept("the maintenance wave is not over yet");
+                return Optional.empty();
+            }
+            pause(POLL_MILLISECONDS);
+        }
+        progress.accept("the maintenance wave is over");
+        return Optional.of(seconds(start));
+    }
+
+    private static double seconds(long start) {
+        return Duration.ofNanos(System.nanoTime() - start).toMillis() / MILLISECONDS_PER_SECOND;
     }
 
     private List<Thread> startCallers() {
@@ -77,18 +110,22 @@
                         ledger,
                         client,
                         index * (long) CALLERS_PER_SERVICE + count);
-                Thread thread = new Thread(caller, "load-caller");
-                thread.setDaemon(true);
-                thread.start();
-                threads.add(thread);
+                threads.add(start(caller, "load-caller"));
             }
         }
         return threads;
     }
 
+    private static Thread start(Runnable work, String name) {
+        Thread thread = new Thread(work, name);
+        thread.setDaemon(true);
+        thread.start();
+        return thread;
+    }
+
     private double pauseMilliseconds(int serviceIndex) {
         double factor = serviceIndex == burstingService ? BURST_FACTOR : QUIET_FACTOR;
-        return Math.min(MEAN_PAUSE_MILLISECONDS / factor, duration.toMillis() / (double) CHANGE_PARTS);
+        return Math.min(MEAN_PAUSE_MILLISECONDS / factor, duration.toMillis() / (double) PARTS);
     }
 
     private void nextBurst() {
@@ -111,10 +148,10 @@
         long start = System.nanoTime();
         long offset = fleet.publishChange(new UnitChange(place.file(), 0, Optional.of(unit)));
         fleet.awaitInForce(offset);
-        return Duration.ofNanos(System.nanoTime() - start).toMillis() / 1_000.0;
+        return seconds(start);
     }
 
-    private QuickstartReport report(double inForceSeconds) {
+    private QuickstartReport report(double inForceSeconds, Optional<Double> waveSeconds, FleetWatch watch) {
         return new QuickstartReport(
                 fleet.deployment().name(),
                 ledger.sent(),
@@ -125,7 +162,12 @@
                 ledger.count(CallerOutcome.ANSWERED_WRONGLY),
                 ledger.runTwice(fleet.workers().values()),
                 ledger.refusedButRun(fleet.workers().values()),
-                inForceSeconds);
+                watch.violations(),
+                watch.cutOffByReboot(),
+                inForceSeconds,
+                watch.idleHostHours(),
+                waveSeconds,
+                watch.moves());
     }
 
     private static void pause(long milliseconds) {
--- a/src/main/java/org/cicadalead/adapters/quickstart/QuickstartFleet.java
+++ b/src/main/java/org/cicadalead/adapters/quickstart/QuickstartFleet.java
@@ -5,28 +5,37 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import org.cicadalead.adapters.codec.MessagePackCommandCodec;
 import org.cicadalead.adapters.entry.EntryProcess;
 import org.cicadalead.adapters.platform.HttpPlatform;
 import org.cicadalead.adapters.standin.PlatformStandIn;
 import org.cicadalead.adapters.standin.UpstreamStandIn;
+import org.cicadalead.model.command.Command;
 import org.cicadalead.model.command.CommandEnvelope;
 import org.cicadalead.model.command.ConfigurationCommand;
 import org.cicadalead.model.command.ConfigurationCommand.UnitChange;
+import org.cicadalead.model.command.MaintenanceCommand;
 import org.cicadalead.model.configuration.ConfigurationUnit;
 import org.cicadalead.model.configuration.HostDefinition;
 import org.cicadalead.model.configuration.NetworkAddress;
 import org.cicadalead.model.error.CicadaleadException;
 import org.cicadalead.model.error.ErrorKind;
 import org.cicadalead.model.fleet.HostHealth;
+import org.cicadalead.model.fleet.WaveAction;
+import org.cicadalead.model.fleet.WaveSelection;
 import org.cicadalead.model.identity.CommandIdentifier;
 import org.cicadalead.model.identity.HostName;
 import org.cicadalead.model.identity.ProcessIdentifier;
+import org.cicadalead.model.identity.RackName;
+import org.cicadalead.model.identity.WaveIdentifier;
 import org.cicadalead.model.identity.ZoneName;
 import org.cicadalead.model.settings.EntrySettings;
 import org.cicadalead.model.settings.EntrySettings.BindAddress;
+import org.cicadalead.model.state.WaveState;
 
 /**
  * A platform stand-in, a worker for each host of a deployment, and two entry processes for each availability zone, all
@@ -35,6 +44,7 @@
 public final class QuickstartFleet implements AutoCloseable {
     private static final String LOOPBACK = "127.0.0.1";
     private static final int ENTRIES_PER_ZONE = 2;
+    private static final Duration REBOOT_TIME = Duration.ofMillis(300);
     private static final Duration WORK_TIME = Duration.ofMillis(5);
     private static final Duration READY_TIMEOUT = Duration.ofSeconds(20);
     private static final Duration POLL = Duration.ofMillis(5);
@@ -44,10 +54,12 @@
     private final ExampleDeployment deployment;
     private final PlatformStandIn platform = new PlatformStandIn(LOOPBACK, 0);
     private final Map<HostName, UpstreamStandIn> workers = new TreeMap<>();
+    private final Set<HostName> failed = ConcurrentHashMap.newKeySet();
     private final List<EntryProcess> entries = new CopyOnWriteArrayList<>();
 
     private QuickstartFleet(ExampleDeployment deployment) {
         this.deployment = deployment;
+        platform.reboots().setDuration(REBOOT_TIME);
     }
 
     /** Starts everything and waits until every entry process is ready. */
@@ -103,13 +115,59 @@
         return old.stopGracefully();
     }
 
+    /** Returns the racks that hosts of more than one pool stand in, ordered by name. */
+    public List<RackName> racks() {
+        return deployment.hosts().stream()
+                .map(HostDefinition::rack)
+                .distinct()
+                .sorted()
+                .toList();
+    }
+
+    /** Fails all workers of a rack at once: they answer nothing more, and the platform lists them no more. */
+    public int failRack(RackName rack) {
+        int count = 0;
+        for (HostDefinition host : deployment.hosts()) {
+            if (host.rack().equals(rack)) {
+                failed.add(host.name());
+                workers.get(host.name()).close();
+                platform.removeHost(host.name());
+                count++;
+            }
+        }
+        return count;
+    }
+
+    /** Tells whether a host's worker can run requests. */
+    public boolean isRunning(HostName host) {
+        return !failed.contains(host) && !platform.reboots().isAway(host);
+    }
+
+    /** Starts a maintenance wave over the hosts of a rack. */
+    public void startWave(WaveIdentifier wave, RackName rack) {
+        WaveSelection selection = new WaveSelection(List.of(), List.of(rack), List.of(), List.of());
+        append(new MaintenanceCommand.Start(
+                wave, selection, WaveAction.REBOOT, "the quickstart's day", System.currentTimeMillis(), 0, 1));
+    }
+
+    /** Tells whether a wave is over. */
+    public boolean isOver(WaveIdentifier wave) {
+        WaveState state = entries.get(0).state().waves().get(wave);
+        return state != null && state.phase().isTerminal();
+    }
+
     /** Publishes a change of one file through the log; returns its offset. */
     public long publishChange(UnitChange change) {
+        return append(new ConfigurationCommand.Publish(List.of(change)));
+    }
+
+    private long append(Command command) {
         CommandEnvelope envelope = new CommandEnvelope(
                 CommandEnvelope.CURRENT_FORMAT,
                 new CommandIdentifier("quickstart-" + System.nanoTime()),
                 new ProcessIdentifier("quickstart"),
-                new ConfigurationCommand.Publish(List.of(change)));
+                entries.isEmpty() ? 0 : entries.get(0).state().offset(),
+                command);
         return new HttpPlatform(platform.address()).append(new MessagePackCommandCodec().encode(envelope));
     }
 
@@ -139,12 +197,7 @@
         for (ConfigurationUnit unit : deployment.units()) {
             changes.add(new UnitChange(unit.fileName(), 0, Optional.of(atWorkers(unit))));
         }
-        CommandEnvelope envelope = new CommandEnvelope(
-                CommandEnvelope.CURRENT_FORMAT,
-                new CommandIdentifier("quickstart-first"),
-                new ProcessIdentifier("quickstart"),
-                new ConfigurationCommand.Publish(changes));
-        new HttpPlatform(platform.address()).append(new MessagePackCommandCodec().encode(envelope));
+        append(new ConfigurationCommand.Publish(changes));
     }
 
     /** The examples' addresses are for stand-ins started by hand; here every worker has a free port. */
--- a/src/main/java/org/cicadalead/adapters/quickstart/QuickstartReport.java
+++ b/src/main/java/org/cicadalead/adapters/quickstart/QuickstartReport.java
@@ -1,5 +1,7 @@
 package org.cicadalead.adapters.quickstart;
 
+import java.util.Optional;
+
 /**
  * What callers and workers counted in a day. Immutable.
  *
@@ -12,7 +14,12 @@
  * @param answeredWrongly requests that got something else than their whole own answer
  * @param runTwice non-idempotent requests that ran more than once
  * @param refusedButRun requests that were refused as not run, and ran
+ * @param budgetViolations times that a service had fewer working hosts than its budget promises
+ * @param cutOffByReboot requests that ran on a host when its planned reboot began
  * @param configurationSecondsToInForce seconds from publishing a change until every entry process had it
+ * @param bufferCostHostHours capacity that stood idle, in host-hours
+ * @param rollOutSeconds seconds that the maintenance wave took; absent when it was not over in time
+ * @param moves hosts that changed pool
  */
 public record QuickstartReport(
         String deployment,
@@ -24,17 +31,28 @@
         long answeredWrongly,
         long runTwice,
         long refusedButRun,
-        double configurationSecondsToInForce) {
+        int budgetViolations,
+        int cutOffByReboot,
+        double configurationSecondsToInForce,
+        double bufferCostHostHours,
+        Optional<Double> rollOutSeconds,
+        int moves) {
     /** Tells whether every promise held. */
     public boolean isClean() {
-        return lost == 0 && answeredWrongly == 0 && runTwice == 0 && refusedButRun == 0;
+        return lost == 0
+                && answeredWrongly == 0
+                && runTwice == 0
+                && refusedButRun == 0
+                && budgetViolations == 0
+                && cutOffByReboot == 0;
     }
 
     /** Returns the report for people. */
     public String toText() {
         return String.format(
                 "%s: %d sent, %d answered, %d refused as not run, %d outcome unknown, %d lost, %d answered wrongly,"
-                        + " %d run twice, %d refused but run; configuration in force after %.3f s",
+                        + " %d run twice, %d refused but run, %d budget violations, %d cut off by reboots;"
+                        + " configuration in force after %.3f s, buffer cost %.3f host-hours, wave %s s, %d moves",
                 deployment,
                 requestsSent,
                 answered,
@@ -44,6 +62,11 @@
                 answeredWrongly,
                 runTwice,
                 refusedButRun,
-                configurationSecondsToInForce);
+                budgetViolations,
+                cutOffByReboot,
+                configurationSecondsToInForce,
+                bufferCostHostHours,
+                rollOutSeconds.map(String::valueOf).orElse("not over"),
+                moves);
     }
 }
--- a/src/main/java/org/cicadalead/adapters/standin/UpstreamStandIn.java
+++ b/src/main/java/org/cicadalead/adapters/standin/UpstreamStandIn.java
@@ -51,6 +51,11 @@
         return runs;
     }
 
+    /** Returns the number of requests that run here now. */
+    public int running() {
+        return running.get();
+    }
+
     /** Returns the largest number of requests that ran here at once. */
     public int mostRunning() {
         return mostRunning.get();
