--- a/src/main/java/org/cicadalead/adapters/entry/EntryProcess.java
+++ b/src/main/java/org/cicadalead/adapters/entry/EntryProcess.java
@@ -27,11 +27,14 @@
 import org.cicadalead.adapters.replica.SharedStateReplica;
 import org.cicadalead.adapters.replica.SharedStateService;
 import org.cicadalead.adapters.request.CallerServer;
+import org.cicadalead.adapters.request.RequestPorts;
 import org.cicadalead.adapters.time.SystemTimerService;
 import org.cicadalead.model.configuration.NetworkAddress;
 import org.cicadalead.model.event.EventDetail;
 import org.cicadalead.model.event.EventKind;
+import org.cicadalead.model.fleet.HostState;
 import org.cicadalead.model.identity.ProcessIdentifier;
+import org.cicadalead.model.request.RequestLimits;
 import org.cicadalead.model.settings.EntrySettings;
 import org.cicadalead.model.state.SharedState;
 
@@ -71,7 +74,7 @@
         sharedState = new SharedStateService(log, identifier, replica, timers, timeline);
         membership = new EntryMembership(settings, identifier, replica, sharedState.appender(), log, timers, timeline);
         sharedState.usePeers(membership.channel());
-        callers = new CallerServer(settings, replica::state, timeline);
+        callers = new CallerServer(settings, RequestLimits.DEFAULT, requestPorts());
         administration = new AdministrationServer(settings);
         membership.addPlacements(callers.placements());
         jobs = new JobService(
@@ -90,6 +93,8 @@
                 timers,
                 timeline);
         planning.addPlacements(callers.placements());
+        planning.addPlacements(jobs);
+        membership.addPlacements(jobs);
         callers.addContext(JobRoutes.JOBS_PATH, jobs.routes());
         jobs.routes().addTo(administration);
         addRoutes();
@@ -122,7 +127,7 @@
 
     /** Tells whether it takes requests. */
     public boolean isReady() {
-        return !stopping && membership.isMember() && sharedState.isReady();
+        return !stopping && membership.isMember() && sharedState.isReady() && callers.isReady();
     }
 
     /**
@@ -132,12 +137,17 @@
     public int stopGracefully() {
         stopping = true;
         timeline.emit(EventKind.PROCESS_STOPPING, Optional.empty());
+        callers.closeConnectionsAfterAnswers();
         sleep(settings.balancerDelay());
+        callers.stopAccepting();
         long deadline = System.nanoTime() + settings.shutdownLimit().toNanos();
-        while (callers.inFlight() + jobs.routes().inFlight() > 0 && System.nanoTime() < deadline) {
+        while ((inFlight() > 0 || !callers.isWithoutLoans()) && System.nanoTime() < deadline) {
             sleep(SHUTDOWN_POLL);
         }
-        int left = callers.inFlight() + jobs.routes().inFlight();
+        int left = inFlight();
+        if (left == 0) {
+            callers.announceIdle();
+        }
         callers.close();
         membership.leave();
         timeline.emit(EventKind.PROCESS_STOPPED, Optional.empty(), EventDetail.of("left", left));
@@ -156,6 +166,26 @@
         timers.close();
     }
 
+    private RequestPorts requestPorts() {
+        return new RequestPorts(
+                identifier,
+                replica::state,
+                this::mayPlace,
+                Optional.of(membership.channel()),
+                timers,
+                timeline,
+                metrics);
+    }
+
+    /** A host that the platform has announced to leave takes no new work, also while the log is down. */
+    private boolean mayPlace(HostState chosen) {
+        return membership.view().mayPlace(chosen) && !planning.leavingHosts().contains(chosen.name());
+    }
+
+    private int inFlight() {
+        return callers.inFlight() + jobs.routes().inFlight();
+    }
+
     private void addRoutes() {
         Gauge.builder("cicadalead.state.offset", () -> replica.state().offset()).register(metrics);
         Gauge.builder("cicadalead.requests.in.flight", callers::inFlight).register(metrics);
--- a/src/main/java/org/cicadalead/adapters/toml/ConfigurationFolderReader.java
+++ b/src/main/java/org/cicadalead/adapters/toml/ConfigurationFolderReader.java
@@ -6,7 +6,9 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.stream.Stream;
+import org.cicadalead.logic.capacity.BudgetFeasibility;
 import org.cicadalead.logic.configuration.ConfigurationMerger;
+import org.cicadalead.logic.configuration.ConfigurationMerger.MergeResult;
 import org.cicadalead.model.configuration.ConfigurationProblem;
 import org.cicadalead.model.configuration.ConfigurationUnit;
 import org.cicadalead.model.error.CicadaleadException;
@@ -23,7 +25,11 @@
         for (Path file : listFiles(folder)) {
             units.add(ConfigurationUnitReader.read(file.getFileName().toString(), readText(file), problems));
         }
-        problems.addAll(ConfigurationMerger.merge(units).problems());
+        MergeResult merged = ConfigurationMerger.merge(units);
+        problems.addAll(merged.problems());
+        if (problems.isEmpty()) {
+            problems.addAll(BudgetFeasibility.problems(merged.configuration()));
+        }
         return new Folder(units, problems);
     }
 
--- a/src/main/java/org/cicadalead/logic/fleet/MaintenanceFold.java
+++ b/src/main/java/org/cicadalead/logic/fleet/MaintenanceFold.java
@@ -50,7 +50,8 @@
     }
 
     private static FoldResult start(SharedState state, long offset, MaintenanceCommand.Start start) {
-        if (state.waves().containsKey(start.wave())) {
+        WaveState earlier = state.waves().get(start.wave());
+        if (earlier != null && isNeeded(earlier)) {
             return FoldResult.rejected(state, ErrorKind.CONFLICT, "There is a wave '" + start.wave() + "' already");
         }
         TreePMap<HostName, WaveHost> hosts = TreePMap.empty();
@@ -76,6 +77,13 @@
         return FoldResult.accepted(dropOldWaves(state.withWave(wave)), offset);
     }
 
+    /** A wave's name may be used again when it is over, none of its hosts is out, and it was no periodic one. */
+    private static boolean isNeeded(WaveState wave) {
+        return !wave.phase().isTerminal()
+                || wave.count(WaveHostProgress.UNDER_WAY) > 0
+                || wave.periodMilliseconds() > 0;
+    }
+
     private static FoldResult change(SharedState state, long offset, MaintenanceCommand.Change change) {
         WaveState wave = state.waves().get(change.wave());
         if (wave == null || wave.version() != change.waveVersion()) {
--- /dev/null
+++ b/src/test/java/org/cicadalead/logic/planning/FleetStep.java
@@ -0,0 +1,54 @@
+package org.cicadalead.logic.planning;
+
+import java.util.List;
+import java.util.Random;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Combinators;
+
+/**
+ * One step of a generated history.
+ *
+ * @param kind what happens
+ * @param first picks a host, rack, process or service
+ * @param second picks a pool, a number or how old the view is
+ */
+record FleetStep(Kind kind, int first, int second) {
+    private static final int LARGEST_PICK = 96;
+
+    enum Kind {
+        HOST_FAILS,
+        RACK_FAILS,
+        HOST_RETURNS,
+        HOST_LEAVES,
+        PLAN,
+        PLAN_AGAIN,
+        CONFIRM_DRAINS,
+        ACKNOWLEDGE,
+        ASSIGN,
+        CARELESS_GRANT,
+        CARELESS_WITHDRAW,
+        CARELESS_ADVANCE,
+        START_WAVE,
+        CHANGE_WAVE,
+        PUBLISH_BUDGET,
+        JOIN,
+        LEAVE
+    }
+
+    static FleetStep random(Random random) {
+        List<Kind> kinds = List.of(Kind.values());
+        Kind kind = kinds.get(random.nextInt(kinds.size()));
+        return new FleetStep(kind, random.nextInt(LARGEST_PICK), random.nextInt(LARGEST_PICK));
+    }
+
+    static Arbitrary<List<FleetStep>> histories(int longest) {
+        Arbitrary<Integer> picks =
+                Arbitraries.integers().between(0, LARGEST_PICK).withoutEdgeCases();
+        return Combinators.combine(Arbitraries.of(Kind.class), picks, picks)
+                .as(FleetStep::new)
+                .list()
+                .ofMinSize(longest / 2)
+                .ofMaxSize(longest);
+    }
+}
--- /dev/null
+++ b/src/test/java/org/cicadalead/logic/planning/FleetWorld.java
@@ -0,0 +1,289 @@
+package org.cicadalead.logic.planning;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.cicadalead.bench.outcomes.BenchFleet;
+import org.cicadalead.logic.capacity.CapacityPolicy;
+import org.cicadalead.logic.state.FoldResult;
+import org.cicadalead.logic.state.SharedStateFold;
+import org.cicadalead.model.command.Command;
+import org.cicadalead.model.command.CommandEnvelope;
+import org.cicadalead.model.command.CommandOutcome;
+import org.cicadalead.model.command.ConfigurationCommand;
+import org.cicadalead.model.command.FleetCommand;
+import org.cicadalead.model.command.MaintenanceCommand;
+import org.cicadalead.model.command.MembershipCommand;
+import org.cicadalead.model.configuration.AvailabilityBudget;
+import org.cicadalead.model.configuration.ConfigurationUnit;
+import org.cicadalead.model.configuration.NetworkAddress;
+import org.cicadalead.model.configuration.ServiceDefinition;
+import org.cicadalead.model.fleet.HostCondition;
+import org.cicadalead.model.fleet.HostHealth;
+import org.cicadalead.model.fleet.HostState;
+import org.cicadalead.model.fleet.MaintenanceStep;
+import org.cicadalead.model.fleet.WaveAction;
+import org.cicadalead.model.fleet.WaveChange;
+import org.cicadalead.model.fleet.WaveSelection;
+import org.cicadalead.model.identity.CommandIdentifier;
+import org.cicadalead.model.identity.HostName;
+import org.cicadalead.model.identity.PoolName;
+import org.cicadalead.model.identity.ProcessIdentifier;
+import org.cicadalead.model.identity.RackName;
+import org.cicadalead.model.identity.WaveIdentifier;
+import org.cicadalead.model.state.SharedState;
+import org.cicadalead.model.state.WaveState;
+
+/** Plays a generated history on planners and fold together; planners see states that are up to some records old. */
+final class FleetWorld {
+    private static final int OLDEST_VIEW = 6;
+    private static final long STEP_MILLISECONDS = 30_000;
+
+    private final List<SharedState> states = new ArrayList<>();
+    private final FleetOracle oracle = new FleetOracle();
+    private final FleetMutation mutation;
+    private StepAges ages = StepAges.initial();
+    private long now;
+    private int joined;
+
+    FleetWorld(FleetMutation mutation) {
+        this.mutation = mutation;
+        states.add(SharedState.empty());
+        append(new ConfigurationCommand.Publish(BenchFleet.ofExample("blue-mountain").stream()
+                .map(unit -> new ConfigurationCommand.UnitChange(unit.fileName(), 0, Optional.of(unit)))
+                .toList()));
+        join();
+        join();
+    }
+
+    SharedState newest() {
+        return states.get(states.size() - 1);
+    }
+
+    void play(FleetStep step) {
+        now += STEP_MILLISECONDS;
+        switch (step.kind()) {
+            case HOST_FAILS -> observe(Set.of(host(step.first()).name()), HostHealth.DOWN);
+            case RACK_FAILS -> observe(rackOf(host(step.first())), HostHealth.DOWN);
+            case HOST_RETURNS -> observe(rackOf(host(step.first())), HostHealth.UP);
+            case HOST_LEAVES -> observe(Set.of(host(step.first()).name()), HostHealth.LEAVING);
+            case PLAN, PLAN_AGAIN -> plan(step);
+            case CONFIRM_DRAINS ->
+                PlanningRound.confirmations(
+                                newest(), member(step.first()), newest().hosts().keySet())
+                        .forEach(decision -> append(decision.command().orElseThrow()));
+            case ACKNOWLEDGE -> append(new FleetCommand.Acknowledge(member(step.first()), moves()));
+            case ASSIGN -> append(new FleetCommand.Assign(moves(), List.of()));
+            case CARELESS_GRANT -> grant(host(step.first()), step.second());
+            case CARELESS_WITHDRAW -> withdraw(host(step.first()), step.second());
+            case CARELESS_ADVANCE -> advance(host(step.first()), step.second());
+            case START_WAVE -> startWave(step);
+            case CHANGE_WAVE ->
+                wave(step.first())
+                        .ifPresent(wave -> append(new MaintenanceCommand.Change(
+                                wave.wave(), wave.version(), pick(WaveChange.values(), step.second()))));
+            case PUBLISH_BUDGET -> publishBudget(step);
+            case JOIN -> join();
+            case LEAVE -> leave(step.first());
+            default -> throw new IllegalStateException(step.kind().name());
+        }
+    }
+
+    static ServiceDefinition withBudget(ServiceDefinition service, AvailabilityBudget budget) {
+        return new ServiceDefinition(
+                service.name(),
+                service.pool(),
+                budget,
+                service.timeout(),
+                service.queueLimit(),
+                service.idempotentMethods(),
+                service.place());
+    }
+
+    private void append(Command command) {
+        SharedState before = newest();
+        long offset = before.offset() + 1;
+        CommandEnvelope envelope = new CommandEnvelope(
+                CommandEnvelope.CURRENT_FORMAT,
+                new CommandIdentifier("step-" + offset),
+                new ProcessIdentifier("fuzz"),
+                command);
+        SharedState seen = mutation.seen(before, command);
+        FoldResult result = SharedStateFold.apply(seen, offset, Optional.of(envelope));
+        SharedState after = merged(before, seen, result.state());
+        states.add(after);
+        if (result.outcome() instanceof CommandOutcome.Accepted) {
+            oracle.judge(before, after, command);
+        }
+    }
+
+    /** Takes over what a faulty fold changed, and leaves the rest as it really is. */
+    private static SharedState merged(SharedState before, SharedState seen, SharedState result) {
+        SharedState merged = result.withHosts(before.hosts()).withWaves(before.waves());
+        if (seen.configuration().equals(result.configuration())) {
+            merged = merged.withConfiguration(before.configuration());
+        }
+        for (HostState host : result.hosts().values()) {
+            if (!host.equals(seen.hosts().get(host.name()))) {
+                merged = merged.withHost(host);
+            }
+        }
+        for (WaveState wave : result.waves().values()) {
+            if (!wave.equals(seen.waves().get(wave.wave()))) {
+                merged = merged.withWave(wave);
+            }
+        }
+        return merged;
+    }
+
+    private void plan(FleetStep step) {
+        int age = Math.min(step.second() % OLDEST_VIEW, states.size() - 1);
+        SharedState view = states.get(states.size() - 1 - age);
+        ages = ages.at(view, now);
+        Map<HostName, HostCondition> conditions = new HashMap<>();
+        for (HostState host : view.hosts().values()) {
+            MaintenanceSteps.rebootOf(view, host)
+                    .ifPresent(operation ->
+                            conditions.put(host.name(), new HostCondition(operation, HostCondition.Progress.RUNNING)));
+        }
+        Map<PoolName, Integer> demand = new HashMap<>();
+        PoolName busy = pool(step.first());
+        demand.put(busy, step.second());
+        PlanningInput input = new PlanningInput(
+                view,
+                pick(CapacityPolicy.values(), step.first()),
+                Set.of(),
+                demand,
+                conditions,
+                view.hosts().keySet(),
+                ages,
+                now);
+        PlanningRound.plan(input).forEach(decision -> decision.command().ifPresent(this::append));
+    }
+
+    private void observe(Set<HostName> names, HostHealth health) {
+        append(new FleetCommand.Observe(names.stream()
+                .map(name -> new FleetCommand.HostObservation(
+                        name, newest().hosts().get(name).version(), health))
+                .toList()));
+    }
+
+    private void grant(HostState host, int wave) {
+        wave(wave).ifPresent(found -> append(new MaintenanceCommand.Grant(found.wave(), host.name(), host.version())));
+    }
+
+    private void withdraw(HostState host, int pool) {
+        append(new FleetCommand.Withdraw(host.name(), host.version(), pool(pool)));
+    }
+
+    private void advance(HostState host, int step) {
+        HostState target = newest().hosts().values().stream()
+                .filter(found -> found.wave().isPresent())
+                .findFirst()
+                .orElse(host);
+        append(new MaintenanceCommand.Advance(target.name(), target.version(), pick(MaintenanceStep.values(), step)));
+    }
+
+    private void startWave(FleetStep step) {
+        WaveSelection selection = step.first() % 2 == 0
+                ? WaveSelection.everything()
+                : new WaveSelection(List.of(pool(step.second())), List.of(), List.of(), List.of());
+        append(new MaintenanceCommand.Start(
+                new WaveIdentifier("wave-" + states.size()),
+                selection,
+                pick(WaveAction.values(), step.second() / 4),
+                "fuzz",
+                now,
+                0,
+                2));
+    }
+
+    private void publishBudget(FleetStep step) {
+        List<ConfigurationUnit> units = newest().configuration().units().values().stream()
+                .map(versioned -> versioned.unit())
+                .filter(unit -> !unit.services().isEmpty())
+                .toList();
+        ConfigurationUnit unit = units.get(step.first() % units.size());
+        ServiceDefinition service = unit.services().get(0);
+        int promised = 1 + step.second() % 10;
+        int unavailable = Math.min(promised, step.second() / 10 % 5);
+        AvailabilityBudget budget =
+                new AvailabilityBudget(promised, unavailable, service.budget().cover());
+        ConfigurationUnit changed = new ConfigurationUnit(
+                unit.fileName(),
+                "digest-" + states.size(),
+                unit.deployment(),
+                unit.zones(),
+                unit.hosts(),
+                unit.pools(),
+                List.of(withBudget(service, budget)),
+                unit.teams());
+        long version = newest().configuration().units().get(unit.fileName()).version();
+        append(new ConfigurationCommand.Publish(
+                List.of(new ConfigurationCommand.UnitChange(unit.fileName(), version, Optional.of(changed)))));
+    }
+
+    private void join() {
+        joined++;
+        append(new MembershipCommand.Join(
+                new ProcessIdentifier("process-" + joined),
+                newest().configuration().merged().zones().firstKey(),
+                new NetworkAddress("127.0.0.1", joined),
+                Optional.empty()));
+    }
+
+    private void leave(int number) {
+        if (newest().members().size() > 1) {
+            ProcessIdentifier process = member(number);
+            append(new MembershipCommand.Leave(
+                    process, newest().members().get(process).version()));
+        }
+    }
+
+    private List<FleetCommand.HostMove> moves() {
+        return newest().hosts().values().stream()
+                .flatMap(host ->
+                        host.move().stream().map(move -> new FleetCommand.HostMove(host.name(), move.version())))
+                .toList();
+    }
+
+    private Set<HostName> rackOf(HostState host) {
+        RackName rack =
+                newest().configuration().merged().hosts().get(host.name()).rack();
+        return newest().configuration().merged().hosts().values().stream()
+                .filter(definition -> definition.rack().equals(rack))
+                .map(definition -> definition.name())
+                .collect(Collectors.toSet());
+    }
+
+    private HostState host(int number) {
+        List<HostState> hosts = List.copyOf(newest().hosts().values());
+        return hosts.get(number % hosts.size());
+    }
+
+    private PoolName pool(int number) {
+        List<PoolName> pools =
+                List.copyOf(newest().configuration().merged().pools().keySet());
+        return pools.get(number % pools.size());
+    }
+
+    private ProcessIdentifier member(int number) {
+        List<ProcessIdentifier> members = List.copyOf(newest().members().keySet());
+        return members.get(number % members.size());
+    }
+
+    private Optional<WaveState> wave(int number) {
+        List<WaveState> waves = newest().waves().values().stream()
+                .filter(wave -> !wave.phase().isTerminal())
+                .toList();
+        return waves.isEmpty() ? Optional.empty() : Optional.of(waves.get(number % waves.size()));
+    }
+
+    private static <T> T pick(T[] values, int number) {
+        return values[number % values.length];
+    }
+}
