--- a/src/main/java/org/cicadalead/adapters/entry/EntryProcess.java
+++ b/src/main/java/org/cicadalead/adapters/entry/EntryProcess.java
@@ -6,7 +6,6 @@
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import java.io.IOException;
 import java.time.Duration;
-import java.util.Map;
 import java.util.Optional;
 import java.util.UUID;
 import org.cicadalead.adapters.administration.AdministrationServer;
@@ -21,6 +20,7 @@
 import org.cicadalead.adapters.membership.EntryMembership;
 import org.cicadalead.adapters.membership.MembershipStatus;
 import org.cicadalead.adapters.planning.PlanningService;
+import org.cicadalead.adapters.planning.PoolUsage;
 import org.cicadalead.adapters.planning.WaveRoutes;
 import org.cicadalead.adapters.platform.HttpPlatform;
 import org.cicadalead.adapters.platform.HttpTaskPlatform;
@@ -88,7 +88,7 @@
                 identifier,
                 replica::state,
                 new PlanningService.PlatformPorts(platform, platform),
-                Map::of,
+                new PoolUsage(replica::state, callers.placements(), callers::waiting),
                 sharedState.appender()::submit,
                 timers,
                 timeline);
--- /dev/null
+++ b/src/main/java/org/cicadalead/adapters/planning/PoolUsage.java
@@ -0,0 +1,59 @@
+package org.cicadalead.adapters.planning;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.Supplier;
+import java.util.function.ToIntFunction;
+import org.cicadalead.model.configuration.HostDefinition;
+import org.cicadalead.model.configuration.ServiceDefinition;
+import org.cicadalead.model.fleet.HostState;
+import org.cicadalead.model.identity.PoolName;
+import org.cicadalead.model.identity.ServiceName;
+import org.cicadalead.model.state.SharedState;
+import org.cicadalead.ports.DemandSource;
+import org.cicadalead.ports.PlacementControl;
+
+/**
+ * Estimates the hosts that the fleet's requests keep busy from those of this process: in flight and waiting, over the
+ * slots of a host, times the members, as the balancer spreads callers evenly. Immutable and safe for use by several
+ * threads.
+ */
+public final class PoolUsage implements DemandSource {
+    private final Supplier<SharedState> state;
+    private final PlacementControl placements;
+    private final ToIntFunction<ServiceName> waiting;
+
+    /** Creates a source on what this process has in flight and what waits in it. */
+    public PoolUsage(Supplier<SharedState> state, PlacementControl placements, ToIntFunction<ServiceName> waiting) {
+        this.state = state;
+        this.placements = placements;
+        this.waiting = waiting;
+    }
+
+    @Override
+    public Map<PoolName, Double> busyHosts() {
+        SharedState current = state.get();
+        Map<PoolName, Integer> requests = new HashMap<>();
+        Map<PoolName, Integer> slots = new HashMap<>();
+        Map<PoolName, Integer> hosts = new HashMap<>();
+        for (HostState host : current.hosts().values()) {
+            HostDefinition definition = current.configuration().merged().hosts().get(host.name());
+            if (definition != null) {
+                requests.merge(host.pool(), placements.inFlight(host.name()), Integer::sum);
+                slots.merge(host.pool(), definition.slots(), Integer::sum);
+                hosts.merge(host.pool(), 1, Integer::sum);
+            }
+        }
+        for (ServiceDefinition service :
+                current.configuration().merged().services().values()) {
+            requests.merge(service.pool(), waiting.applyAsInt(service.name()), Integer::sum);
+        }
+        int members = Math.max(1, current.members().size());
+        Map<PoolName, Double> busy = new HashMap<>();
+        hosts.forEach((pool, count) -> {
+            double slotsOfHost = (double) slots.getOrDefault(pool, 0) / count;
+            busy.put(pool, slotsOfHost == 0 ? 0 : requests.getOrDefault(pool, 0) * members / slotsOfHost);
+        });
+        return busy;
+    }
+}
--- a/src/main/java/org/cicadalead/adapters/request/CallerServer.java
+++ b/src/main/java/org/cicadalead/adapters/request/CallerServer.java
@@ -18,6 +18,7 @@
 import org.cicadalead.model.event.EventDetail;
 import org.cicadalead.model.event.EventKind;
 import org.cicadalead.model.identity.RequestIdentifier;
+import org.cicadalead.model.identity.ServiceName;
 import org.cicadalead.model.request.RequestLimits;
 import org.cicadalead.model.request.RequestTerms;
 import org.cicadalead.model.settings.EntrySettings;
@@ -77,6 +78,11 @@
         return path;
     }
 
+    /** Returns the number of requests of a service that wait here. */
+    public int waiting(ServiceName service) {
+        return path.waiting(service);
+    }
+
     /** Asks callers to use another connection for their next request, while the balancer learns that it stops. */
     public void closeConnectionsAfterAnswers() {
         closing = true;
--- a/src/main/java/org/cicadalead/adapters/request/RequestPath.java
+++ b/src/main/java/org/cicadalead/adapters/request/RequestPath.java
@@ -152,7 +152,8 @@
         exchange.get().askFor(route, count, tooSlow);
     }
 
-    private int waiting(ServiceName service) {
+    /** Returns the number of requests of a service that wait here. */
+    int waiting(ServiceName service) {
         ServiceDispatcher<CallerRequest> dispatcher = dispatchers.get(service);
         return dispatcher == null ? 0 : dispatcher.waiting();
     }
--- a/src/main/java/org/cicadalead/bench/outcomes/OutcomesDay.java
+++ b/src/main/java/org/cicadalead/bench/outcomes/OutcomesDay.java
@@ -42,6 +42,8 @@
 /** Plays one day with one policy. For use by one thread. */
 final class OutcomesDay {
     private static final long STEP_MILLISECONDS = 2_500;
+    private static final long LARGE_STEP_MILLISECONDS = 5_000;
+    private static final int LARGE_FLEET_HOSTS = 500;
     private static final long EVICTION_MILLISECONDS = 60_000;
     private static final long OPERATOR_MILLISECONDS = 5 * 60_000;
     private static final int PROCESSES_PER_ZONE = 2;
@@ -53,6 +55,7 @@
     private final CapacityPolicy policy;
     private final Day day;
     private final long seed;
+    private final long stepMilliseconds;
     private final Random random;
     private final BenchLog log = new BenchLog();
     private final TrueHosts hosts;
@@ -84,6 +87,8 @@
             throw new CicadaleadException(rejected.kind(), rejected.detail());
         }
         FleetConfiguration configuration = log.newest().configuration().merged();
+        stepMilliseconds =
+                configuration.hosts().size() < LARGE_FLEET_HOSTS ? STEP_MILLISECONDS : LARGE_STEP_MILLISECONDS;
         hosts = new TrueHosts(configuration.hosts().values(), seed);
         demand = new TrueDemand(configuration, new Random(seed + 2));
         oracle = new OutcomeOracle(hosts);
@@ -93,7 +98,7 @@
     PolicyOutcome play() {
         int next = 0;
         while (now < day.lengthMilliseconds()) {
-            now += STEP_MILLISECONDS;
+            now += stepMilliseconds;
             hosts.advance(now);
             while (next < day.incidents().size() && day.incidents().get(next).timeMilliseconds() <= now) {
                 apply(day.incidents().get(next));
@@ -128,7 +133,7 @@
             });
         }
         operateWaves();
-        oracle.judge(log, running, now, STEP_MILLISECONDS);
+        oracle.judge(log, running, now, stepMilliseconds);
         measure(log.newest());
     }
 
@@ -297,8 +302,8 @@
             int have = serving.getOrDefault(pool, 0);
             int owed = promised.getOrDefault(pool, 0);
             int needed = Math.max(owed, (int) Math.ceil(demand.hosts(pool, now)));
-            idleHostMilliseconds += (double) Math.max(0, have - needed) * STEP_MILLISECONDS;
-            belowPromiseMilliseconds += (double) Math.max(0, owed - have) * STEP_MILLISECONDS;
+            idleHostMilliseconds += (double) Math.max(0, have - needed) * stepMilliseconds;
+            belowPromiseMilliseconds += (double) Math.max(0, owed - have) * stepMilliseconds;
         }
     }
 
@@ -329,6 +334,7 @@
                 entries.size(),
                 entries.stream().filter(entry -> !entry.isAccepted()).count(),
                 roundTimes.medianMicroseconds(),
-                roundTimes.nearlyAllMicroseconds());
+                roundTimes.nearlyAllMicroseconds(),
+                roundTimes.medianKilobytes());
     }
 }
--- a/src/main/java/org/cicadalead/bench/outcomes/OutcomesReport.java
+++ b/src/main/java/org/cicadalead/bench/outcomes/OutcomesReport.java
@@ -33,7 +33,8 @@
         for (PolicyOutcome outcome : policies) {
             text.append(String.format(
                     "%-20s idle %.1f host-hours, roll-out %.1f min %s, moves %d, violations %d, "
-                            + "without plan's part %.1f min, beyond cover %.1f min, below promise %.1f host-hours%n",
+                            + "without plan's part %.1f min, beyond cover %.1f min, below promise %.1f host-hours, "
+                            + "round %.0f us median, %.0f us p99, %.0f KB%n",
                     outcome.policy(),
                     outcome.idleHostHours(),
                     outcome.rollOutMinutes(),
@@ -44,7 +45,10 @@
                     outcome.violations(),
                     outcome.unplannedShortMinutes(),
                     outcome.beyondCoverMinutes(),
-                    outcome.belowPromiseHostHours()));
+                    outcome.belowPromiseHostHours(),
+                    outcome.roundMedianMicroseconds(),
+                    outcome.roundNearlyAllMicroseconds(),
+                    outcome.roundMedianKilobytes()));
             outcome.violationTexts()
                     .forEach(line -> text.append("    ").append(line).append(System.lineSeparator()));
         }
@@ -70,6 +74,7 @@
      * @param rejected records that the fold rejected, from races and careless commands
      * @param roundMedianMicroseconds median time of one planning round
      * @param roundNearlyAllMicroseconds 99th percentile of it
+     * @param roundMedianKilobytes median of the memory that one planning round allocates, all of it short-lived
      */
     public record PolicyOutcome(
             CapacityPolicy policy,
@@ -86,7 +91,8 @@
             long records,
             long rejected,
             double roundMedianMicroseconds,
-            double roundNearlyAllMicroseconds) {
+            double roundNearlyAllMicroseconds,
+            double roundMedianKilobytes) {
         /** Copies the list. */
         public PolicyOutcome {
             violationTexts = List.copyOf(violationTexts);
--- a/src/main/java/org/cicadalead/bench/outcomes/TrueHosts.java
+++ b/src/main/java/org/cicadalead/bench/outcomes/TrueHosts.java
@@ -25,6 +25,7 @@
 
     private final Map<HostName, Truth> truths = new TreeMap<>();
     private final long seed;
+    private Map<HostName, HostHealth> list = Map.of();
     private long now;
 
     TrueHosts(Iterable<HostDefinition> hosts, long seed) {
@@ -37,6 +38,7 @@
         for (Truth truth : truths.values()) {
             truth.advance(now);
         }
+        list = newList();
     }
 
     /** Fails a host for a time. */
@@ -114,6 +116,10 @@
 
     /** Returns the list as the platform shows it, late. */
     Map<HostName, HostHealth> list() {
+        return list;
+    }
+
+    private Map<HostName, HostHealth> newList() {
         Map<HostName, HostHealth> listed = new HashMap<>();
         for (Truth truth : truths.values()) {
             truth.listed.ifPresent(entry -> listed.put(entry.host(), entry.health()));
--- a/src/main/java/org/cicadalead/cli/BenchOutcomesCommand.java
+++ b/src/main/java/org/cicadalead/cli/BenchOutcomesCommand.java
@@ -15,7 +15,7 @@
 final class BenchOutcomesCommand implements Subcommand {
     private static final String DEFAULT_DEPLOYMENT = "blue-mountain";
     private static final Duration DAY = Duration.ofHours(24);
-    private static final Duration SHORT_DAY = Duration.ofHours(6);
+    private static final Duration SHORT_DAY = Duration.ofHours(4);
     private static final String TARGET = "target";
 
     @Override
@@ -46,7 +46,7 @@
                 .addOption(withArgument("deployment", "NAME", "blue-mountain (the default) or dakar-wage-survey"))
                 .addOption(withArgument("seed", "N", "seed of the day's events (1)"))
                 .addOption(withArgument("size", "SIZE", "'target' for 1,400 hosts with the deployment's first measure"))
-                .addOption(withArgument("for", "DURATION", "length of the day (24h, or 6h at the target's size)"));
+                .addOption(withArgument("for", "DURATION", "length of the day (24h, or 4h at the target's size)"));
     }
 
     @Override
--- a/src/main/java/org/cicadalead/logic/capacity/DemandWindow.java
+++ b/src/main/java/org/cicadalead/logic/capacity/DemandWindow.java
@@ -17,8 +17,8 @@
     public static final long LENGTH_MILLISECONDS = 5 * 60_000L;
 
     private static final double SUSTAINED_QUANTILE = 0.3;
-    private static final double RECENT_QUANTILE = 0.95;
     private static final int LEAST_SAMPLES = 4;
+    private static final long LEAST_SPAN_MILLISECONDS = 2 * 60_000L;
 
     private final Map<PoolName, Deque<Sample>> samples = new HashMap<>();
 
@@ -35,25 +35,21 @@
 
     /** Returns the hosts that each pool needed for most of the window, rounded down. */
     public Map<PoolName, Integer> sustained() {
-        return quantiles(SUSTAINED_QUANTILE, false);
-    }
-
-    /** Returns the hosts that each pool needed at the busiest moments of the window, rounded up. */
-    public Map<PoolName, Integer> recentPeak() {
-        return quantiles(RECENT_QUANTILE, true);
-    }
-
-    private Map<PoolName, Integer> quantiles(double quantile, boolean up) {
         Map<PoolName, Integer> needed = new HashMap<>();
         samples.forEach((pool, window) -> {
-            if (window.size() >= LEAST_SAMPLES) {
-                double value = quantileOf(window, quantile);
-                needed.put(pool, (int) (up ? Math.ceil(value) : Math.floor(value)));
+            if (isLongEnough(window)) {
+                needed.put(pool, (int) Math.floor(quantileOf(window, SUSTAINED_QUANTILE)));
             }
         });
         return needed;
     }
 
+    /** A few reports of one moment do not show that demand lasts. */
+    private static boolean isLongEnough(Deque<Sample> window) {
+        return window.size() >= LEAST_SAMPLES
+                && window.getLast().time - window.getFirst().time >= LEAST_SPAN_MILLISECONDS;
+    }
+
     private static double quantileOf(Deque<Sample> window, double quantile) {
         double[] sorted = window.stream().mapToDouble(Sample::busyHosts).toArray();
         Arrays.sort(sorted);
--- a/src/main/java/org/cicadalead/logic/planning/CapacityPlanner.java
+++ b/src/main/java/org/cicadalead/logic/planning/CapacityPlanner.java
@@ -38,6 +38,7 @@
     private final Map<PoolName, List<HostState>> movable = new HashMap<>();
     private final Map<PoolName, Map<RackName, Integer>> settled = new HashMap<>();
     private final List<Decision> decisions = new ArrayList<>();
+    private final int worstEvent;
     private CapacityIndex index;
     private int movesLeft;
 
@@ -46,6 +47,7 @@
         this.state = input.state();
         this.uncounted = input.uncounted();
         this.index = CapacityIndex.of(state, uncounted);
+        this.worstEvent = WorstEvent.hosts(state);
     }
 
     /** Plans one round. */
@@ -178,7 +180,7 @@
     }
 
     private void refillSpare() {
-        int reserve = input.policy().idleReserve(input.firstMeasure(), WorstEvent.hosts(state));
+        int reserve = input.policy().idleReserve(input.firstMeasure(), worstEvent);
         for (PoolCapacity spare : sparePools()) {
             int have = spare.available() + spare.incoming() + spare.returning();
             for (int missing = reserve - have; missing > 0 && movesLeft > 0; missing--) {
@@ -195,7 +197,7 @@
     private Optional<HostState> sourceFor(PoolName pool, boolean promised) {
         List<HostState> idle = new ArrayList<>();
         for (PoolCapacity spare : sparePools()) {
-            int kept = promised ? 0 : input.policy().idleReserve(input.firstMeasure(), WorstEvent.hosts(state));
+            int kept = promised ? 0 : input.policy().idleReserve(input.firstMeasure(), worstEvent);
             if (spare.available() > kept) {
                 idle.addAll(movable.getOrDefault(spare.pool(), List.of()));
             }
--- a/src/main/java/org/cicadalead/logic/planning/MaintenancePlanner.java
+++ b/src/main/java/org/cicadalead/logic/planning/MaintenancePlanner.java
@@ -76,13 +76,19 @@
             return;
         }
         int open = openGrants(wave);
-        Optional<String> firstReason = open > 0 ? Optional.empty() : Optional.of(waitReason(wave));
-        List<HostState> waiting = waitingHosts(wave);
+        if (open <= 0) {
+            if (wave.count(WaveHostProgress.WAITING) > 0) {
+                withhold(wave, waitReason(wave));
+            }
+            return;
+        }
+        Optional<String> firstReason = Optional.empty();
         int granted = 0;
-        for (HostState host : waiting) {
+        for (Candidate candidate : waitingHosts(wave)) {
             if (granted >= open) {
                 break;
             }
+            HostState host = candidate.host();
             Optional<String> objection = objection(host);
             if (objection.isPresent()) {
                 firstReason = firstReason.or(() -> Optional.of(host.name() + ": " + objection.get()));
@@ -91,15 +97,19 @@
             grant(wave, host);
             granted++;
         }
-        if (granted == 0 && firstReason.isPresent() && !waiting.isEmpty()) {
-            decisions.add(Decision.wait(
-                    EventKind.MAINTENANCE_WITHHELD,
-                    wave.wave(),
-                    EventDetail.of("reason", firstReason.get()),
-                    EventDetail.of("offset", state.offset())));
+        if (granted == 0) {
+            firstReason.ifPresent(reason -> withhold(wave, reason));
         }
     }
 
+    private void withhold(WaveState wave, String reason) {
+        decisions.add(Decision.wait(
+                EventKind.MAINTENANCE_WITHHELD,
+                wave.wave(),
+                EventDetail.of("reason", reason),
+                EventDetail.of("offset", state.offset())));
+    }
+
     /** A wave whose hosts came back and then failed is stopped; one that waits for hosts that left is refreshed. */
     private Optional<Decision> stopOf(WaveState wave) {
         int failedAgain = 0;
@@ -164,18 +174,20 @@
     }
 
     /** Hosts on a rack that already has one out come first, then hosts on the racks that crowd their pool most. */
-    private List<HostState> waitingHosts(WaveState wave) {
-        List<HostState> waiting = new ArrayList<>();
+    private List<Candidate> waitingHosts(WaveState wave) {
+        List<Candidate> waiting = new ArrayList<>();
         wave.hosts().forEach((name, waveHost) -> {
             HostState host = state.hosts().get(name);
             if (host != null && waveHost.progress() == WaveHostProgress.WAITING) {
-                waiting.add(host);
+                RackName rack = rackOf(host);
+                int crowding = index.pool(host.pool()).availableByRack().getOrDefault(rack, 0);
+                waiting.add(new Candidate(host, rack, racksUnderWay.contains(rack), crowding));
             }
         });
-        waiting.sort(Comparator.<HostState, Boolean>comparing(host -> !racksUnderWay.contains(rackOf(host)))
-                .thenComparing(Comparator.comparingInt(this::crowding).reversed())
-                .thenComparing(this::rackOf)
-                .thenComparing(HostState::name));
+        waiting.sort(Comparator.comparing((Candidate candidate) -> !candidate.rackUnderWay())
+                .thenComparing(Comparator.comparingInt(Candidate::crowding).reversed())
+                .thenComparing(Candidate::rack)
+                .thenComparing(candidate -> candidate.host().name()));
         return waiting;
     }
 
@@ -234,11 +246,9 @@
         racksUnderWay.add(rackOf(host));
     }
 
-    private int crowding(HostState host) {
-        return index.pool(host.pool()).availableByRack().getOrDefault(rackOf(host), 0);
-    }
-
     private RackName rackOf(HostState host) {
         return state.configuration().merged().hosts().get(host.name()).rack();
     }
+
+    private record Candidate(HostState host, RackName rack, boolean rackUnderWay, int crowding) {}
 }
--- /dev/null
+++ b/src/test/java/org/cicadalead/logic/capacity/BudgetLedgerTest.java
@@ -0,0 +1,85 @@
+package org.cicadalead.logic.capacity;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.Optional;
+import org.cicadalead.model.command.FleetCommand;
+import org.cicadalead.model.fleet.HostHealth;
+import org.cicadalead.model.identity.PoolName;
+import org.cicadalead.support.PlannedFleet;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+class BudgetLedgerTest {
+    private final PlannedFleet fleet = PlannedFleet.withFirstMeasure("buffer-cost");
+
+    @BeforeEach
+    void publishPools() {
+        fleet.spare("x", "y");
+        fleet.pool("routes", 5, 2, "a", "b", "c", "d", "e");
+    }
+
+    @Test
+    void allowsAHostWhenTheLargestCoveredFailureStillLeavesTheMinimum() {
+        assertTrue(objection("routes-0").isEmpty());
+    }
+
+    @ParameterizedTest
+    @EnumSource(names = {"DOWN", "LEAVING"})
+    void aHostThatIsMissingCountsAgainstTheBudget(HostHealth health) {
+        fleet.observe("routes-1", health);
+
+        assertTrue(objection("routes-0").isPresent());
+    }
+
+    @Test
+    void aHostThatIsWithdrawnCountsAgainstItsOldPoolAtOnce() {
+        withdraw("routes-1", "spare");
+
+        assertTrue(objection("routes-0").isPresent());
+    }
+
+    @Test
+    void aHostThatIsMovingInCountsOnlyOnceItIsAssigned() {
+        fleet.join();
+        fleet.observe("routes-1", HostHealth.DOWN);
+        withdraw("spare-0", "routes");
+
+        assertTrue(objection("routes-0").isPresent());
+    }
+
+    @Test
+    void twoHostsOnOneRackAreReservedTogether() {
+        fleet.pool("diets", 5, 2, "a", "a", "b", "c", "d");
+
+        assertFalse(objection("diets-2").isEmpty());
+    }
+
+    @Test
+    void aHostThatIsDownTakesNothingFromABudget() {
+        fleet.observe("routes-0", HostHealth.DOWN);
+
+        assertTrue(objection("routes-0").isEmpty());
+    }
+
+    @Test
+    void theIndexAgreesWithTheLedgerAfterEachRemoval() {
+        CapacityIndex index = CapacityIndex.of(fleet.state()).without(fleet.host("routes-1"));
+        withdraw("routes-1", "spare");
+
+        assertEquals(objection("routes-0"), index.objectionToRemoval(fleet.host("routes-0")));
+    }
+
+    private Optional<String> objection(String host) {
+        return BudgetLedger.objectionToRemoval(fleet.state(), fleet.host(host));
+    }
+
+    private void withdraw(String host, String pool) {
+        assertTrue(PlannedFleet.isAccepted(fleet.apply(new FleetCommand.Withdraw(
+                fleet.host(host).name(), fleet.host(host).version(), new PoolName(pool)))));
+    }
+}
--- /dev/null
+++ b/src/test/java/org/cicadalead/logic/planning/CapacityPlannerTest.java
@@ -0,0 +1,93 @@
+package org.cicadalead.logic.planning;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.cicadalead.logic.capacity.CapacityPolicy;
+import org.cicadalead.model.command.FleetCommand;
+import org.cicadalead.model.event.EventKind;
+import org.cicadalead.model.fleet.HostHealth;
+import org.cicadalead.model.identity.HostName;
+import org.cicadalead.model.identity.PoolName;
+import org.cicadalead.support.PlannedFleet;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+class CapacityPlannerTest {
+    private static final PoolName ROUTES = new PoolName("routes");
+
+    private final PlannedFleet fleet = PlannedFleet.withFirstMeasure("buffer-cost");
+
+    @BeforeEach
+    void publishPools() {
+        fleet.spare("a", "x");
+        fleet.pool("diets", 5, 3, "a", "b", "c", "d", "e");
+        fleet.pool("routes", 5, 2, "a", "b", "c", "d", "e");
+    }
+
+    @Test
+    void replacesAFailedHostByOneOnARackThatThePoolHasNot() {
+        fleet.observe("routes-1", HostHealth.DOWN);
+
+        assertEquals(List.of("spare-1 to routes"), moves(Map.of(), Set.of()));
+    }
+
+    @Test
+    void thePromiseMostAtRiskComesFirst() {
+        fleet.observe("diets-0", HostHealth.DOWN);
+        fleet.observe("routes-0", HostHealth.DOWN);
+
+        assertEquals("spare-1 to routes", moves(Map.of(), Set.of()).get(0));
+    }
+
+    @Test
+    void aHostSuspectedHereIsNotSent() {
+        fleet.observe("routes-1", HostHealth.DOWN);
+
+        assertEquals(List.of("spare-0 to routes"), moves(Map.of(), Set.of(new HostName("spare-1"))));
+    }
+
+    @Test
+    void lendsAllButTheReserveToDemandThatLasts() {
+        assertEquals(1, moves(Map.of(ROUTES, 12), Set.of()).size());
+    }
+
+    @Test
+    void demandWithinThePromiseMovesNothing() {
+        assertTrue(moves(Map.of(ROUTES, 5), Set.of()).isEmpty());
+    }
+
+    @Test
+    void reportsAPromiseThatNoHostIsLeftFor() {
+        fleet.observe("spare-0", HostHealth.DOWN);
+        fleet.observe("spare-1", HostHealth.DOWN);
+        fleet.observe("routes-0", HostHealth.DOWN);
+
+        List<Decision> decisions = CapacityPlanner.plan(input(Map.of(), Set.of()));
+
+        assertEquals(EventKind.PROMISE_SHORT, decisions.get(0).kind());
+    }
+
+    private List<String> moves(Map<PoolName, Integer> demand, Set<HostName> suspects) {
+        return CapacityPlanner.plan(input(demand, suspects)).stream()
+                .flatMap(decision -> decision.command().stream())
+                .map(FleetCommand.Withdraw.class::cast)
+                .map(withdraw -> withdraw.host() + " to " + withdraw.destination())
+                .toList();
+    }
+
+    private PlanningInput input(Map<PoolName, Integer> demand, Set<HostName> suspects) {
+        return new PlanningInput(
+                fleet.state(),
+                CapacityPolicy.SHARED_SPARE,
+                suspects,
+                demand,
+                Map.of(),
+                fleet.state().hosts().keySet(),
+                StepAges.initial().at(fleet.state(), 0),
+                0);
+    }
+}
--- /dev/null
+++ b/src/test/java/org/cicadalead/logic/planning/HostObserverTest.java
@@ -0,0 +1,93 @@
+package org.cicadalead.logic.planning;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Set;
+import org.cicadalead.logic.planning.HostObserver.Observation;
+import org.cicadalead.model.fleet.HostHealth;
+import org.cicadalead.model.identity.HostName;
+import org.cicadalead.support.PlannedFleet;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+class HostObserverTest {
+    private static final HostName FIRST = new HostName("routes-0");
+
+    private final PlannedFleet fleet = PlannedFleet.withFirstMeasure("buffer-cost");
+    private final Map<HostName, HostHealth> listed = new HashMap<>();
+
+    @BeforeEach
+    void listAllHosts() {
+        fleet.pool("routes", 5, 2, "a", "b", "c", "d", "e");
+        fleet.state().hosts().keySet().forEach(host -> listed.put(host, HostHealth.UP));
+    }
+
+    @Test
+    void aLeavingHostIsObservedAtTheFirstList() {
+        listed.put(FIRST, HostHealth.LEAVING);
+
+        Observation observation = observe(HostObserver.initial(), Set.of());
+
+        assertEquals(
+                HostHealth.LEAVING,
+                observation.command().orElseThrow().observations().get(0).health());
+        assertEquals(Set.of(FIRST), observation.leaving());
+    }
+
+    @Test
+    void aMissingHostIsSuspectedAtOnceAndObservedAtTheSecondList() {
+        listed.remove(FIRST);
+
+        Observation first = observe(HostObserver.initial(), Set.of());
+        Observation second = observe(first.next(), Set.of());
+
+        assertEquals(Set.of(FIRST), first.suspects());
+        assertTrue(first.command().isEmpty());
+        assertEquals(1, second.command().orElseThrow().observations().size());
+    }
+
+    @Test
+    void aLocalFailureConfirmsTheFirstList() {
+        listed.remove(FIRST);
+
+        assertTrue(observe(HostObserver.initial(), Set.of(FIRST)).command().isPresent());
+    }
+
+    @Test
+    void aWholeWaveStandsInOneRecord() {
+        listed.remove(FIRST);
+        listed.remove(new HostName("routes-1"));
+
+        Observation second = observe(observe(HostObserver.initial(), Set.of()).next(), Set.of());
+
+        assertEquals(2, second.command().orElseThrow().observations().size());
+    }
+
+    @Test
+    void aListThatMissesMostOfTheFleetFailsNoHostByItself() {
+        listed.clear();
+
+        Observation second = observe(observe(HostObserver.initial(), Set.of()).next(), Set.of());
+
+        assertTrue(second.command().isEmpty());
+        assertEquals(5, second.suspects().size());
+    }
+
+    @Test
+    void aHostThatFlapsBetweenListsIsNotObserved() {
+        listed.remove(FIRST);
+        Observation missing = observe(HostObserver.initial(), Set.of());
+        listed.put(FIRST, HostHealth.UP);
+        Observation back = observe(missing.next(), Set.of());
+        listed.remove(FIRST);
+
+        assertTrue(observe(back.next(), Set.of()).command().isEmpty());
+    }
+
+    private Observation observe(HostObserver observer, Set<HostName> failingHere) {
+        return observer.observe(fleet.state(), listed, failingHere);
+    }
+}
