--- a/src/main/java/org/cicadalead/adapters/entry/EntryProcess.java
+++ b/src/main/java/org/cicadalead/adapters/entry/EntryProcess.java
@@ -5,6 +5,7 @@
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import java.io.IOException;
+import java.nio.file.Path;
 import java.time.Duration;
 import java.util.Optional;
 import java.util.UUID;
@@ -28,6 +29,8 @@
 import org.cicadalead.adapters.replica.SharedStateService;
 import org.cicadalead.adapters.request.CallerServer;
 import org.cicadalead.adapters.request.RequestPorts;
+import org.cicadalead.adapters.security.OperatorGate;
+import org.cicadalead.adapters.security.SharedKeyFile;
 import org.cicadalead.adapters.time.SystemTimerService;
 import org.cicadalead.model.configuration.NetworkAddress;
 import org.cicadalead.model.event.EventDetail;
@@ -54,6 +57,7 @@
     private final TimelineRecorder timeline;
     private final SystemTimerService timers;
     private final SharedStateService sharedState;
+    private final SharedKeyFile keys;
     private final EntryMembership membership;
     private final CallerServer callers;
     private final JobService jobs;
@@ -71,11 +75,14 @@
                 timeline.emit(EventKind.INTERNAL_FAILURE, Optional.empty(), EventDetail.of("failure", failure)));
         HttpPlatform platform = new HttpPlatform(settings.platformAddress());
         ContactTrackingLog log = new ContactTrackingLog(platform, timers);
+        keys = new SharedKeyFile(settings.keyFile().map(Path::of), timeline);
+        EntryMembership.requireKeysBeyondLoopback(settings, keys.keys());
         sharedState = new SharedStateService(log, identifier, replica, timers, timeline);
-        membership = new EntryMembership(settings, identifier, replica, sharedState.appender(), log, timers, timeline);
+        membership = new EntryMembership(
+                settings, identifier, replica, sharedState.appender(), log, keys::keys, timers, timeline);
         sharedState.usePeers(membership.channel());
         callers = new CallerServer(settings, RequestLimits.DEFAULT, requestPorts());
-        administration = new AdministrationServer(settings);
+        administration = new AdministrationServer(settings, new OperatorGate(keys::keys, System::currentTimeMillis));
         membership.addPlacements(callers.placements());
         jobs = new JobService(
                 identifier,
@@ -84,20 +91,22 @@
                 sharedState.appender()::submit,
                 timeline,
                 timers);
+        membership.addPlacements(jobs);
         planning = new PlanningService(
                 identifier,
                 replica::state,
                 new PlanningService.PlatformPorts(platform, platform),
-                new PoolUsage(replica::state, callers.placements(), callers::waiting),
+                new PlanningService.RequestEvidence(
+                        new PoolUsage(replica::state, callers.placements(), callers::waiting), callers::isFailing),
                 sharedState.appender()::submit,
                 timers,
                 timeline);
         planning.addPlacements(callers.placements());
         planning.addPlacements(jobs);
-        membership.addPlacements(jobs);
         callers.addContext(JobRoutes.JOBS_PATH, jobs.routes());
         jobs.routes().addTo(administration);
         addRoutes();
+        keys.start(timers);
         membership.start();
         sharedState.start();
         planning.start();
@@ -161,6 +170,7 @@
         planning.close();
         jobs.close();
         membership.close();
+        keys.close();
         sharedState.close();
         administration.close();
         timers.close();
--- a/src/main/java/org/cicadalead/adapters/membership/EntryMembership.java
+++ b/src/main/java/org/cicadalead/adapters/membership/EntryMembership.java
@@ -3,25 +3,32 @@
 import io.micrometer.core.instrument.FunctionCounter;
 import io.micrometer.core.instrument.Gauge;
 import io.micrometer.core.instrument.MeterRegistry;
+import java.net.InetAddress;
+import java.net.UnknownHostException;
 import java.time.Duration;
 import java.util.List;
 import java.util.TreeSet;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import org.cicadalead.adapters.administration.AdministrationServer;
+import org.cicadalead.adapters.http.HttpServers;
 import org.cicadalead.adapters.peer.PeerChannelOptions;
 import org.cicadalead.adapters.peer.PeerCounters;
-import org.cicadalead.adapters.peer.SharedKeys;
 import org.cicadalead.adapters.peer.TcpPeerChannel;
 import org.cicadalead.adapters.replica.CommandAppender;
 import org.cicadalead.adapters.replica.SharedStateReplica;
+import org.cicadalead.adapters.security.SharedKeys;
 import org.cicadalead.model.command.Command;
+import org.cicadalead.model.error.CicadaleadException;
+import org.cicadalead.model.error.ErrorKind;
 import org.cicadalead.model.identity.ProcessIdentifier;
 import org.cicadalead.model.identity.ZoneName;
 import org.cicadalead.model.settings.EntrySettings;
 import org.cicadalead.model.state.SharedState;
 import org.cicadalead.ports.EventSink;
+import org.cicadalead.ports.HostMaintenance;
 import org.cicadalead.ports.PeerChannel;
 import org.cicadalead.ports.PlacementControl;
 import org.cicadalead.ports.PlacementView;
@@ -37,6 +44,7 @@
     private final ProcessIdentifier process;
     private final Supplier<SharedState> state;
     private final CommandAppender appender;
+    private final ExecutorService platformThreads = HttpServers.daemonThreads("membership-platform");
     private final TcpPeerChannel channel;
     private final MembershipService membership;
     private final ViewLeases leases;
@@ -50,6 +58,7 @@
             SharedStateReplica replica,
             CommandAppender appender,
             ContactTrackingLog log,
+            Supplier<SharedKeys> keys,
             TimerService timers,
             EventSink events) {
         this.process = process;
@@ -63,16 +72,40 @@
                         settings.peers(),
                         () -> state.get().members().values(),
                         () -> state.get().offset(),
-                        SharedKeys::none),
+                        keys),
                 timers,
                 events);
-        membership = new MembershipService(channel.self(), state, appender, timers, events);
+        membership = new MembershipService(channel.self(), state, this::submit, timers, events);
         leases = new ViewLeases(channel.self(), state, channel, timers, log::leaseFor, () -> false);
         watch = new MemberWatch(process, state, channel, channel::probe, this::submit, timers, events);
         moves = new MoveLoop(process, state, this::submit, watch::cutOff, move -> true, timers, events);
         replica.addListener(new MoveEvents(process, events));
     }
 
+    /** Refuses settings without keys that would let other hosts in. */
+    public static void requireKeysBeyondLoopback(EntrySettings settings, SharedKeys keys) {
+        if (!keys.isEmpty()) {
+            return;
+        }
+        for (EntrySettings.BindAddress address : List.of(settings.peerAddress(), settings.administrationAddress())) {
+            if (!isLoopback(address.address())) {
+                throw new CicadaleadException(
+                        ErrorKind.INVALID_SETTINGS,
+                        "The address " + address.address()
+                                + " can be reached by other hosts, so that 'key-file' must name a file with a shared"
+                                + " key; without one only a loopback address is allowed");
+            }
+        }
+    }
+
+    private static boolean isLoopback(String address) {
+        try {
+            return InetAddress.getByName(address).isLoopbackAddress();
+        } catch (UnknownHostException malformed) {
+            throw new CicadaleadException(ErrorKind.INVALID_SETTINGS, "'" + address + "' is no IP number", malformed);
+        }
+    }
+
     /** Starts talking to the others and joins. */
     public void start() {
         channel.start();
@@ -97,6 +130,16 @@
         moves.addControl(control);
     }
 
+    /** Sets how hosts are rebooted, which a move needs that does not wait for a member that is cut off. */
+    public void useMaintenance(HostMaintenance maintenance) {
+        moves.useReboots(move -> CompletableFuture.supplyAsync(
+                () -> {
+                    maintenance.reboot(move.host(), move.moveVersion());
+                    return maintenance.condition(move.host()).hasFinished(move.moveVersion());
+                },
+                platformThreads));
+    }
+
     /** Tells whether this process may serve: its shared state holds its own membership. */
     public boolean isMember() {
         return membership.isMember();
@@ -146,6 +189,7 @@
         leases.close();
         membership.close();
         channel.close();
+        platformThreads.shutdownNow();
     }
 
     private CompletableFuture<?> submit(Command command) {
--- a/src/main/java/org/cicadalead/adapters/membership/MembershipStatus.java
+++ b/src/main/java/org/cicadalead/adapters/membership/MembershipStatus.java
@@ -1,7 +1,6 @@
 package org.cicadalead.adapters.membership;
 
 import java.util.List;
-import org.cicadalead.model.configuration.NetworkAddress;
 import org.cicadalead.model.identity.HostName;
 import org.cicadalead.model.identity.PoolName;
 import org.cicadalead.model.identity.ProcessIdentifier;
@@ -58,7 +57,7 @@
     public record MemberView(
             ProcessIdentifier process,
             ZoneName zone,
-            NetworkAddress address,
+            String address,
             long joinedAt,
             long appliedOffset,
             Liveness liveness) {}
--- a/src/main/java/org/cicadalead/adapters/request/RequestPath.java
+++ b/src/main/java/org/cicadalead/adapters/request/RequestPath.java
@@ -116,6 +116,11 @@
         return slots.runtime(host).slots().counts().used();
     }
 
+    /** Tells whether requests to a host fail here, so that it is ejected. */
+    boolean isFailing(HostName host) {
+        return slots.runtime(host).record().isEjected();
+    }
+
     @Override
     public void closeConnections(HostName host) {
         clients.close(host);
--- /dev/null
+++ b/src/main/java/org/cicadalead/adapters/security/SharedKeyFile.java
@@ -0,0 +1,101 @@
+package org.cicadalead.adapters.security;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CopyOnWriteArrayList;
+import org.cicadalead.model.error.CicadaleadException;
+import org.cicadalead.model.error.ErrorKind;
+import org.cicadalead.model.event.EventDetail;
+import org.cicadalead.model.event.EventKind;
+import org.cicadalead.ports.EventSink;
+import org.cicadalead.ports.TimerService;
+
+/**
+ * The file of shared keys, one a line, read again and again so that keys are rotated without a restart. A file that
+ * cannot be used leaves the last good keys in force. Safe for use by several threads.
+ */
+public final class SharedKeyFile implements AutoCloseable {
+    /** How often the file is read. */
+    public static final Duration PERIOD = Duration.ofSeconds(5);
+
+    private static final int MINIMUM_KEY_CHARACTERS = 32;
+    private static final int MAXIMUM_KEYS = 2;
+
+    private final Optional<Path> file;
+    private final EventSink events;
+    private final List<TimerService.Subscription> subscriptions = new CopyOnWriteArrayList<>();
+    private volatile SharedKeys keys;
+    private volatile boolean usable = true;
+
+    /** Reads the file, if there is one; throws with kind {@code INVALID_SETTINGS} when it cannot be used. */
+    public SharedKeyFile(Optional<Path> file, EventSink events) {
+        this.file = file;
+        this.events = events;
+        this.keys = file.map(SharedKeyFile::read).orElseGet(SharedKeys::none);
+    }
+
+    /** Starts reading the file again from time to time. */
+    public void start(TimerService timers) {
+        file.ifPresent(path -> subscriptions.add(timers.every(PERIOD, () -> reload(path))));
+    }
+
+    /** Returns the keys in force. */
+    public SharedKeys keys() {
+        return keys;
+    }
+
+    @Override
+    public void close() {
+        subscriptions.forEach(TimerService.Subscription::close);
+    }
+
+    /** Reads a key file; neither the exception nor its cause shows any of its content. */
+    public static SharedKeys read(Path file) {
+        List<String> lines;
+        try {
+            lines = Files.readAllLines(file).stream()
+                    .map(String::strip)
+                    .filter(line -> !line.isEmpty() && !line.startsWith("#"))
+                    .toList();
+        } catch (IOException failure) {
+            throw new CicadaleadException(
+                    ErrorKind.INVALID_SETTINGS, "The key file '" + file + "' cannot be read as text");
+        }
+        if (lines.isEmpty() || lines.size() > MAXIMUM_KEYS) {
+            throw new CicadaleadException(
+                    ErrorKind.INVALID_SETTINGS,
+                    "The key file '" + file + "' holds " + lines.size()
+                            + " keys; write one on a line, and two only while keys are rotated");
+        }
+        if (lines.stream().anyMatch(line -> line.length() < MINIMUM_KEY_CHARACTERS)) {
+            throw new CicadaleadException(
+                    ErrorKind.INVALID_SETTINGS,
+                    "A key in '" + file + "' is shorter than " + MINIMUM_KEY_CHARACTERS
+                            + " characters; 'openssl rand -hex 32' makes a good one");
+        }
+        return SharedKeys.of(lines);
+    }
+
+    private void reload(Path path) {
+        try {
+            SharedKeys fresh = read(path);
+            usable = true;
+            if (!fresh.keys().equals(keys.keys())) {
+                keys = fresh;
+                events.emit(
+                        EventKind.KEYS_CHANGED,
+                        Optional.empty(),
+                        EventDetail.of("count", fresh.keys().size()));
+            }
+        } catch (CicadaleadException failure) {
+            if (usable) {
+                usable = false;
+                events.emit(EventKind.KEYS_UNUSABLE, Optional.empty(), EventDetail.of("failure", failure.getMessage()));
+            }
+        }
+    }
+}
--- a/src/main/java/org/cicadalead/bench/outcomes/BenchProcess.java
+++ b/src/main/java/org/cicadalead/bench/outcomes/BenchProcess.java
@@ -54,6 +54,7 @@
     private HostObserver observer = HostObserver.initial();
     private StepAges ages = StepAges.initial();
     private Set<HostName> suspects = Set.of();
+    private Set<FleetCommand.HostMove> rebooted = Set.of();
     private TreePMap<HostName, MoveCoordinator.Watch> watches = TreePMap.empty();
     private SharedState view = SharedState.empty();
     private boolean cutOff;
@@ -181,9 +182,11 @@
                 identifier,
                 TimeUnit.MILLISECONDS.toNanos(now),
                 busy,
-                view.members().containsKey(identifier) ? cutOffMembers : Set.of());
+                view.members().containsKey(identifier) ? cutOffMembers : Set.of(),
+                rebooted);
         MoveCoordinator.Decision decision = MoveCoordinator.decide(view, watches, facts);
         watches = decision.watches();
+        rebooted = Set.copyOf(decision.reboots());
         List<Command> commands = new ArrayList<>(decision.cancelled());
         if (!decision.acknowledged().isEmpty()) {
             commands.add(new FleetCommand.Acknowledge(identifier, decision.acknowledged()));
--- a/src/test/java/org/cicadalead/adapters/planning/PlanningServiceTest.java
+++ b/src/test/java/org/cicadalead/adapters/planning/PlanningServiceTest.java
@@ -7,6 +7,7 @@
 
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -41,13 +42,14 @@
     private final PlannedFleet fleet = PlannedFleet.withFirstMeasure("buffer-cost");
     private final Map<HostName, HostHealth> listed = new TreeMap<>();
     private final FakeReboots reboots = new FakeReboots();
+    private final Set<HostName> failing = new HashSet<>();
     private final FakePlacements placements = new FakePlacements();
     private final ManualTimerService timers = new ManualTimerService();
     private final PlanningService service = new PlanningService(
             PlannedFleet.PROCESS,
             fleet::state,
             new PlanningService.PlatformPorts(this::list, reboots),
-            Map::of,
+            new PlanningService.RequestEvidence(Map::of, host -> failing.contains(host)),
             this::append,
             timers,
             (kind, cause, details) -> {});
@@ -94,6 +96,17 @@
                 .anyMatch(host -> host.maintenance() == MaintenanceStep.DRAINING));
     }
 
+    @Test
+    void aHostThatFailsHereIsCountedAsFailedBeforeTheLogSaysSo() {
+        failing.add(FIRST);
+        startWave();
+
+        playRounds(3);
+
+        assertFalse(fleet.state().hosts().values().stream()
+                .anyMatch(host -> host.wave().isPresent()));
+    }
+
     @Test
     void nothingIsPlannedWithoutThePlatform() {
         startWave();
