--- a/src/main/java/org/cicadalead/adapters/http/HttpServers.java
+++ b/src/main/java/org/cicadalead/adapters/http/HttpServers.java
@@ -16,14 +16,14 @@
     private static final String CLIENT_IDLE_SECONDS = "5";
     private static final String REQUEST_SECONDS = "60";
     private static final String IDLE_CONNECTIONS = "10000";
-    private static final String DRAINED_BYTES = "65536";
+    private static final String DRAINED_BYTES = "0";
 
     private HttpServers() {}
 
     /**
      * Sets the system properties that the JDK reads once; to be called before the first server or client. The client
      * must not send a request a second time by itself; the server ends senders that take too long, and keeps as many
-     * idle connections as a balancer opens.
+     * idle connections as a balancer opens. A body that nobody reads is not drained, as that could wait for its sender.
      */
     public static void configureProcess() {
         System.setProperty("jdk.httpclient.disableRetryConnect", "true");
--- a/src/main/java/org/cicadalead/bench/outcomes/BenchProcess.java
+++ b/src/main/java/org/cicadalead/bench/outcomes/BenchProcess.java
@@ -113,6 +113,9 @@
     /** Tells whether this process has requests in flight on a host. */
     boolean hasInFlight(HostName name, long now) {
         HostState host = view.hosts().get(name);
+        if (!view.members().containsKey(identifier)) {
+            return false;
+        }
         return (host != null && mayPlace(view, host)) || inFlightUntil.getOrDefault(name, 0L) > now;
     }
 
--- a/src/main/java/org/cicadalead/cli/BenchOutcomesCommand.java
+++ b/src/main/java/org/cicadalead/cli/BenchOutcomesCommand.java
@@ -61,8 +61,8 @@
             units = BenchFleet.ofTargetSize(firstMeasure(units));
         }
         Duration length = OptionReader.duration(arguments, "for").orElse(target ? SHORT_DAY : DAY);
-        OutcomesReport report =
-                OutcomesBench.run(target ? name + " at the target's size" : name, units, seed(arguments), length);
+        OutcomesReport report = OutcomesBench.run(
+                target ? name + " at the target's size" : name, units, seed(arguments), length, console::progress);
         console.result(report, report.toText());
         return report.isClean() ? ExitCode.DONE : ExitCode.FAILED;
     }
--- a/src/main/java/org/cicadalead/logic/planning/MaintenancePlanner.java
+++ b/src/main/java/org/cicadalead/logic/planning/MaintenancePlanner.java
@@ -75,7 +75,7 @@
             decisions.add(stop.get());
             return;
         }
-        int open = openGrants(wave);
+        int open = Math.min(openGrants(wave), input.policy().maximumMaintainedInFleet() - maintained);
         if (open <= 0) {
             if (wave.count(WaveHostProgress.WAITING) > 0) {
                 withhold(wave, waitReason(wave));
@@ -168,6 +168,9 @@
     }
 
     private String waitReason(WaveState wave) {
+        if (maintained >= input.policy().maximumMaintainedInFleet()) {
+            return "the policy has no more hosts out at once";
+        }
         return byPace(wave) <= 0
                 ? "the wave is spread over its period and is not behind"
                 : "the wave widens when the hosts under way have come back";
@@ -201,13 +204,12 @@
         if (host.health() == HostHealth.LEAVING) {
             return Optional.of("it is leaving");
         }
-        if (maintained >= input.policy().maximumMaintainedInFleet()
-                || maintainedByPool.getOrDefault(host.pool(), 0)
-                        >= input.policy().maximumMaintained(index.pool(host.pool()))) {
+        if (maintainedByPool.getOrDefault(host.pool(), 0)
+                >= input.policy().maximumMaintained(index.pool(host.pool()))) {
             return Optional.of("the policy has no more hosts out at once");
         }
         if (!host.isAvailable()) {
-            return Optional.empty();
+            return index.pool(host.pool()).objection();
         }
         if (uncounted.contains(host.name())) {
             return Optional.of("it fails here, and the log does not say so yet");
--- a/src/test/java/org/cicadalead/logic/capacity/BudgetLedgerTest.java
+++ b/src/test/java/org/cicadalead/logic/capacity/BudgetLedgerTest.java
@@ -66,6 +66,14 @@
         assertTrue(objection("routes-0").isEmpty());
     }
 
+    @Test
+    void aHostThatIsDownStaysInAPoolThatWillNeedItBack() {
+        fleet.observe("routes-0", HostHealth.DOWN);
+        fleet.observe("routes-1", HostHealth.DOWN);
+
+        assertTrue(objection("routes-0").isPresent());
+    }
+
     @Test
     void theIndexAgreesWithTheLedgerAfterEachRemoval() {
         CapacityIndex index = CapacityIndex.of(fleet.state()).without(fleet.host("routes-1"));
--- a/src/test/java/org/cicadalead/logic/planning/FleetOracle.java
+++ b/src/test/java/org/cicadalead/logic/planning/FleetOracle.java
@@ -58,7 +58,9 @@
             boolean lowered = now < sum(count(before, service.pool()));
             boolean raised =
                     earlier != null && minimum(service) > minimum(earlier) && command instanceof ConfigurationCommand;
-            if (lowered || raised) {
+            boolean taken = command instanceof MaintenanceCommand.Grant grant
+                    && before.hosts().get(grant.host()).pool().equals(service.pool());
+            if (lowered || raised || taken) {
                 require(
                         now - covered(service.budget().cover(), racks) >= minimum(service),
                         command + " leaves " + service.name() + " with " + now);
