--- a/src/main/java/org/cicadalead/logic/fleet/FleetFold.java
+++ b/src/main/java/org/cicadalead/logic/fleet/FleetFold.java
@@ -63,8 +63,7 @@
                 || host.maintenance() != MaintenanceStep.NONE) {
             return FoldResult.rejected(state, ErrorKind.CONFLICT, "The host cannot go to that pool now");
         }
-        Optional<String> objection =
-                host.isAvailable() ? BudgetLedger.objectionToRemoval(state, host) : Optional.empty();
+        Optional<String> objection = BudgetLedger.objectionToRemoval(state, host);
         if (objection.isPresent()) {
             return FoldResult.rejected(state, ErrorKind.BUDGET_EXCEEDED, objection.get());
         }
--- a/src/main/java/org/cicadalead/logic/planning/CapacityPlanner.java
+++ b/src/main/java/org/cicadalead/logic/planning/CapacityPlanner.java
@@ -38,6 +38,7 @@
     private final Map<PoolName, List<HostState>> movable = new HashMap<>();
     private final Map<PoolName, Map<RackName, Integer>> settled = new HashMap<>();
     private final List<Decision> decisions = new ArrayList<>();
+    private final int worstEvent;
     private CapacityIndex index;
     private int movesLeft;
 
@@ -46,6 +47,7 @@
         this.state = input.state();
         this.uncounted = input.uncounted();
         this.index = CapacityIndex.of(state, uncounted);
+        this.worstEvent = WorstEvent.hosts(state);
     }
 
     /** Plans one round. */
@@ -100,7 +102,7 @@
 
     private void replaceIn(PoolName pool) {
         while (missing(index.pool(pool)) > 0) {
-            Optional<HostState> host = movesLeft > 0 ? sourceFor(pool, true) : Optional.empty();
+            Optional<HostState> host = movesLeft > 0 ? replacementFor(index.pool(pool)) : Optional.empty();
             if (host.isEmpty()) {
                 reportShort(index.pool(pool));
                 return;
@@ -109,6 +111,13 @@
         }
     }
 
+    /** For hosts that will be back soon only idle spare hosts are sent, as taking another pool's would move many. */
+    private Optional<HostState> replacementFor(PoolCapacity pool) {
+        boolean returning = pool.available() + pool.incoming() + pool.returning()
+                >= input.policy().wantedHosts(pool);
+        return returning ? idleFor(pool.pool(), 0) : sourceFor(pool.pool(), true);
+    }
+
     /** A budget that a failure has cut into is reported; a buffer that is not full is not. */
     private void reportShort(PoolCapacity pool) {
         int coming = pool.available() + pool.incoming() + pool.returning();
@@ -178,7 +187,7 @@
     }
 
     private void refillSpare() {
-        int reserve = input.policy().idleReserve(input.firstMeasure(), WorstEvent.hosts(state));
+        int reserve = input.policy().idleReserve(input.firstMeasure(), worstEvent);
         for (PoolCapacity spare : sparePools()) {
             int have = spare.available() + spare.incoming() + spare.returning();
             for (int missing = reserve - have; missing > 0 && movesLeft > 0; missing--) {
@@ -193,18 +202,22 @@
 
     /** Returns the host that serves a pool best: idle spare hosts first, then hosts beyond another pool's needs. */
     private Optional<HostState> sourceFor(PoolName pool, boolean promised) {
+        int kept = promised ? 0 : input.policy().idleReserve(input.firstMeasure(), worstEvent);
+        Optional<HostState> idle = idleFor(pool, kept);
+        if (idle.isPresent() || !input.policy().sharesBetweenPools()) {
+            return idle;
+        }
+        return surplusFor(pool);
+    }
+
+    private Optional<HostState> idleFor(PoolName pool, int kept) {
         List<HostState> idle = new ArrayList<>();
         for (PoolCapacity spare : sparePools()) {
-            int kept = promised ? 0 : input.policy().idleReserve(input.firstMeasure(), WorstEvent.hosts(state));
             if (spare.available() > kept) {
                 idle.addAll(movable.getOrDefault(spare.pool(), List.of()));
             }
         }
-        Optional<HostState> best = bestPlaced(idle, pool);
-        if (best.isPresent() || !input.policy().sharesBetweenPools()) {
-            return best;
-        }
-        return surplusFor(pool);
+        return bestPlaced(idle, pool);
     }
 
     private Optional<HostState> surplusFor(PoolName pool) {
