--- a/src/main/java/org/cicadalead/adapters/entry/EntryProcess.java
+++ b/src/main/java/org/cicadalead/adapters/entry/EntryProcess.java
@@ -5,7 +5,9 @@
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import java.io.IOException;
+import java.nio.file.Path;
 import java.time.Duration;
+import java.util.Map;
 import java.util.Optional;
 import java.util.UUID;
 import org.cicadalead.adapters.administration.AdministrationServer;
@@ -19,6 +21,8 @@
 import org.cicadalead.adapters.membership.ContactTrackingLog;
 import org.cicadalead.adapters.membership.EntryMembership;
 import org.cicadalead.adapters.membership.MembershipStatus;
+import org.cicadalead.adapters.planning.PlanningService;
+import org.cicadalead.adapters.planning.WaveRoutes;
 import org.cicadalead.adapters.platform.HttpPlatform;
 import org.cicadalead.adapters.platform.HttpTaskPlatform;
 import org.cicadalead.adapters.replica.SharedStateReplica;
@@ -26,6 +30,8 @@
 import org.cicadalead.adapters.request.CallerServer;
 import org.cicadalead.adapters.request.MemberWatch;
 import org.cicadalead.adapters.request.RequestPorts;
+import org.cicadalead.adapters.security.OperatorGate;
+import org.cicadalead.adapters.security.SharedKeyFile;
 import org.cicadalead.adapters.time.SystemTimerService;
 import org.cicadalead.model.configuration.NetworkAddress;
 import org.cicadalead.model.event.EventDetail;
@@ -51,9 +57,11 @@
     private final TimelineRecorder timeline;
     private final SystemTimerService timers;
     private final SharedStateService sharedState;
+    private final SharedKeyFile keys;
     private final EntryMembership membership;
     private final CallerServer callers;
     private final JobService jobs;
+    private final PlanningService planning;
     private final AdministrationServer administration;
     private final PrometheusMeterRegistry metrics = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
     private final MemberWatch memberWatch = new MemberWatch(identifier);
@@ -69,11 +77,14 @@
         HttpPlatform platform = new HttpPlatform(settings.platformAddress());
         ContactTrackingLog log = new ContactTrackingLog(platform, timers);
         replica.addListener(memberWatch);
+        keys = new SharedKeyFile(settings.keyFile().map(Path::of), timeline);
+        EntryMembership.requireKeysBeyondLoopback(settings, keys.keys());
         sharedState = new SharedStateService(log, identifier, replica, timers, timeline);
-        membership = new EntryMembership(settings, identifier, replica, sharedState.appender(), log, timers, timeline);
+        membership = new EntryMembership(
+                settings, identifier, replica, sharedState.appender(), log, keys::keys, timers, timeline);
         sharedState.usePeers(membership.channel());
         callers = new CallerServer(settings, RequestLimits.DEFAULT, requestPorts());
-        administration = new AdministrationServer(settings);
+        administration = new AdministrationServer(settings, new OperatorGate(keys::keys, System::currentTimeMillis));
         membership.addPlacements(callers.placements());
         jobs = new JobService(
                 identifier,
@@ -82,11 +93,24 @@
                 sharedState.appender()::submit,
                 timeline,
                 timers);
+        membership.addPlacements(jobs);
+        planning = new PlanningService(
+                identifier,
+                replica::state,
+                new PlanningService.PlatformPorts(platform, platform),
+                Map::of,
+                sharedState.appender()::submit,
+                timers,
+                timeline);
+        planning.addPlacements(callers.placements());
+        planning.addPlacements(jobs);
         callers.addContext(JobRoutes.JOBS_PATH, jobs.routes());
         jobs.routes().addTo(administration);
         addRoutes();
+        keys.start(timers);
         membership.start();
         sharedState.start();
+        planning.start();
         administration.start();
         timeline.emit(EventKind.PROCESS_STARTED, Optional.empty(), EventDetail.of("zone", settings.zone()));
     }
@@ -127,10 +151,10 @@
         sleep(settings.balancerDelay());
         callers.stopAccepting();
         long deadline = System.nanoTime() + settings.shutdownLimit().toNanos();
-        while ((left() > 0 || !callers.isWithoutLoans()) && System.nanoTime() < deadline) {
+        while ((inFlight() > 0 || !callers.isWithoutLoans()) && System.nanoTime() < deadline) {
             sleep(SHUTDOWN_POLL);
         }
-        int left = left();
+        int left = inFlight();
         if (left == 0) {
             callers.announceIdle();
         }
@@ -144,17 +168,15 @@
     @Override
     public void close() {
         callers.close();
+        planning.close();
         jobs.close();
         membership.close();
+        keys.close();
         sharedState.close();
         administration.close();
         timers.close();
     }
 
-    private int left() {
-        return callers.inFlight() + jobs.routes().inFlight();
-    }
-
     private RequestPorts requestPorts() {
         return new RequestPorts(
                 identifier,
@@ -167,11 +189,16 @@
                 metrics);
     }
 
+    private int inFlight() {
+        return callers.inFlight() + jobs.routes().inFlight();
+    }
+
     private void addRoutes() {
         Gauge.builder("cicadalead.state.offset", () -> replica.state().offset()).register(metrics);
         Gauge.builder("cicadalead.requests.in.flight", callers::inFlight).register(metrics);
         membership.register(metrics);
         membership.addTo(administration);
+        new WaveRoutes(replica::state, sharedState.appender(), timers::wallClockMilliseconds).addTo(administration);
         new StateRoutes(replica::state, sharedState.appender()).addTo(administration);
         new ConfigurationRoutes(identifier, replica::state, sharedState::peers).addTo(administration);
         administration.route("GET", "/healthz", exchange -> JsonExchange.answerText(exchange, OK, "ok\n"));
--- a/src/main/java/org/cicadalead/adapters/request/CallerServer.java
+++ b/src/main/java/org/cicadalead/adapters/request/CallerServer.java
@@ -75,8 +75,8 @@
     }
 
     /** Adds a handler that answers by itself under a path. */
-    public void addContext(String path, HttpHandler handler) {
-        server.createContext(path, handler);
+    public void addContext(String contextPath, HttpHandler handler) {
+        server.createContext(contextPath, handler);
     }
 
     /** Returns what has been placed on each host. */
--- a/src/main/java/org/cicadalead/adapters/peer/SharedKeys.java
+++ b/src/main/java/org/cicadalead/adapters/security/SharedKeys.java
@@ -1,4 +1,4 @@
-package org.cicadalead.adapters.peer;
+package org.cicadalead.adapters.security;
 
 import java.nio.charset.StandardCharsets;
 import java.security.GeneralSecurityException;
@@ -24,7 +24,7 @@
         return new SharedKeys(List.of());
     }
 
-    /** Returns keys of secret texts; the first one is used for what this process starts. */
+    /** Returns keys of secret texts; the first one is used for what this process signs. */
     public static SharedKeys of(List<String> secrets) {
         return new SharedKeys(secrets.stream()
                 .map(secret -> new SecretKeySpec(secret.getBytes(StandardCharsets.UTF_8), ALGORITHM))
@@ -36,15 +36,18 @@
         return keys.isEmpty();
     }
 
-    List<SecretKeySpec> keys() {
+    /** Returns the keys, the one to sign with first. */
+    public List<SecretKeySpec> keys() {
         return keys;
     }
 
-    boolean contains(SecretKeySpec key) {
+    /** Tells whether a key is one of these. */
+    public boolean contains(SecretKeySpec key) {
         return keys.contains(key);
     }
 
-    static Mac mac(SecretKeySpec key) {
+    /** Returns a code generator of a key; for use by one thread. */
+    public static Mac mac(SecretKeySpec key) {
         try {
             Mac mac = Mac.getInstance(ALGORITHM);
             mac.init(key);
@@ -54,21 +57,26 @@
         }
     }
 
-    static SecretKeySpec derive(SecretKeySpec key, String purpose, byte[]... inputs) {
+    /** Returns a key for one purpose and given inputs. */
+    public static SecretKeySpec derive(SecretKeySpec key, String purpose, byte[]... inputs) {
         return new SecretKeySpec(authenticate(key, purpose, inputs), ALGORITHM);
     }
 
-    static byte[] authenticate(SecretKeySpec key, String purpose, byte[]... inputs) {
+    /** Returns the HMAC-SHA-256 code of inputs, each with its length, for one purpose. */
+    public static byte[] authenticate(SecretKeySpec key, String purpose, byte[]... inputs) {
         Mac mac = mac(key);
-        mac.update(purpose.getBytes(StandardCharsets.UTF_8));
+        update(mac, purpose.getBytes(StandardCharsets.UTF_8));
         for (byte[] input : inputs) {
-            mac.update((byte) (input.length >>> 8));
-            mac.update((byte) input.length);
-            mac.update(input);
+            update(mac, input);
         }
         return mac.doFinal();
     }
 
+    private static void update(Mac mac, byte[] input) {
+        mac.update(java.nio.ByteBuffer.allocate(Integer.BYTES).putInt(0, input.length));
+        mac.update(input);
+    }
+
     @Override
     public String toString() {
         return keys.size() + " keys";
--- a/src/main/java/org/cicadalead/cli/Subcommands.java
+++ b/src/main/java/org/cicadalead/cli/Subcommands.java
@@ -20,8 +20,19 @@
             JobsCommand.SHOW,
             JobsCommand.CANCEL,
             JobsCommand.LIST,
+            new BenchRequestsCommand(),
+            new BenchJobsCommand(),
             new PlatformStandInCommand(),
-            new UpstreamStandInCommand());
+            new UpstreamStandInCommand(),
+            new BenchOutcomesCommand(),
+            WaveCommand.START,
+            WaveCommand.LIST,
+            WaveCommand.PAUSE,
+            WaveCommand.RESUME,
+            WaveCommand.ABORT,
+            WaveCommand.PLAN,
+            WaveCommand.DRAIN,
+            WaveCommand.RETURN);
 
     private Subcommands() {}
 
--- a/src/main/java/org/cicadalead/logic/request/SlotDeal.java
+++ b/src/main/java/org/cicadalead/logic/request/SlotDeal.java
@@ -10,24 +10,22 @@
 import org.cicadalead.model.state.SharedState;
 
 /**
- * Deals each worker's slots to the entry processes of its availability zone, in turn, in an order of its own. Where a
- * zone has no entry process, those of all zones are dealt to. Each slot has exactly one owner for one set of members.
- * Stateless; safe for use by several threads.
+ * Deals each worker's slots to the entry processes of its availability zone, in turn, in an order of its own. Each slot
+ * has at most one owner for one set of members; processes of other zones borrow. Stateless; safe for use by several
+ * threads.
  */
 public final class SlotDeal {
     private SlotDeal() {}
 
     /** Returns the processes that own slots of hosts in a zone. */
     public static List<ProcessIdentifier> owners(SharedState state, ZoneName zone) {
-        List<ProcessIdentifier> inZone = new ArrayList<>();
-        List<ProcessIdentifier> all = new ArrayList<>();
+        List<ProcessIdentifier> owners = new ArrayList<>();
         for (Member member : state.members().values()) {
-            all.add(member.process());
             if (member.zone().equals(zone)) {
-                inZone.add(member.process());
+                owners.add(member.process());
             }
         }
-        return inZone.isEmpty() ? all : inZone;
+        return owners;
     }
 
     /** Returns the slots of a host that a process owns among some owners. */
--- a/src/main/java/org/cicadalead/model/event/EventKind.java
+++ b/src/main/java/org/cicadalead/model/event/EventKind.java
@@ -64,6 +64,10 @@
     /** A connection was closed, as the other end did not prove a shared key. */
     PEER_AUTHENTICATION_FAILED(
             4004, EventSeverity.WARNING, "A connection was closed, as the other end did not prove a shared key"),
+    /** The shared keys were read anew and differ. */
+    KEYS_CHANGED(4005, EventSeverity.INFORMATION, "The shared keys were read anew and differ"),
+    /** The key file cannot be used; the last good keys stay in force. */
+    KEYS_UNUSABLE(4006, EventSeverity.WARNING, "The key file cannot be used; the last good keys stay in force"),
     /** A process stopped without its leave in the log; another one has to remove it. */
     LEAVE_NOT_RECORDED(
             4101,
--- a/src/test/java/org/cicadalead/support/CallerFixture.java
+++ b/src/test/java/org/cicadalead/support/CallerFixture.java
@@ -75,7 +75,8 @@
                 new NetworkAddress("127.0.0.1", 1),
                 List.of(),
                 Duration.ZERO,
-                Duration.ofSeconds(5));
+                Duration.ofSeconds(5),
+                Optional.empty());
         server = new CallerServer(settings, LIMITS, ports);
     }
 
