--- a/src/main/java/org/cicadalead/adapters/request/SlotBook.java
+++ b/src/main/java/org/cicadalead/adapters/request/SlotBook.java
@@ -27,6 +27,8 @@
     /** Time for which a slot is lent at most. */
     static final Duration LOAN_TIME = Duration.ofSeconds(2);
 
+    private static final Duration MOST_QUARANTINE = Duration.ofSeconds(10);
+
     private final boolean hasPeers;
     private final Map<HostName, HostRuntime> runtimes = new ConcurrentHashMap<>();
     private final Map<ProcessIdentifier, Long> reportedOffsets = new ConcurrentHashMap<>();
@@ -93,14 +95,18 @@
         return confirmed || changed;
     }
 
-    /** A request of a departed process ends within its timeout; one on a slot that it was lent, a loan's time later. */
+    /**
+     * Time after which the slots of a process that was removed are used again: its requests have ended, or their
+     * workers have noticed that its connections are gone, and what it was lent is over.
+     */
     static Duration quarantine(SharedState state) {
         Duration longest = Duration.ZERO;
         for (ServiceDefinition service :
                 state.configuration().merged().services().values()) {
             longest = longest.compareTo(service.timeout()) < 0 ? service.timeout() : longest;
         }
-        return longest.plus(LOAN_TIME);
+        Duration waited = longest.compareTo(MOST_QUARANTINE) < 0 ? longest : MOST_QUARANTINE;
+        return waited.plus(LOAN_TIME);
     }
 
     /** The parts of the shared state are persistent, so that an unchanged one is the same object. */
--- /dev/null
+++ b/src/main/java/org/cicadalead/cli/BenchRequestsCommand.java
@@ -0,0 +1,53 @@
+package org.cicadalead.cli;
+
+import java.time.Duration;
+import java.util.List;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.Option;
+import org.apache.commons.cli.Options;
+import org.cicadalead.bench.requests.RequestsBench;
+import org.cicadalead.bench.requests.RequestsReport;
+
+/** Measures the request path. Stateless. */
+final class BenchRequestsCommand implements Subcommand {
+    private static final Duration DEFAULT_TIME = Duration.ofSeconds(3);
+
+    @Override
+    public String words() {
+        return "bench requests";
+    }
+
+    @Override
+    public String argumentsUsage() {
+        return "[--for DURATION]";
+    }
+
+    @Override
+    public String summary() {
+        return "measures the request path against the direct way, and ways to keep limits";
+    }
+
+    @Override
+    public List<String> examples() {
+        return List.of("cicadalead bench requests --json", "cicadalead bench requests --for 10s");
+    }
+
+    @Override
+    public Options options() {
+        return new Options()
+                .addOption(Option.builder()
+                        .longOpt("for")
+                        .hasArg()
+                        .argName("DURATION")
+                        .desc("time of each of the four loopback measurements (3s)")
+                        .build());
+    }
+
+    @Override
+    public ExitCode run(CommandLine arguments, Console console) {
+        Duration time = OptionReader.duration(arguments, "for").orElse(DEFAULT_TIME);
+        RequestsReport report = RequestsBench.run(time);
+        console.result(report, Console.toJson(report));
+        return ExitCode.DONE;
+    }
+}
--- a/src/main/java/org/cicadalead/cli/Subcommands.java
+++ b/src/main/java/org/cicadalead/cli/Subcommands.java
@@ -21,6 +21,7 @@
             JobsCommand.SHOW,
             JobsCommand.CANCEL,
             JobsCommand.LIST,
+            new BenchRequestsCommand(),
             new BenchJobsCommand(),
             new BenchStateCommand(),
             new PlatformStandInCommand(),
