--- a/src/main/java/org/cicadalead/adapters/http/JsonExchange.java
+++ b/src/main/java/org/cicadalead/adapters/http/JsonExchange.java
@@ -37,15 +37,13 @@
         try {
             handler.handle(exchange);
         } catch (CicadaleadException failure) {
-            readRestOfBody(exchange);
             answerProblem(exchange, failure.kind(), failure.getMessage());
         } catch (RuntimeException failure) {
-            readRestOfBody(exchange);
             answerProblem(exchange, ErrorKind.INTERNAL, failure.toString());
         }
     }
 
-    /** A connection is used again only when the body of its last request was read. */
+    /** A connection is used again only when the body of its last request, also an empty one, was read to its end. */
     private static void readRestOfBody(HttpExchange exchange) throws IOException {
         discardBody(exchange, MOST_IGNORED_BYTES);
     }
@@ -137,6 +135,7 @@
 
     private static void answerBytes(HttpExchange exchange, int status, String contentType, byte[] body)
             throws IOException {
+        readRestOfBody(exchange);
         exchange.getResponseHeaders().set("Content-Type", contentType);
         boolean head = "HEAD".equals(exchange.getRequestMethod());
         exchange.sendResponseHeaders(status, head ? -1 : body.length);
--- a/src/main/java/org/cicadalead/logic/request/RetryPolicy.java
+++ b/src/main/java/org/cicadalead/logic/request/RetryPolicy.java
@@ -13,7 +13,8 @@
 
     /**
      * Tells whether a request is tried again on another upstream. What provably did not run may always be tried again;
-     * what may have run only when it is idempotent. The body must still be at hand, and the budget must have room.
+     * what may have run only when it is idempotent. The body must still be at hand, and the budget must have room,
+     * unless nothing was even tried.
      */
     public static boolean tryAgain(
             RequestTerms terms,
@@ -26,6 +27,7 @@
             return false;
         }
         boolean mayRunAgain = terms.idempotent() || progress.executionAfter(outcome) == Execution.NOT_RUN;
-        return mayRunAgain && outcome.isWorthRetrying() && budget.withdraw();
+        boolean isFree = outcome == AttemptOutcome.VIEW_OUT_OF_DATE;
+        return mayRunAgain && outcome.isWorthRetrying() && (isFree || budget.withdraw());
     }
 }
--- a/src/test/java/org/cicadalead/logic/request/ServiceDispatcherTest.java
+++ b/src/test/java/org/cicadalead/logic/request/ServiceDispatcherTest.java
@@ -74,6 +74,16 @@
         assertFalse(hosts.contains(SyntheticFleet.host(0)));
     }
 
+    @Test
+    void aHostThatTheViewForbidsIsLeftOutAtOnce() {
+        ServiceRoute route = route(4, 8);
+        runtimes.get(SyntheticFleet.host(0)).note(AttemptOutcome.VIEW_OUT_OF_DATE, route.mayEject(), 0);
+        for (int count = 0; count < 20; count++) {
+            submit("work", false, route);
+        }
+        assertFalse(hosts.contains(SyntheticFleet.host(0)));
+    }
+
     @Test
     void ejectionsStopAtTheAvailabilityBudget() {
         ServiceRoute route = route(4, 8);
