--- a/src/main/java/org/cicadalead/adapters/entry/EntryProcess.java
+++ b/src/main/java/org/cicadalead/adapters/entry/EntryProcess.java
@@ -22,6 +22,7 @@
 import org.cicadalead.adapters.membership.EntryMembership;
 import org.cicadalead.adapters.membership.MembershipStatus;
 import org.cicadalead.adapters.planning.PlanningService;
+import org.cicadalead.adapters.planning.PoolUsage;
 import org.cicadalead.adapters.planning.WaveRoutes;
 import org.cicadalead.adapters.platform.HttpPlatform;
 import org.cicadalead.adapters.platform.HttpTaskPlatform;
@@ -37,6 +38,8 @@
 import org.cicadalead.model.event.EventDetail;
 import org.cicadalead.model.event.EventKind;
 import org.cicadalead.model.fleet.HostState;
+import org.cicadalead.model.identity.HostName;
+import org.cicadalead.model.identity.PoolName;
 import org.cicadalead.model.identity.ProcessIdentifier;
 import org.cicadalead.model.request.RequestLimits;
 import org.cicadalead.model.settings.EntrySettings;
@@ -59,6 +62,7 @@
     private final SystemTimerService timers;
     private final SharedStateService sharedState;
     private final SharedKeyFile keys;
+    private final OperatorGate gate;
     private final EntryMembership membership;
     private final CallerServer callers;
     private final JobService jobs;
@@ -88,12 +92,13 @@
                 identifier,
                 replica::state,
                 new PlanningService.PlatformPorts(platform, platform),
-                Map::of,
+                new PlanningService.RequestEvidence(this::usage, this::isFailing),
                 sharedState.appender()::submit,
                 timers,
                 timeline);
         callers = new CallerServer(settings, RequestLimits.DEFAULT, requestPorts());
-        administration = new AdministrationServer(settings, new OperatorGate(keys::keys, System::currentTimeMillis));
+        gate = new OperatorGate(keys::keys, System::currentTimeMillis);
+        administration = new AdministrationServer(settings, gate);
         membership.addPlacements(callers.placements());
         jobs = new JobService(
                 identifier,
@@ -103,6 +108,7 @@
                 timeline,
                 timers);
         membership.addPlacements(jobs);
+        membership.useMaintenance(platform);
         planning.addPlacements(callers.placements());
         planning.addPlacements(jobs);
         callers.addContext(JobRoutes.JOBS_PATH, jobs.routes());
@@ -138,7 +144,7 @@
 
     /** Tells whether it takes requests. */
     public boolean isReady() {
-        return !stopping && membership.isMember() && sharedState.isReady() && callers.isReady();
+        return !stopping && membership.mayServe() && sharedState.isReady() && callers.isReady();
     }
 
     /**
@@ -188,6 +194,14 @@
                 && membership.view().mayPlace(chosen);
     }
 
+    private Map<PoolName, Double> usage() {
+        return new PoolUsage(replica::state, callers.placements(), callers::waiting).busyHosts();
+    }
+
+    private boolean isFailing(HostName host) {
+        return callers.isFailing(host);
+    }
+
     private RequestPorts requestPorts() {
         return new RequestPorts(
                 identifier,
@@ -203,6 +217,7 @@
     private void addRoutes() {
         Gauge.builder("cicadalead.state.offset", () -> replica.state().offset()).register(metrics);
         Gauge.builder("cicadalead.requests.in.flight", callers::inFlight).register(metrics);
+        Gauge.builder("cicadalead.administration.refusals", gate::refusals).register(metrics);
         membership.register(metrics);
         membership.addTo(administration);
         new WaveRoutes(replica::state, sharedState.appender(), timers::wallClockMilliseconds).addTo(administration);
--- a/src/main/java/org/cicadalead/adapters/planning/PlanningService.java
+++ b/src/main/java/org/cicadalead/adapters/planning/PlanningService.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Function;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
 import org.cicadalead.adapters.http.HttpServers;
@@ -59,7 +60,7 @@
     private final Supplier<SharedState> state;
     private final HostDirectory directory;
     private final HostMaintenance maintenance;
-    private final DemandSource demandSource;
+    private final RequestEvidence requests;
     private final Function<Command, CompletableFuture<CommandOutcome>> submit;
     private final TimerService timers;
     private final EventSink events;
@@ -79,7 +80,7 @@
             ProcessIdentifier process,
             Supplier<SharedState> state,
             PlatformPorts platform,
-            DemandSource demandSource,
+            RequestEvidence requests,
             Function<Command, CompletableFuture<CommandOutcome>> submit,
             TimerService timers,
             EventSink events) {
@@ -87,7 +88,7 @@
         this.state = state;
         this.directory = platform.directory();
         this.maintenance = platform.maintenance();
-        this.demandSource = demandSource;
+        this.requests = requests;
         this.submit = submit;
         this.timers = timers;
         this.events = events;
@@ -142,7 +143,9 @@
         }
         Map<HostName, HostHealth> listed = directory.list().stream()
                 .collect(Collectors.toMap(DirectoryEntry::host, DirectoryEntry::health, (first, second) -> second));
-        Observation observation = observer.observe(current, listed, Set.of());
+        Set<HostName> failingHere =
+                current.hosts().keySet().stream().filter(requests.failing()).collect(Collectors.toSet());
+        Observation observation = observer.observe(current, listed, failingHere);
         observer = observation.next();
         noteLeaving(observation.leaving());
         observation
@@ -160,7 +163,7 @@
     private void plan(SharedState current, Observation observation, Map<HostName, HostHealth> listed) {
         long now = timers.wallClockMilliseconds();
         ages = ages.at(current, now);
-        demand.add(now, demandSource.busyHosts());
+        demand.add(now, requests.usage().busyHosts());
         Set<HostName> listedUp = listed.entrySet().stream()
                 .filter(entry -> entry.getValue() == HostHealth.UP)
                 .map(Map.Entry::getKey)
@@ -255,6 +258,14 @@
         }
     }
 
+    /**
+     * What the requests of this process tell planning. Immutable.
+     *
+     * @param usage hosts that work keeps busy
+     * @param failing whether requests to a host fail
+     */
+    public record RequestEvidence(DemandSource usage, Predicate<HostName> failing) {}
+
     /**
      * The ports to the platform that planning uses. Immutable.
      *
--- a/src/main/java/org/cicadalead/adapters/request/RequestPath.java
+++ b/src/main/java/org/cicadalead/adapters/request/RequestPath.java
@@ -127,6 +127,11 @@
         return slots.runtime(host).slots().counts().used();
     }
 
+    /** Tells whether requests to a host fail here, so that it is ejected. */
+    boolean isFailing(HostName host) {
+        return slots.runtime(host).record().isEjected();
+    }
+
     @Override
     public void closeConnections(HostName host) {
         clients.close(host);
@@ -166,7 +171,8 @@
         exchange.get().askFor(route, count, tooSlow);
     }
 
-    private int waiting(ServiceName service) {
+    /** Returns the number of requests of a service that wait here. */
+    int waiting(ServiceName service) {
         ServiceDispatcher<CallerRequest> dispatcher = dispatchers.get(service);
         return dispatcher == null ? 0 : dispatcher.waiting();
     }
--- a/src/main/java/org/cicadalead/logic/capacity/BudgetLedger.java
+++ b/src/main/java/org/cicadalead/logic/capacity/BudgetLedger.java
@@ -25,15 +25,12 @@
     }
 
     /**
-     * Returns why an available host may not be taken from its pool by planned work; empty when every budget allows it.
-     * A host that is not available takes nothing from a budget.
+     * Returns why a host may not be taken from its pool by planned work; empty when every budget allows it. A host that
+     * is not available takes nothing now, but would not be there when it came back: the budget must hold without it.
      */
     public static Optional<String> objectionToRemoval(SharedState state, HostState host) {
-        if (!host.isAvailable()) {
-            return Optional.empty();
-        }
-        return CapacityIndex.onlyPool(state, host.pool())
-                .minusAvailable(CapacityIndex.rackOf(state, host))
-                .objection();
+        PoolCapacity pool = CapacityIndex.onlyPool(state, host.pool());
+        PoolCapacity rest = host.isAvailable() ? pool.minusAvailable(CapacityIndex.rackOf(state, host)) : pool;
+        return rest.objection();
     }
 }
--- a/src/main/java/org/cicadalead/logic/planning/MaintenanceSteps.java
+++ b/src/main/java/org/cicadalead/logic/planning/MaintenanceSteps.java
@@ -99,7 +99,7 @@
 
     private static Optional<MaintenanceStep> afterVerification(PlanningInput input, HostState host, boolean late) {
         boolean verified = host.health().isAvailable() && input.listedUp().contains(host.name());
-        if (verified && !input.suspects().contains(host.name())) {
+        if (verified) {
             return Optional.of(MaintenanceStep.NONE);
         }
         return late ? Optional.of(MaintenanceStep.FAILED) : Optional.empty();
--- a/src/main/java/org/cicadalead/model/command/MaintenanceCommand.java
+++ b/src/main/java/org/cicadalead/model/command/MaintenanceCommand.java
@@ -14,7 +14,7 @@
     /**
      * Starts a wave over the hosts that a selection takes now.
      *
-     * @param wave its identifier; one that was used before is rejected
+     * @param wave its identifier; rejected while a wave of this identifier is not over
      * @param selection which hosts
      * @param action what is done with a drained host
      * @param reason why
