Read on without time passing before the fuzzing compares the ends

Cause: folding the begin of a checkpoint appends its first part within the same step, after the last look at the log's end.

--- a/src/test/java/org/cicadalead/adapters/replica/ReplicaWorld.java
+++ b/src/test/java/org/cicadalead/adapters/replica/ReplicaWorld.java
@@ -204,8 +204,8 @@
             }
             check();
         }
+        readWithoutTimePassing();
         for (ReplicaUnderTest replica : replicas) {
-            replica.read();
             assertEquals(log.endOffset(), replica.state().offset(), "a replica did not reach the end of the log");
             assertTrue(replica.isReady(), "a replica that reached the end is not ready");
             checkDigest(replica.state());
@@ -217,6 +217,13 @@
                 "a publication of a live process was never answered");
     }
 
+    /** Folding a record may itself append one, as the begin of a checkpoint does; time must not pass to read those. */
+    private void readWithoutTimePassing() {
+        for (int round = 0; round < ROUNDS_TO_GO_ON; round++) {
+            replicas.forEach(ReplicaUnderTest::read);
+        }
+    }
+
     private void checkDigest(SharedState state) {
         String digest = SnapshotCodec.digest(new SnapshotCodec().encode(state));
         assertEquals(stateDigests.computeIfAbsent(state.offset(), offset -> digest), digest);
