--- a/src/main/java/org/cicadalead/adapters/entry/EntryProcess.java
+++ b/src/main/java/org/cicadalead/adapters/entry/EntryProcess.java
@@ -22,6 +22,7 @@
 import org.cicadalead.adapters.membership.EntryMembership;
 import org.cicadalead.adapters.membership.MembershipStatus;
 import org.cicadalead.adapters.planning.PlanningService;
+import org.cicadalead.adapters.planning.PoolUsage;
 import org.cicadalead.adapters.planning.WaveRoutes;
 import org.cicadalead.adapters.platform.HttpPlatform;
 import org.cicadalead.adapters.platform.HttpTaskPlatform;
@@ -37,6 +38,8 @@
 import org.cicadalead.model.event.EventDetail;
 import org.cicadalead.model.event.EventKind;
 import org.cicadalead.model.fleet.HostState;
+import org.cicadalead.model.identity.HostName;
+import org.cicadalead.model.identity.PoolName;
 import org.cicadalead.model.identity.ProcessIdentifier;
 import org.cicadalead.model.request.RequestLimits;
 import org.cicadalead.model.settings.EntrySettings;
@@ -89,7 +92,7 @@
                 identifier,
                 replica::state,
                 new PlanningService.PlatformPorts(platform, platform),
-                Map::of,
+                new PlanningService.RequestEvidence(this::usage, this::isFailing),
                 sharedState.appender()::submit,
                 timers,
                 timeline);
@@ -191,6 +194,14 @@
                 && membership.view().mayPlace(chosen);
     }
 
+    private Map<PoolName, Double> usage() {
+        return new PoolUsage(replica::state, callers.placements(), callers::waiting).busyHosts();
+    }
+
+    private boolean isFailing(HostName host) {
+        return callers.isFailing(host);
+    }
+
     private RequestPorts requestPorts() {
         return new RequestPorts(
                 identifier,
--- a/src/main/java/org/cicadalead/adapters/request/CallerServer.java
+++ b/src/main/java/org/cicadalead/adapters/request/CallerServer.java
@@ -17,6 +17,7 @@
 import org.cicadalead.model.error.ErrorKind;
 import org.cicadalead.model.event.EventDetail;
 import org.cicadalead.model.event.EventKind;
+import org.cicadalead.model.identity.HostName;
 import org.cicadalead.model.identity.RequestIdentifier;
 import org.cicadalead.model.identity.ServiceName;
 import org.cicadalead.model.request.RequestLimits;
@@ -84,6 +85,16 @@
         return path;
     }
 
+    /** Tells whether requests to a host fail here, so that it is ejected. */
+    public boolean isFailing(HostName host) {
+        return path.isFailing(host);
+    }
+
+    /** Returns the number of requests of a service that wait here. */
+    public int waiting(ServiceName service) {
+        return path.waiting(service);
+    }
+
     /** Asks callers to use another connection for their next request, while the balancer learns that it stops. */
     public void closeConnectionsAfterAnswers() {
         closing = true;
--- a/src/main/java/org/cicadalead/adapters/request/RequestPath.java
+++ b/src/main/java/org/cicadalead/adapters/request/RequestPath.java
@@ -127,6 +127,11 @@
         return slots.runtime(host).slots().counts().used();
     }
 
+    /** Tells whether requests to a host fail here, so that it is ejected. */
+    boolean isFailing(HostName host) {
+        return slots.runtime(host).record().isEjected();
+    }
+
     @Override
     public void closeConnections(HostName host) {
         clients.close(host);
@@ -145,8 +150,11 @@
     private void enqueue(CallerRequest request, ServiceDispatcher<CallerRequest> dispatcher, ServiceRoute route) {
         request.setLongWork(dispatcher.lengths().isLong(request.workKind()));
         int share = routing.newest().shareOf(request.terms().team());
+        request.startSubmitting();
         dispatcher.submit(request.terms(), request, request.isLongWork(), share, route, now());
+        Optional<HostRoute> chosenAtOnce = request.endSubmitting();
         borrowFor(route, dispatcher);
+        chosenAtOnce.ifPresent(host -> attempt(request, host));
     }
 
     /**
@@ -163,7 +171,8 @@
         exchange.get().askFor(route, count, tooSlow);
     }
 
-    private int waiting(ServiceName service) {
+    /** Returns the number of requests of a service that wait here. */
+    int waiting(ServiceName service) {
         ServiceDispatcher<CallerRequest> dispatcher = dispatchers.get(service);
         return dispatcher == null ? 0 : dispatcher.waiting();
     }
@@ -175,7 +184,11 @@
 
     private ServiceDispatcher<CallerRequest> newDispatcher(ServiceName service) {
         ServiceDispatcher<CallerRequest> dispatcher = new ServiceDispatcher<>(
-                (request, host) -> threads.execute(() -> attempt(request, host)),
+                (request, host) -> {
+                    if (!request.leaveToSubmitter(host)) {
+                        threads.execute(() -> attempt(request, host));
+                    }
+                },
                 refused -> threads.execute(() -> refuse(refused)));
         metrics.watchQueue(service, dispatcher::waiting);
         return dispatcher;
--- a/src/main/java/org/cicadalead/adapters/toml/ConfigurationFolderReader.java
+++ b/src/main/java/org/cicadalead/adapters/toml/ConfigurationFolderReader.java
@@ -6,7 +6,9 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.stream.Stream;
+import org.cicadalead.logic.capacity.BudgetFeasibility;
 import org.cicadalead.logic.configuration.ConfigurationMerger;
+import org.cicadalead.logic.configuration.ConfigurationMerger.MergeResult;
 import org.cicadalead.model.configuration.ConfigurationProblem;
 import org.cicadalead.model.configuration.ConfigurationUnit;
 import org.cicadalead.model.error.CicadaleadException;
@@ -25,7 +27,11 @@
             String name = file.getFileName().toString();
             units.add(ConfigurationUnitReader.read(name, readText(file), problems, unread));
         }
-        problems.addAll(ConfigurationMerger.merge(units, unread::mayContain).problems());
+        MergeResult merged = ConfigurationMerger.merge(units, unread::mayContain);
+        problems.addAll(merged.problems());
+        if (problems.isEmpty()) {
+            problems.addAll(BudgetFeasibility.problems(merged.configuration()));
+        }
         return new Folder(units, problems);
     }
 
--- a/src/main/java/org/cicadalead/bench/outcomes/OutcomesBench.java
+++ b/src/main/java/org/cicadalead/bench/outcomes/OutcomesBench.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.Consumer;
 import org.cicadalead.logic.capacity.CapacityPolicy;
 import org.cicadalead.logic.configuration.ConfigurationMerger;
 import org.cicadalead.model.configuration.ConfigurationUnit;
@@ -12,13 +13,16 @@
 public final class OutcomesBench {
     private OutcomesBench() {}
 
-    /** Plays a day on a fleet. */
-    public static OutcomesReport run(String name, List<ConfigurationUnit> units, long seed, Duration length) {
+    /** Plays a day on a fleet; each policy's outcome is also reported as soon as it is known. */
+    public static OutcomesReport run(
+            String name, List<ConfigurationUnit> units, long seed, Duration length, Consumer<String> progress) {
         FleetConfiguration configuration = ConfigurationMerger.merge(units).configuration();
         Day day = Day.draw(configuration, seed, length.toMillis());
         List<OutcomesReport.PolicyOutcome> outcomes = new ArrayList<>();
         for (CapacityPolicy policy : CapacityPolicy.values()) {
-            outcomes.add(new OutcomesDay(units, policy, day, seed).play());
+            OutcomesReport.PolicyOutcome outcome = new OutcomesDay(units, policy, day, seed).play();
+            outcomes.add(outcome);
+            progress.accept(outcome.toString());
         }
         String firstMeasure = configuration
                 .deployment()
--- /dev/null
+++ b/src/main/java/org/cicadalead/bench/requests/RequestsBench.java
@@ -0,0 +1,178 @@
+package org.cicadalead.bench.requests;
+
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import org.HdrHistogram.Histogram;
+import org.cicadalead.adapters.event.TimelineRecorder;
+import org.cicadalead.adapters.request.CallerServer;
+import org.cicadalead.adapters.request.MemberWatch;
+import org.cicadalead.adapters.request.RequestPorts;
+import org.cicadalead.adapters.standin.UpstreamStandIn;
+import org.cicadalead.adapters.time.SystemTimerService;
+import org.cicadalead.logic.request.HostRoute;
+import org.cicadalead.logic.request.HostRuntime;
+import org.cicadalead.logic.request.RoutingIndex;
+import org.cicadalead.logic.request.ServiceRoute;
+import org.cicadalead.model.configuration.HostDefinition;
+import org.cicadalead.model.configuration.NetworkAddress;
+import org.cicadalead.model.error.CicadaleadException;
+import org.cicadalead.model.error.ErrorKind;
+import org.cicadalead.model.identity.HostName;
+import org.cicadalead.model.identity.ProcessIdentifier;
+import org.cicadalead.model.request.RequestLimits;
+import org.cicadalead.model.settings.EntrySettings;
+import org.cicadalead.model.settings.EntrySettings.BindAddress;
+import org.cicadalead.model.state.SharedState;
+
+/** Measures the request path; the load goes to loopback and is bounded. Stateless. */
+public final class RequestsBench {
+    private static final int CALLERS = 8;
+    private static final int WORKERS = 9;
+    private static final Duration TIMEOUT = Duration.ofSeconds(10);
+    private static final int DECISIONS = 200_000;
+    private static final int INDEX_ROUNDS = 20;
+    private static final long SEED = 4711;
+    private static final BindAddress ANY = new BindAddress("127.0.0.1", 0);
+
+    private RequestsBench() {}
+
+    /** Runs everything; each loopback measurement takes the given time twice, once to warm up. */
+    public static RequestsReport run(Duration time) {
+        List<LimitResult> limits = new ArrayList<>();
+        for (int processes = 6; processes <= 8; processes += 2) {
+            for (int workers = 6; workers <= 9; workers += 3) {
+                for (LimitWay way : LimitWay.values()) {
+                    limits.add(new LimitSimulation(way, processes, workers, SEED).run());
+                }
+            }
+        }
+        SyntheticFleet today = new SyntheticFleet(3, 6, 46, 5, TIMEOUT, 1_000);
+        SyntheticFleet target = new SyntheticFleet(5, 86, 1_400, 610, TIMEOUT, 1_000);
+        return new RequestsReport(loopback(time), decisions("today", today), decisions("target", target), limits);
+    }
+
+    private static RequestsReport.Loopback loopback(Duration time) {
+        List<UpstreamStandIn> workers = new ArrayList<>();
+        for (int number = 0; number < WORKERS; number++) {
+            workers.add(new UpstreamStandIn("127.0.0.1", 0, Duration.ZERO));
+        }
+        List<NetworkAddress> addresses =
+                workers.stream().map(UpstreamStandIn::address).toList();
+        SharedState state = new SyntheticFleet(1, 1, WORKERS, 1, TIMEOUT, 1_000).state(addresses);
+        SystemTimerService timers = new SystemTimerService(failure -> {});
+        ProcessIdentifier process = new ProcessIdentifier("bench");
+        TimelineRecorder events =
+                new TimelineRecorder(process, SyntheticFleet.zone(0), () -> 1, System::currentTimeMillis);
+        RequestPorts ports = new RequestPorts(
+                process,
+                () -> state,
+                RequestPorts.viewOf(() -> state),
+                Optional.empty(),
+                new MemberWatch(process),
+                timers,
+                events,
+                new SimpleMeterRegistry());
+        EntrySettings settings = new EntrySettings(
+                SyntheticFleet.zone(0),
+                ANY,
+                ANY,
+                ANY,
+                new NetworkAddress("127.0.0.1", 1),
+                List.of(),
+                Duration.ZERO,
+                Duration.ofSeconds(1),
+                Optional.empty());
+        try (timers;
+                CallerServer server = new CallerServer(settings, RequestLimits.DEFAULT, ports)) {
+            measure(addresses, time);
+            measure(List.of(server.address()), time);
+            Histogram direct = measure(addresses, time);
+            Histogram through = measure(List.of(server.address()), time);
+            return RequestsReport.Loopback.of(direct, through, time);
+        } finally {
+            workers.forEach(UpstreamStandIn::close);
+        }
+    }
+
+    /** Callers send one request after the other; returns their latencies in microseconds. */
+    private static Histogram measure(List<NetworkAddress> addresses, Duration time) {
+        ExecutorService threads = Executors.newFixedThreadPool(CALLERS);
+        HttpClient client = HttpClient.newHttpClient();
+        List<Future<Histogram>> callers = new ArrayList<>();
+        for (int caller = 0; caller < CALLERS; caller++) {
+            NetworkAddress address = addresses.get(caller % addresses.size());
+            callers.add(threads.submit(() -> call(client, address, time)));
+        }
+        Histogram all = new Histogram(3);
+        try {
+            for (Future<Histogram> caller : callers) {
+                all.add(caller.get());
+            }
+        } catch (InterruptedException | ExecutionException failure) {
+            throw new CicadaleadException(ErrorKind.INTERNAL, "The load could not be sent", failure);
+        } finally {
+            threads.shutdownNow();
+        }
+        return all;
+    }
+
+    private static Histogram call(HttpClient client, NetworkAddress address, Duration time) throws Exception {
+        Histogram latencies = new Histogram(3);
+        HttpRequest request = HttpRequest.newBuilder(URI.create("http://" + address + "/services/service-0/work"))
+                .PUT(HttpRequest.BodyPublishers.ofString("a short body"))
+                .build();
+        long end = System.nanoTime() + time.toNanos();
+        while (System.nanoTime() < end) {
+            long start = System.nanoTime();
+            HttpResponse<String> response = client.send(request, HttpResponse.BodyHandlers.ofString());
+            if (response.statusCode() != 200) {
+                throw new CicadaleadException(ErrorKind.INTERNAL, "A request was refused: " + response.body());
+            }
+            latencies.recordValue(Duration.ofNanos(System.nanoTime() - start).toNanos() / 1_000);
+        }
+        return latencies;
+    }
+
+    private static RequestsReport.Decisions decisions(String size, SyntheticFleet fleet) {
+        SharedState state = fleet.state();
+        Map<HostName, HostRuntime> runtimes = new HashMap<>();
+        RoutingIndex index = index(state, runtimes);
+        runtimes.values().forEach(runtime -> runtime.slots().setOwned(HostDefinition.DEFAULT_SLOTS));
+        long indexStart = System.nanoTime();
+        for (int round = 0; round < INDEX_ROUNDS; round++) {
+            index = index(state, runtimes);
+        }
+        long indexNanoseconds = (System.nanoTime() - indexStart) / INDEX_ROUNDS;
+        choose(index, fleet.pools());
+        long start = System.nanoTime();
+        choose(index, fleet.pools());
+        long decision = (System.nanoTime() - start) / DECISIONS;
+        return new RequestsReport.Decisions(size, fleet.hosts(), fleet.pools(), decision, indexNanoseconds / 1_000);
+    }
+
+    private static RoutingIndex index(SharedState state, Map<HostName, HostRuntime> runtimes) {
+        return RoutingIndex.of(state, SyntheticFleet.zone(0), host -> runtimes.computeIfAbsent(host, HostRuntime::new));
+    }
+
+    private static void choose(RoutingIndex index, int services) {
+        for (int decision = 0; decision < DECISIONS; decision++) {
+            ServiceRoute route =
+                    index.service(SyntheticFleet.service(decision % services)).orElseThrow();
+            HostRoute host = route.choose(decision, System.nanoTime()).orElseThrow();
+            host.runtime().slots().endUse();
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/org/cicadalead/logic/planning/FleetOracle.java
@@ -0,0 +1,127 @@
+package org.cicadalead.logic.planning;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
+import org.cicadalead.model.command.Command;
+import org.cicadalead.model.command.ConfigurationCommand;
+import org.cicadalead.model.command.FleetCommand;
+import org.cicadalead.model.command.MaintenanceCommand;
+import org.cicadalead.model.command.MembershipCommand;
+import org.cicadalead.model.configuration.FailureCover;
+import org.cicadalead.model.configuration.ServiceDefinition;
+import org.cicadalead.model.fleet.HostHealth;
+import org.cicadalead.model.fleet.HostState;
+import org.cicadalead.model.fleet.MaintenanceStep;
+import org.cicadalead.model.identity.HostName;
+import org.cicadalead.model.identity.PoolName;
+import org.cicadalead.model.identity.ProcessIdentifier;
+import org.cicadalead.model.identity.RackName;
+import org.cicadalead.model.state.SharedState;
+
+/** Judges each accepted command by plain counting, with nothing of the code under test but the records. */
+final class FleetOracle {
+    private final Map<HostName, Set<ProcessIdentifier>> unconfirmed = new HashMap<>();
+
+    /** Fails when an accepted command broke a promise. */
+    void judge(SharedState before, SharedState after, Command command) {
+        require(
+                after.hosts()
+                        .keySet()
+                        .equals(after.configuration().merged().hosts().keySet()),
+                "every configured host is in the state, in one pool");
+        judgePools(before, after, command);
+        judgeBudgets(before, after, command);
+        judgeDrains(before, command);
+    }
+
+    private static void judgePools(SharedState before, SharedState after, Command command) {
+        for (HostState host : after.hosts().values()) {
+            HostState earlier = before.hosts().get(host.name());
+            boolean changed = earlier != null && !earlier.pool().equals(host.pool());
+            require(!changed || command instanceof FleetCommand.Assign, "only an assignment changes a pool");
+        }
+    }
+
+    private static void judgeBudgets(SharedState before, SharedState after, Command command) {
+        if (command instanceof FleetCommand.Observe) {
+            return;
+        }
+        for (ServiceDefinition service :
+                after.configuration().merged().services().values()) {
+            Map<RackName, Integer> racks = count(after, service.pool());
+            int now = sum(racks);
+            ServiceDefinition earlier =
+                    before.configuration().merged().services().get(service.name());
+            boolean lowered = now < sum(count(before, service.pool()));
+            boolean raised =
+                    earlier != null && minimum(service) > minimum(earlier) && command instanceof ConfigurationCommand;
+            boolean taken = command instanceof MaintenanceCommand.Grant grant
+                    && before.hosts().get(grant.host()).pool().equals(service.pool());
+            if (lowered || raised || taken) {
+                require(
+                        now - covered(service.budget().cover(), racks) >= minimum(service),
+                        command + " leaves " + service.name() + " with " + now);
+            }
+        }
+    }
+
+    private static int minimum(ServiceDefinition service) {
+        return service.budget().promisedHosts() - service.budget().maximumUnavailable();
+    }
+
+    private static int covered(FailureCover cover, Map<RackName, Integer> racks) {
+        int largest = 0;
+        for (int onRack : racks.values()) {
+            largest = Math.max(largest, onRack);
+        }
+        return cover == FailureCover.NONE ? 0 : cover == FailureCover.HOST ? Math.min(1, largest) : largest;
+    }
+
+    private static Map<RackName, Integer> count(SharedState state, PoolName pool) {
+        Map<RackName, Integer> racks = new HashMap<>();
+        for (HostState host : state.hosts().values()) {
+            boolean serves = host.health() == HostHealth.UP
+                    && host.maintenance() == MaintenanceStep.NONE
+                    && host.move().isEmpty();
+            if (serves && host.pool().equals(pool)) {
+                RackName rack =
+                        state.configuration().merged().hosts().get(host.name()).rack();
+                racks.put(rack, racks.getOrDefault(rack, 0) + 1);
+            }
+        }
+        return racks;
+    }
+
+    private static int sum(Map<RackName, Integer> racks) {
+        return racks.values().stream().mapToInt(Integer::intValue).sum();
+    }
+
+    private void judgeDrains(SharedState before, Command command) {
+        if (command instanceof MaintenanceCommand.Grant grant) {
+            unconfirmed.put(grant.host(), new HashSet<>(before.members().keySet()));
+        }
+        if (command instanceof MaintenanceCommand.ConfirmDrain confirmation) {
+            confirmation.drains().forEach(drain -> unconfirmed
+                    .getOrDefault(drain.host(), new HashSet<>())
+                    .remove(confirmation.process()));
+        }
+        if (command instanceof MembershipCommand.Leave leave) {
+            unconfirmed.values().forEach(processes -> processes.remove(leave.process()));
+        }
+        if (command instanceof MaintenanceCommand.Advance advance
+                && (advance.step() == MaintenanceStep.REBOOTING || advance.step() == MaintenanceStep.HELD)) {
+            require(
+                    Objects.requireNonNull(unconfirmed.get(advance.host())).isEmpty(),
+                    advance + " stops a host that " + unconfirmed.get(advance.host()) + " have not drained");
+        }
+    }
+
+    private static void require(boolean holds, String what) {
+        if (!holds) {
+            throw new AssertionError(what);
+        }
+    }
+}
