--- a/src/main/java/org/cicadalead/adapters/request/CallerRequest.java
+++ b/src/main/java/org/cicadalead/adapters/request/CallerRequest.java
@@ -6,10 +6,12 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.UnaryOperator;
+import org.cicadalead.logic.request.HostRoute;
 import org.cicadalead.logic.request.RequestProgress;
 import org.cicadalead.model.error.ErrorKind;
 import org.cicadalead.model.request.RequestPhase;
 import org.cicadalead.model.request.RequestTerms;
+import org.jspecify.annotations.Nullable;
 
 /**
  * One caller's request on its way through this process. At most one thread works on it at a time; others may abort it.
@@ -23,6 +25,8 @@
     private final AnswerListener listener;
     private final AtomicReference<RequestProgress> progress;
     private final AtomicReference<InputStream> upstreamAnswer = new AtomicReference<>(InputStream.nullInputStream());
+    private final AtomicReference<@Nullable Thread> submitter = new AtomicReference<>();
+    private final AtomicReference<@Nullable HostRoute> chosenAtOnce = new AtomicReference<>();
     private final AtomicBoolean told = new AtomicBoolean();
     private volatile boolean longWork;
 
@@ -71,6 +75,26 @@
         }
     }
 
+    /** Notes that a thread submits it now, and goes on with it by itself when a host is chosen at once. */
+    void startSubmitting() {
+        submitter.set(Thread.currentThread());
+    }
+
+    /** Leaves the host to the submitting thread; false in any other thread. */
+    boolean leaveToSubmitter(HostRoute host) {
+        if (submitter.get() != Thread.currentThread()) {
+            return false;
+        }
+        chosenAtOnce.set(host);
+        return true;
+    }
+
+    /** Returns the host that was chosen while it was submitted. */
+    Optional<HostRoute> endSubmitting() {
+        submitter.set(null);
+        return Optional.ofNullable(chosenAtOnce.getAndSet(null));
+    }
+
     /** Tells whether it waits, or runs, as long work. */
     boolean isLongWork() {
         return longWork;
--- a/src/main/java/org/cicadalead/adapters/request/RequestPath.java
+++ b/src/main/java/org/cicadalead/adapters/request/RequestPath.java
@@ -150,8 +150,11 @@
     private void enqueue(CallerRequest request, ServiceDispatcher<CallerRequest> dispatcher, ServiceRoute route) {
         request.setLongWork(dispatcher.lengths().isLong(request.workKind()));
         int share = routing.newest().shareOf(request.terms().team());
+        request.startSubmitting();
         dispatcher.submit(request.terms(), request, request.isLongWork(), share, route, now());
+        Optional<HostRoute> chosenAtOnce = request.endSubmitting();
         borrowFor(route, dispatcher);
+        chosenAtOnce.ifPresent(host -> attempt(request, host));
     }
 
     /**
@@ -181,7 +184,11 @@
 
     private ServiceDispatcher<CallerRequest> newDispatcher(ServiceName service) {
         ServiceDispatcher<CallerRequest> dispatcher = new ServiceDispatcher<>(
-                (request, host) -> threads.execute(() -> attempt(request, host)),
+                (request, host) -> {
+                    if (!request.leaveToSubmitter(host)) {
+                        threads.execute(() -> attempt(request, host));
+                    }
+                },
                 refused -> threads.execute(() -> refuse(refused)));
         metrics.watchQueue(service, dispatcher::waiting);
         return dispatcher;
