--- a/src/main/java/org/cicadalead/logic/planning/HostObserver.java
+++ b/src/main/java/org/cicadalead/logic/planning/HostObserver.java
@@ -20,7 +20,8 @@
  * Turns the platform's lagging host list and local request outcomes into observations. A leaving host is observed at
  * the first list that says so; a failure or return after two lists in a row, or one that a local failure confirms. All
  * that is ripe goes into one record. A list that misses most of the fleet is taken for a fault of the list: its
- * failures need local confirmation. Immutable: each list gives the next observer.
+ * failures need local confirmation. A return needs no local success, as a host that is down is sent no request to prove
+ * itself by. Immutable: each list gives the next observer.
  */
 public final class HostObserver {
     /** Lists in a row that must agree before a failure or a return is observed. */
@@ -110,7 +111,7 @@
         boolean isRipe(boolean plausible, boolean confirmed) {
             return switch (health) {
                 case LEAVING -> true;
-                case UP -> lists >= AGREEING_LISTS && !confirmed;
+                case UP -> lists >= AGREEING_LISTS;
                 case DOWN -> confirmed || (plausible && lists >= AGREEING_LISTS);
             };
         }
