Prove the eight invariants in one suite; decide reboots for moves in the log

Change: a world in virtual time of several processes (replica, dispatcher, retries, placement rule, moves, planners) with hosts, callers, platform and faults; an oracle with one method an invariant; eight built-in faults, each caught by the invariant that it breaks; a test that the histories meet every command of hosts and every kind of answer. A host was rebooted for a move that passed a member over; that member was removed meanwhile, and another process assigned the host at once, so that the log counted a host as available that was still rebooting. Ruled out: a wait at the assigning process, as another one may decide on an older state. Mended: the reboot is decided in the log first and gives the move a new version, so that only an assignment that knows of the reboot is accepted; the move can't be given up meanwhile.

--- a/src/main/java/org/cicadalead/adapters/membership/MoveLoop.java
+++ b/src/main/java/org/cicadalead/adapters/membership/MoveLoop.java
@@ -45,6 +45,7 @@
     private final List<TimerService.Subscription> subscriptions = new CopyOnWriteArrayList<>();
     private final Set<HostMove> rebooted = ConcurrentHashMap.newKeySet();
     private final AtomicBoolean rebooting = new AtomicBoolean();
+    private final AtomicBoolean deciding = new AtomicBoolean();
     private final AtomicBoolean acknowledging = new AtomicBoolean();
     private final AtomicBoolean assigning = new AtomicBoolean();
     private final AtomicBoolean cancelling = new AtomicBoolean();
@@ -97,7 +98,10 @@
                 self, timers.nanoTime(), busyHosts(current), cutOff.get(), Set.copyOf(rebooted));
         MoveCoordinator.Decision decision = MoveCoordinator.decide(current, watches, facts);
         watches = decision.watches();
-        rebooted.removeIf(move -> !watches.containsKey(move.host()));
+        rebooted.removeIf(move -> isOver(current, move));
+        if (!decision.passedOver().isEmpty()) {
+            append(deciding, new FleetCommand.RebootForMove(decision.passedOver(), decision.lapsed()));
+        }
         decision.reboots().forEach(this::reboot);
         acknowledge(decision.acknowledged());
         assign(current, decision);
@@ -166,6 +170,13 @@
         }
     }
 
+    private static boolean isOver(SharedState current, HostMove move) {
+        return Optional.ofNullable(current.hosts().get(move.host()))
+                .flatMap(HostState::move)
+                .filter(found -> found.version() == move.moveVersion())
+                .isEmpty();
+    }
+
     private void reboot(HostMove move) {
         if (reboots.isEmpty() || !rebooting.compareAndSet(false, true)) {
             return;
--- a/src/main/java/org/cicadalead/bench/outcomes/BenchProcess.java
+++ b/src/main/java/org/cicadalead/bench/outcomes/BenchProcess.java
@@ -194,6 +194,9 @@
         if (!decision.acknowledged().isEmpty()) {
             commands.add(new FleetCommand.Acknowledge(identifier, decision.acknowledged()));
         }
+        if (!decision.passedOver().isEmpty()) {
+            commands.add(new FleetCommand.RebootForMove(decision.passedOver(), decision.lapsed()));
+        }
         if (!decision.assigned().isEmpty()) {
             commands.add(new FleetCommand.Assign(decision.assigned(), decision.lapsed()));
         }
--- a/src/main/java/org/cicadalead/logic/fleet/FleetFold.java
+++ b/src/main/java/org/cicadalead/logic/fleet/FleetFold.java
@@ -37,6 +37,9 @@
         if (command instanceof FleetCommand.Assign assign) {
             return assign(state, offset, assign);
         }
+        if (command instanceof FleetCommand.RebootForMove reboot) {
+            return reboot(state, offset, reboot);
+        }
         return cancel(state, offset, (FleetCommand.CancelMove) command);
     }
 
@@ -104,6 +107,20 @@
                 : FoldResult.accepted(changed, offset);
     }
 
+    private static FoldResult reboot(SharedState state, long offset, FleetCommand.RebootForMove reboot) {
+        SharedState changed = state;
+        for (HostMove named : reboot.moves()) {
+            Optional<HostMoveState> move = currentMove(state, named).filter(found -> !found.rebooting());
+            if (move.isPresent()
+                    && objectionToAssignment(state, named, reboot.lapsed()).isEmpty()) {
+                HostState host = state.hosts().get(named.host());
+                changed = changed.withHost(
+                        host.withMove(offset, Optional.of(move.get().rebootedAt(offset))));
+            }
+        }
+        return changed.equals(state) ? conflict(state) : FoldResult.accepted(changed, offset);
+    }
+
     private static Optional<String> objectionToAssignment(
             SharedState state, HostMove named, List<ProcessIdentifier> lapsed) {
         Optional<HostMoveState> move = currentMove(state, named);
@@ -127,6 +144,11 @@
             return conflict(state);
         }
         HostState host = state.hosts().get(cancel.move().host());
+        if (move.get().rebooting()
+                && state.configuration().merged().pools().containsKey(move.get().destination())) {
+            return FoldResult.rejected(
+                    state, ErrorKind.CONFLICT, "The host is being rebooted for its move; move it back afterwards");
+        }
         if (host.pool().equals(move.get().destination())
                 || !state.configuration().merged().pools().containsKey(host.pool())) {
             return FoldResult.rejected(state, ErrorKind.CONFLICT, "The host has no other pool to stay in");
--- a/src/main/java/org/cicadalead/logic/fleet/HostDeclaration.java
+++ b/src/main/java/org/cicadalead/logic/fleet/HostDeclaration.java
@@ -39,7 +39,7 @@
         for (Member member : state.members().values()) {
             awaited = awaited.plus(member.process(), member.version());
         }
-        return new HostMoveState(offset, destination, awaited);
+        return new HostMoveState(offset, destination, awaited, false);
     }
 
     private static HostState entering(SharedState state, long offset, HostName name, PoolName pool) {
--- a/src/main/java/org/cicadalead/logic/membership/MoveCoordinator.java
+++ b/src/main/java/org/cicadalead/logic/membership/MoveCoordinator.java
@@ -42,6 +42,7 @@
         List<HostMove> acknowledged = new ArrayList<>();
         List<HostMove> assigned = new ArrayList<>();
         SortedSet<ProcessIdentifier> lapsed = new TreeSet<>();
+        List<HostMove> passedOver = new ArrayList<>();
         List<HostMove> reboots = new ArrayList<>();
         List<FleetCommand.CancelMove> cancelled = new ArrayList<>();
         for (HostState host : state.hosts().values()) {
@@ -53,11 +54,21 @@
             if (move.awaited().containsKey(facts.self()) && !facts.busyHosts().contains(host.name())) {
                 acknowledged.add(named);
             }
+            boolean rebootPending = move.rebooting() && !facts.rebooted().contains(named);
+            if (rebootPending) {
+                reboots.add(named);
+                continue;
+            }
             if (isLost(state, host, move)) {
                 cancelled.add(new FleetCommand.CancelMove(named));
                 continue;
             }
             MoveProgress progress = MoveProgress.of(state, host.name(), move);
+            if (move.rebooting()) {
+                assigned.add(named);
+                lapsed.addAll(progress.awaitedElsewhere());
+                continue;
+            }
             Watch watch = watched(watches, host, move, progress, facts);
             kept = kept.plus(host.name(), watch);
             boolean inTurn = watch.readyAt()
@@ -66,14 +77,21 @@
             if (!inTurn) {
                 continue;
             }
-            if (progress.awaitedElsewhere().isEmpty() || facts.rebooted().contains(named)) {
+            if (progress.awaitedElsewhere().isEmpty()) {
                 assigned.add(named);
-                lapsed.addAll(progress.awaitedElsewhere());
             } else {
-                reboots.add(named);
+                passedOver.add(named);
+                lapsed.addAll(progress.awaitedElsewhere());
             }
         }
-        return new Decision(kept, first(acknowledged), first(assigned), List.copyOf(lapsed), first(reboots), cancelled);
+        return new Decision(
+                kept,
+                first(acknowledged),
+                first(assigned),
+                List.copyOf(lapsed),
+                first(passedOver),
+                first(reboots),
+                cancelled);
     }
 
     /** The pool that the host should go to is not configured any more, while its old one is. */
@@ -157,7 +175,8 @@
      * @param acknowledged withdrawals to acknowledge, once the connections to the hosts are closed
      * @param assigned moves to assign
      * @param lapsed members that the assignment does not wait for
-     * @param reboots moves whose host has to be rebooted before it can be assigned
+     * @param passedOver moves that go on without some members; a reboot of their hosts is to be decided in the log
+     * @param reboots moves whose host the platform is to reboot, as the log has decided
      * @param cancelled moves to give up
      */
     public record Decision(
@@ -165,6 +184,7 @@
             List<HostMove> acknowledged,
             List<HostMove> assigned,
             List<ProcessIdentifier> lapsed,
+            List<HostMove> passedOver,
             List<HostMove> reboots,
             List<FleetCommand.CancelMove> cancelled) {
         /** Copies the lists. */
@@ -172,6 +192,7 @@
             acknowledged = List.copyOf(acknowledged);
             assigned = List.copyOf(assigned);
             lapsed = List.copyOf(lapsed);
+            passedOver = List.copyOf(passedOver);
             reboots = List.copyOf(reboots);
             cancelled = List.copyOf(cancelled);
         }
--- a/src/main/java/org/cicadalead/model/command/FleetCommand.java
+++ b/src/main/java/org/cicadalead/model/command/FleetCommand.java
@@ -55,7 +55,7 @@
      * A move of one host, named by the offset of its withdrawal.
      *
      * @param host the host
-     * @param moveVersion offset of the withdrawal
+     * @param moveVersion offset of the withdrawal, or of the decision to reboot the host for it
      */
     record HostMove(HostName host, long moveVersion) {}
 
@@ -74,6 +74,21 @@
         }
     }
 
+    /**
+     * Decides that hosts are rebooted by the platform before they are assigned, as members of other availability zones
+     * are not waited for. From here on only an assignment that knows of the reboot is accepted.
+     *
+     * @param moves the moves
+     * @param lapsed members of other availability zones whose view leases have lapsed
+     */
+    record RebootForMove(List<HostMove> moves, List<ProcessIdentifier> lapsed) implements FleetCommand {
+        /** Copies the lists. */
+        public RebootForMove {
+            moves = List.copyOf(moves);
+            lapsed = List.copyOf(lapsed);
+        }
+    }
+
     /**
      * Gives a move up: the host stays in its pool.
      *
--- /dev/null
+++ b/src/test/java/org/cicadalead/proof/EightInvariantsTest.java
@@ -0,0 +1,119 @@
+package org.cicadalead.proof;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.fail;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.stream.Stream;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Combinators;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/**
+ * The whole decision logic under faults, against the eight invariants of the brief. More histories with new seeds:
+ * {@code mvn -o test -Dtest=EightInvariantsTest -Dcicadalead.proof.seed=1 -Dcicadalead.proof.runs=2000}.
+ */
+class EightInvariantsTest {
+    private static final int STEPS = 40;
+    private static final int MUTATION_RUNS = 150;
+    private static final long WORLD_SEED = 7;
+    private static final int COVERAGE_RUNS = 20;
+    private static final Set<String> EXPECTED = Set.of(
+            "Publish",
+            "Join",
+            "Leave",
+            "Observe",
+            "Withdraw",
+            "Acknowledge",
+            "Assign",
+            "Start",
+            "Grant",
+            "ConfirmDrain",
+            "Advance",
+            "RAN",
+            "NOT_RUN",
+            "UNKNOWN");
+
+    @Property(seed = "7007", tries = 150)
+    void everyHistoryKeepsTheInvariants(@ForAll("histories") List<ProofStep> steps) {
+        play(Mutation.NONE, steps, WORLD_SEED).ifPresent(broken -> fail(broken.getMessage()));
+    }
+
+    @Test
+    void historiesOfSeedsGivenFromOutsideKeepTheInvariants() {
+        long first = Long.getLong("cicadalead.proof.seed", 1);
+        int runs = Integer.getInteger("cicadalead.proof.runs", 20);
+        for (long seed = first; seed < first + runs; seed++) {
+            long failing = seed;
+            play(Mutation.NONE, steps(seed), seed)
+                    .ifPresent(broken -> fail("seed " + failing + ": " + broken.getMessage()));
+        }
+    }
+
+    @Test
+    void historiesMeetEveryCommandOfHostsAndEveryAnswer() {
+        Set<String> missing = new TreeSet<>(EXPECTED);
+        for (long seed = 1; seed <= COVERAGE_RUNS; seed++) {
+            ProofWorld world = new ProofWorld(Mutation.NONE, seed);
+            steps(seed).forEach(world::play);
+            world.settle();
+            missing.removeAll(world.seen());
+        }
+        assertEquals(Set.of(), missing, "not met in any history");
+    }
+
+    @ParameterizedTest
+    @EnumSource(mode = EnumSource.Mode.EXCLUDE, names = "NONE")
+    void catchesAFaultThatIsBuiltIn(Mutation mutation) {
+        Optional<InvariantBroken> caught = Optional.empty();
+        for (long seed = 1; seed <= MUTATION_RUNS && caught.isEmpty(); seed++) {
+            caught = play(mutation, steps(seed), seed)
+                    .filter(broken -> broken.invariant().equals(mutation.caughtBy()));
+        }
+        assertEquals(mutation.caughtBy(), caught.map(InvariantBroken::invariant).orElse("nothing caught"));
+    }
+
+    @Provide
+    Arbitrary<List<ProofStep>> histories() {
+        return Combinators.combine(
+                        Arbitraries.of(ProofStep.Kind.class),
+                        Arbitraries.integers().between(0, 99),
+                        Arbitraries.integers().between(0, 99))
+                .as(ProofStep::new)
+                .list()
+                .ofMaxSize(STEPS);
+    }
+
+    private static Optional<InvariantBroken> play(Mutation mutation, List<ProofStep> steps, long seed) {
+        ProofWorld world = new ProofWorld(mutation, seed);
+        try {
+            steps.forEach(world::play);
+            world.settle();
+            return Optional.empty();
+        } catch (InvariantBroken broken) {
+            InvariantBroken explained =
+                    new InvariantBroken(broken.invariant(), broken.getMessage() + "\n" + world.timeline());
+            explained.initCause(broken);
+            return Optional.of(explained);
+        }
+    }
+
+    private static List<ProofStep> steps(long seed) {
+        Random random = new Random(seed);
+        List<ProofStep.Kind> kinds = List.of(ProofStep.Kind.values());
+        return Stream.generate(() -> new ProofStep(
+                        kinds.get(random.nextInt(kinds.size())), random.nextInt(100), random.nextInt(100)))
+                .limit(STEPS)
+                .toList();
+    }
+}
--- /dev/null
+++ b/src/test/java/org/cicadalead/proof/ProofHost.java
@@ -0,0 +1,69 @@
+package org.cicadalead.proof;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.cicadalead.model.fleet.HostCondition;
+import org.cicadalead.model.fleet.HostHealth;
+import org.cicadalead.model.identity.HostName;
+
+/** A host as it really is: whether it runs, what it runs, and its reboots. */
+final class ProofHost {
+    private final HostName name;
+    private final List<Run> runs = new ArrayList<>();
+    private HostHealth health = HostHealth.UP;
+    private long leavingSince;
+    private long operation;
+    private long rebootEnd;
+
+    ProofHost(HostName name) {
+        this.name = name;
+    }
+
+    HostName name() {
+        return name;
+    }
+
+    HostHealth health() {
+        return health;
+    }
+
+    long leavingSince() {
+        return leavingSince;
+    }
+
+    void setHealth(HostHealth newHealth, long now) {
+        health = newHealth;
+        leavingSince = now;
+        if (newHealth == HostHealth.DOWN) {
+            runs.clear();
+        }
+    }
+
+    boolean isWorking() {
+        return health == HostHealth.UP && rebootEnd == 0;
+    }
+
+    boolean answers() {
+        return health != HostHealth.DOWN && rebootEnd == 0;
+    }
+
+    List<Run> runs() {
+        return runs;
+    }
+
+    void reboot(long newOperation, long end) {
+        operation = newOperation;
+        rebootEnd = end;
+    }
+
+    HostCondition condition(long now) {
+        if (rebootEnd > 0 && now >= rebootEnd) {
+            rebootEnd = 0;
+        }
+        return new HostCondition(
+                operation, rebootEnd > 0 ? HostCondition.Progress.REBOOTING : HostCondition.Progress.RUNNING);
+    }
+
+    /** A request that runs, for the process that sent it. */
+    record Run(ProofRequest request, ProofProcess sender, long end) {}
+}
--- /dev/null
+++ b/src/test/java/org/cicadalead/proof/ProofWorld.java
@@ -0,0 +1,481 @@
+package org.cicadalead.proof;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import org.cicadalead.adapters.quickstart.ExampleDeployment;
+import org.cicadalead.logic.state.FoldResult;
+import org.cicadalead.logic.state.SharedStateFold;
+import org.cicadalead.model.command.Command;
+import org.cicadalead.model.command.CommandEnvelope;
+import org.cicadalead.model.command.CommandOutcome;
+import org.cicadalead.model.command.ConfigurationCommand;
+import org.cicadalead.model.command.FleetCommand;
+import org.cicadalead.model.command.MaintenanceCommand;
+import org.cicadalead.model.command.MembershipCommand;
+import org.cicadalead.model.configuration.HostDefinition;
+import org.cicadalead.model.configuration.NetworkAddress;
+import org.cicadalead.model.error.Execution;
+import org.cicadalead.model.fleet.HostCondition;
+import org.cicadalead.model.fleet.HostHealth;
+import org.cicadalead.model.fleet.HostState;
+import org.cicadalead.model.fleet.MaintenanceStep;
+import org.cicadalead.model.fleet.WaveAction;
+import org.cicadalead.model.fleet.WaveSelection;
+import org.cicadalead.model.identity.CommandIdentifier;
+import org.cicadalead.model.identity.HostName;
+import org.cicadalead.model.identity.PoolName;
+import org.cicadalead.model.identity.ProcessIdentifier;
+import org.cicadalead.model.identity.RackName;
+import org.cicadalead.model.identity.RequestIdentifier;
+import org.cicadalead.model.identity.ServiceName;
+import org.cicadalead.model.identity.TeamName;
+import org.cicadalead.model.identity.WaveIdentifier;
+import org.cicadalead.model.identity.ZoneName;
+import org.cicadalead.model.request.AttemptOutcome;
+import org.cicadalead.model.request.RequestTerms;
+import org.cicadalead.model.state.SharedState;
+import org.cicadalead.support.Commands;
+
+/** Platform, hosts, callers and entry processes in virtual time; everything random comes from one seed. */
+final class ProofWorld {
+    private static final long TICK = Duration.ofMillis(250).toNanos();
+    private static final long REBOOT = Duration.ofSeconds(2).toNanos();
+    private static final long LIST_LAG = Duration.ofSeconds(2).toNanos();
+    private static final long REMOVAL_DELAY = Duration.ofSeconds(20).toNanos();
+    private static final int LONGEST_RUN_TICKS = 5;
+    private static final int LONGEST_DELAY_TICKS = 8;
+    private static final int TIMELINE_LINES = 60;
+
+    private final Mutation mutation;
+    private final Random random;
+    private final Oracle oracle = new Oracle();
+    private final List<CommandEnvelope> log = new ArrayList<>();
+    private final Map<HostName, ProofHost> hosts = new TreeMap<>();
+    private final List<ProofProcess> processes = new ArrayList<>();
+    private final Map<ProcessIdentifier, Long> killed = new HashMap<>();
+    private final Map<ProofProcess, Long> reachableSince = new HashMap<>();
+    private final Set<ZoneName> cut = new HashSet<>();
+    private final List<ProofRequest> requests = new ArrayList<>();
+    private final List<String> timeline = new ArrayList<>();
+    private final Set<String> seen = new TreeSet<>();
+    private final List<ListSnapshot> lists = new ArrayList<>();
+    private SharedState truth = SharedState.empty();
+    private boolean platformDown;
+    private Optional<RackName> failedRack = Optional.empty();
+    private Optional<HostName> leavingHost = Optional.empty();
+    private long acceptedAt;
+    private long now = TICK;
+    private int repliesToLose;
+    private int started;
+
+    ProofWorld(Mutation mutation, long seed) {
+        this.mutation = mutation;
+        this.random = new Random(seed);
+        append(
+                "operator",
+                new ConfigurationCommand.Publish(ExampleDeployment.load("blue-mountain").units().stream()
+                        .map(unit -> new ConfigurationCommand.UnitChange(unit.fileName(), 0, Optional.of(unit)))
+                        .toList()));
+        truth.hosts().keySet().forEach(name -> hosts.put(name, new ProofHost(name)));
+        for (ZoneName zone : truth.configuration().merged().zones().keySet()) {
+            start(zone);
+            start(zone);
+        }
+        ticks(8);
+    }
+
+    long now() {
+        return now;
+    }
+
+    Mutation mutation() {
+        return mutation;
+    }
+
+    long delay() {
+        return random.nextInt(LONGEST_DELAY_TICKS) * TICK;
+    }
+
+    /** Returns the newest lines of what happened. */
+    String timeline() {
+        return String.join("\n", timeline.subList(Math.max(0, timeline.size() - TIMELINE_LINES), timeline.size()));
+    }
+
+    void play(ProofStep step) {
+        note(step.toString());
+        switch (step.kind()) {
+            case SUBMIT -> submit(step);
+            case FAIL_RACK -> failRack(step.first());
+            case MEND -> mend();
+            case ANNOUNCE_LEAVING -> announceLeaving(step.first());
+            case CUT_ZONE -> cut.add(pickZone(step.first()));
+            case HEAL -> heal();
+            case PLATFORM_DOWN -> platformDown = true;
+            case PAUSE -> process(step.first()).ifPresent(process -> process.setPaused(true));
+            case RESUME -> processes.forEach(process -> process.setPaused(false));
+            case KILL -> kill(step.first());
+            case STOP -> process(step.first()).ifPresent(this::stop);
+            case START -> start(pickZone(step.first()));
+            case LOSE_REPLIES -> repliesToLose += 1 + step.first() % 5;
+            case PUBLISH -> publish(step.first());
+            case START_WAVE -> startWave(step.first());
+            case MOVE -> move(step);
+            default -> throw new IllegalStateException(step.toString());
+        }
+        ticks(1 + step.second() % 10);
+    }
+
+    /** Ends all faults, lets everything settle, and judges what callers were told. */
+    void settle() {
+        repliesToLose = 0;
+        heal();
+        mend();
+        processes.forEach(process -> process.setPaused(false));
+        ticks(80);
+        requests.forEach(oracle::refusedRequestsDidNotRun);
+        requests.forEach(request -> request.told().ifPresent(told -> seen.add(told.name())));
+    }
+
+    /** Returns what the history met: names of accepted commands, and what callers were told. */
+    Set<String> seen() {
+        return seen;
+    }
+
+    /** Appends a command of a process, when its way to the platform is open; sometimes twice, as after a lost reply. */
+    void append(ProofProcess process, Command command) {
+        if (reachesPlatform(process)) {
+            append(process.identifier().value(), command);
+        }
+    }
+
+    void answer(ProofRequest request) {
+        int answered = request.number();
+        if (mutation == Mutation.CONFUSES_ANSWERS) {
+            answered--;
+        }
+        oracle.callersGetTheirOwnAnswer(request, answered, request.isOver());
+        request.tell(Execution.RAN);
+    }
+
+    void send(ProofProcess sender, ProofRequest request, HostName name, Optional<Long> leavingKnownSince) {
+        ProofHost host = hosts.get(name);
+        ZoneName zone = definition(name).zone();
+        boolean reachable = zone.equals(sender.zone()) || (!cut.contains(zone) && !cut.contains(sender.zone()));
+        if (!reachable || !host.answers()) {
+            sender.attemptEnded(request, AttemptOutcome.NOT_CONNECTED);
+            return;
+        }
+        leavingKnownSince.ifPresent(since -> oracle.leavingHostsGetNoNewWork(name, since, now));
+        oracle.workReachesOnlyTheHostsPool(truth, request, name);
+        request.run();
+        oracle.nonIdempotentRequestsRunOnce(request);
+        oracle.refusedRequestsDidNotRun(request);
+        host.runs().add(new ProofHost.Run(request, sender, now + (1 + random.nextInt(LONGEST_RUN_TICKS)) * TICK));
+    }
+
+    /** Reboots a host unless it was already asked for; a reboot of a wave must find nothing in flight. */
+    HostCondition reboot(ProofProcess process, HostName name, long operation, boolean graceful) {
+        ProofHost host = hosts.get(name);
+        if (reachesPlatform(process) && host.condition(now).operation() < operation) {
+            if (graceful) {
+                oracle.plannedStopsCutNothingOff(name, host.runs().size());
+            }
+            host.runs().clear();
+            host.reboot(operation, now + REBOOT);
+            note("reboot of " + name);
+        }
+        return host.condition(now);
+    }
+
+    HostCondition condition(HostName name) {
+        return hosts.get(name).condition(now);
+    }
+
+    /** Returns the platform's list, which lags; nothing when it cannot be reached. */
+    Optional<Map<HostName, HostHealth>> listed(ProofProcess process) {
+        return reachesPlatform(process)
+                ? lists.stream()
+                        .filter(list -> list.time() <= now - LIST_LAG)
+                        .reduce((earlier, later) -> later)
+                        .map(ListSnapshot::hosts)
+                : Optional.empty();
+    }
+
+    /** Returns the members that certainly cannot reach a zone's hosts. */
+    Set<ProcessIdentifier> cutOffFrom(ZoneName zone) {
+        Set<ProcessIdentifier> cutOff = new HashSet<>(killed.keySet());
+        for (ProofProcess process : processes) {
+            boolean apart = cut.contains(zone) || cut.contains(process.zone());
+            if (apart && !process.zone().equals(zone)) {
+                cutOff.add(process.identifier());
+            }
+        }
+        return cutOff;
+    }
+
+    private void ticks(int count) {
+        for (int tick = 0; tick < count; tick++) {
+            now += TICK;
+            lists.add(listNow());
+            lists.removeIf(list -> list.time() < now - 2 * LIST_LAG);
+            hosts.values().forEach(this::finishRuns);
+            removeKilled();
+            for (ProofProcess process : List.copyOf(processes)) {
+                live(process);
+            }
+            oracle.budgetsHold(truth, hosts);
+        }
+    }
+
+    private void live(ProofProcess process) {
+        if (process.isPaused() || !reachesPlatform(process)) {
+            reachableSince.remove(process);
+        } else {
+            reachableSince.putIfAbsent(process, now);
+        }
+        if (process.isPaused()) {
+            return;
+        }
+        if (reachesPlatform(process)) {
+            process.read(log, random.nextInt(4) == 0 ? 1 : 0);
+        }
+        process.tick();
+        long since = reachableSince.getOrDefault(process, now);
+        oracle.configurationNeverReverts(process, truth.configuration().version(), Math.max(since, acceptedAt), now);
+        if (process.isStopping() && process.inFlight() == 0) {
+            end(process);
+        }
+    }
+
+    private void finishRuns(ProofHost host) {
+        host.condition(now);
+        for (ProofHost.Run run : List.copyOf(host.runs())) {
+            if (run.end() > now || run.sender().isPaused()) {
+                continue;
+            }
+            host.runs().remove(run);
+            boolean lost = repliesToLose > 0;
+            repliesToLose -= lost ? 1 : 0;
+            run.sender().attemptEnded(run.request(), lost ? AttemptOutcome.CONNECTION_LOST : AttemptOutcome.ANSWERED);
+        }
+    }
+
+    private ListSnapshot listNow() {
+        Map<HostName, HostHealth> listed = new HashMap<>();
+        hosts.forEach((name, host) -> {
+            if (host.health() != HostHealth.DOWN) {
+                listed.put(name, host.health());
+            }
+        });
+        return new ListSnapshot(now, listed);
+    }
+
+    private void submit(ProofStep step) {
+        List<ServiceName> services =
+                List.copyOf(truth.configuration().merged().services().keySet());
+        ServiceName service = services.get(step.first() % services.size());
+        for (int count = 0; count <= step.second(); count++) {
+            ProofRequest request = new ProofRequest(
+                    requests.size() + 1,
+                    new RequestTerms(
+                            new RequestIdentifier("request-" + requests.size()),
+                            service,
+                            new TeamName("kitchens"),
+                            RequestTerms.DEFAULT_URGENCY,
+                            random.nextBoolean(),
+                            now,
+                            now + ProofProcess.timeoutNanoseconds()));
+            requests.add(request);
+            process(step.first())
+                    .filter(process -> !process.isPaused())
+                    .ifPresentOrElse(process -> process.submit(request), () -> request.tell(Execution.UNKNOWN));
+        }
+    }
+
+    /** Unplanned failures come one at a time, as that is what budgets cover. */
+    private void failRack(int number) {
+        if (failedRack.isPresent() || leavingHost.isPresent()) {
+            return;
+        }
+        List<RackName> racks = truth.configuration().merged().hosts().values().stream()
+                .map(HostDefinition::rack)
+                .distinct()
+                .toList();
+        failedRack = Optional.of(racks.get(number % racks.size()));
+        for (ProofHost host : rackHosts(failedRack.get())) {
+            List<ProofHost.Run> broken = List.copyOf(host.runs());
+            host.setHealth(HostHealth.DOWN, now);
+            broken.forEach(run -> run.sender().attemptEnded(run.request(), AttemptOutcome.CONNECTION_LOST));
+        }
+    }
+
+    private void announceLeaving(int number) {
+        if (failedRack.isEmpty() && leavingHost.isEmpty()) {
+            ProofHost host = List.copyOf(hosts.values()).get(number % hosts.size());
+            host.setHealth(HostHealth.LEAVING, now);
+            leavingHost = Optional.of(host.name());
+        }
+    }
+
+    private void mend() {
+        failedRack.ifPresent(rack -> rackHosts(rack).forEach(host -> host.setHealth(HostHealth.UP, now)));
+        leavingHost.ifPresent(name -> hosts.get(name).setHealth(HostHealth.UP, now));
+        failedRack = Optional.empty();
+        leavingHost = Optional.empty();
+    }
+
+    private List<ProofHost> rackHosts(RackName rack) {
+        return hosts.values().stream()
+                .filter(host -> definition(host.name()).rack().equals(rack))
+                .toList();
+    }
+
+    private void heal() {
+        cut.clear();
+        platformDown = false;
+    }
+
+    private void start(ZoneName zone) {
+        if (platformDown || cut.contains(zone) || processes.size() >= 8) {
+            return;
+        }
+        started++;
+        ProofProcess process = new ProofProcess(this, new ProcessIdentifier("process-" + started), zone);
+        processes.add(process);
+        append(
+                process,
+                new MembershipCommand.Join(
+                        process.identifier(), zone, new NetworkAddress("127.0.0.1", started), Optional.empty()));
+    }
+
+    private void kill(int number) {
+        process(number).ifPresent(process -> {
+            processes.remove(process);
+            killed.put(process.identifier(), now);
+        });
+    }
+
+    private void stop(ProofProcess process) {
+        process.stop();
+        if (mutation == Mutation.STOPS_AT_ONCE) {
+            end(process);
+        }
+    }
+
+    private void end(ProofProcess process) {
+        oracle.plannedStopsCutNothingOff(process.identifier(), process.inFlight());
+        Optional.ofNullable(truth.members().get(process.identifier()))
+                .ifPresent(member -> append(process, new MembershipCommand.Leave(member.process(), member.version())));
+        processes.remove(process);
+        killed.put(process.identifier(), now);
+    }
+
+    /** Members that ended are removed on evidence; here an operator or a peer that can reach the log does so. */
+    private void removeKilled() {
+        killed.forEach((identifier, time) -> Optional.ofNullable(truth.members().get(identifier))
+                .filter(member -> now - time > REMOVAL_DELAY && !platformDown)
+                .ifPresent(
+                        member -> append("remover", new MembershipCommand.Leave(member.process(), member.version()))));
+    }
+
+    private void publish(int share) {
+        if (platformDown) {
+            return;
+        }
+        String file = "99-absorbed.toml";
+        long version = Optional.ofNullable(truth.configuration().units().get(file))
+                .map(unit -> unit.version())
+                .orElse(0L);
+        append("operator", Commands.publish(Commands.change(Commands.team(file, 1 + share), version)));
+    }
+
+    private void startWave(int number) {
+        if (!platformDown) {
+            List<PoolName> pools =
+                    List.copyOf(truth.configuration().merged().pools().keySet());
+            WaveSelection selection =
+                    new WaveSelection(List.of(pools.get(number % pools.size())), List.of(), List.of(), List.of());
+            append(
+                    "operator",
+                    new MaintenanceCommand.Start(
+                            new WaveIdentifier("wave-" + log.size()), selection, WaveAction.REBOOT, "proof", 0, 0, 2));
+        }
+        if (mutation == Mutation.REMOVES_HOSTS_WITHOUT_BUDGET) {
+            for (HostState host : truth.hosts().values()) {
+                truth = truth.withHost(host.withMaintenance(host.version(), MaintenanceStep.DRAINING, host.wave()));
+            }
+        }
+    }
+
+    private void move(ProofStep step) {
+        if (platformDown) {
+            return;
+        }
+        List<HostState> all = List.copyOf(truth.hosts().values());
+        List<PoolName> pools =
+                List.copyOf(truth.configuration().merged().pools().keySet());
+        HostState host = all.get(step.first() % all.size());
+        append(
+                "operator",
+                new FleetCommand.Withdraw(host.name(), host.version(), pools.get(step.second() % pools.size())));
+    }
+
+    private void append(String writer, Command command) {
+        CommandEnvelope envelope = new CommandEnvelope(
+                CommandEnvelope.CURRENT_FORMAT,
+                new CommandIdentifier(writer + "-" + log.size()),
+                new ProcessIdentifier(writer),
+                truth.offset(),
+                command);
+        fold(envelope);
+        if (random.nextInt(8) == 0) {
+            fold(envelope);
+        }
+    }
+
+    private void fold(CommandEnvelope envelope) {
+        log.add(envelope);
+        FoldResult result = SharedStateFold.apply(truth, log.size(), Optional.of(envelope));
+        if (result.state().configuration().version() > truth.configuration().version()) {
+            acceptedAt = now;
+        }
+        truth = result.state();
+        if (result.outcome() instanceof CommandOutcome.Accepted) {
+            seen.add(envelope.command().getClass().getSimpleName());
+            note(log.size() + " " + envelope.writer() + " " + envelope.command());
+        }
+    }
+
+    private boolean reachesPlatform(ProofProcess process) {
+        return !platformDown && !cut.contains(process.zone());
+    }
+
+    private Optional<ProofProcess> process(int number) {
+        return processes.isEmpty() ? Optional.empty() : Optional.of(processes.get(number % processes.size()));
+    }
+
+    private ZoneName pickZone(int number) {
+        List<ZoneName> zones =
+                List.copyOf(truth.configuration().merged().zones().keySet());
+        return zones.get(number % zones.size());
+    }
+
+    private HostDefinition definition(HostName name) {
+        return truth.configuration().merged().hosts().get(name);
+    }
+
+    private void note(String line) {
+        timeline.add(Duration.ofNanos(now).toMillis() + " ms " + line.substring(0, Math.min(200, line.length())));
+    }
+
+    private record ListSnapshot(long time, Map<HostName, HostHealth> hosts) {}
+}
