--- a/src/main/java/org/cicadalead/cli/AddressOption.java
+++ b/src/main/java/org/cicadalead/cli/AddressOption.java
@@ -3,7 +3,6 @@
 import java.nio.file.Path;
 import java.util.Optional;
 import org.apache.commons.cli.CommandLine;
-import org.apache.commons.cli.Option;
 import org.apache.commons.cli.Options;
 import org.cicadalead.adapters.security.SharedKeyFile;
 import org.cicadalead.model.configuration.NetworkAddress;
@@ -14,18 +13,14 @@
 
     static Options options() {
         return new Options()
-                .addOption(Option.builder()
-                        .longOpt("address")
-                        .hasArg()
-                        .argName("ADDRESS:PORT")
-                        .desc("administration port of an entry process (" + AdministrationClient.DEFAULT_ADDRESS + ")")
-                        .build())
-                .addOption(Option.builder()
-                        .longOpt("key-file")
-                        .hasArg()
-                        .argName("FILE")
-                        .desc("file with the shared key to sign with ($" + AdministrationClient.KEY_FILE_VARIABLE + ")")
-                        .build());
+                .addOption(CommandOptions.valued(
+                        "address",
+                        "ADDRESS:PORT",
+                        "administration port of an entry process (" + AdministrationClient.DEFAULT_ADDRESS + ")"))
+                .addOption(CommandOptions.valued(
+                        "key-file",
+                        "FILE",
+                        "file with the shared key to sign with ($" + AdministrationClient.KEY_FILE_VARIABLE + ")"));
     }
 
     static AdministrationClient client(CommandLine arguments) {
--- a/src/main/java/org/cicadalead/cli/BenchJobsCommand.java
+++ b/src/main/java/org/cicadalead/cli/BenchJobsCommand.java
@@ -3,7 +3,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.apache.commons.cli.CommandLine;
-import org.apache.commons.cli.Option;
 import org.apache.commons.cli.Options;
 import org.cicadalead.adapters.codec.DomainMappers;
 import org.cicadalead.bench.jobs.JobBench;
@@ -37,12 +36,8 @@
     @Override
     public Options options() {
         return new Options()
-                .addOption(Option.builder()
-                        .longOpt("seed")
-                        .hasArg()
-                        .argName("NUMBER")
-                        .desc("seed of sizes, run times and faults (" + DEFAULT_SEED + ")")
-                        .build());
+                .addOption(CommandOptions.valued(
+                        "seed", "NUMBER", "seed of sizes, run times and faults (" + DEFAULT_SEED + ")"));
     }
 
     @Override
--- a/src/main/java/org/cicadalead/cli/BenchMembershipCommand.java
+++ b/src/main/java/org/cicadalead/cli/BenchMembershipCommand.java
@@ -4,7 +4,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.apache.commons.cli.CommandLine;
-import org.apache.commons.cli.Option;
 import org.apache.commons.cli.Options;
 import org.cicadalead.adapters.codec.DomainMappers;
 import org.cicadalead.bench.membership.MembershipBench;
@@ -39,18 +38,11 @@
     @Override
     public Options options() {
         return new Options()
-                .addOption(Option.builder()
-                        .longOpt("for")
-                        .hasArg()
-                        .argName("DURATION")
-                        .desc("how long each size is measured (20s)")
-                        .build())
-                .addOption(Option.builder()
-                        .longOpt("part-bytes")
-                        .hasArg()
-                        .argName("NUMBER")
-                        .desc("bytes that other parts add to a heartbeat (" + DEFAULT_PART_BYTES + ")")
-                        .build());
+                .addOption(CommandOptions.valued("for", "DURATION", "how long each size is measured (20s)"))
+                .addOption(CommandOptions.valued(
+                        "part-bytes",
+                        "NUMBER",
+                        "bytes that other parts add to a heartbeat (" + DEFAULT_PART_BYTES + ")"));
     }
 
     @Override
--- a/src/main/java/org/cicadalead/cli/BenchRequestsCommand.java
+++ b/src/main/java/org/cicadalead/cli/BenchRequestsCommand.java
@@ -3,7 +3,6 @@
 import java.time.Duration;
 import java.util.List;
 import org.apache.commons.cli.CommandLine;
-import org.apache.commons.cli.Option;
 import org.apache.commons.cli.Options;
 import org.cicadalead.bench.requests.RequestsBench;
 import org.cicadalead.bench.requests.RequestsReport;
@@ -35,12 +34,8 @@
     @Override
     public Options options() {
         return new Options()
-                .addOption(Option.builder()
-                        .longOpt("for")
-                        .hasArg()
-                        .argName("DURATION")
-                        .desc("time of each of the four loopback measurements (3s)")
-                        .build());
+                .addOption(CommandOptions.valued(
+                        "for", "DURATION", "time of each of the four loopback measurements (3s)"));
     }
 
     @Override
--- a/src/main/java/org/cicadalead/cli/EntryCommand.java
+++ b/src/main/java/org/cicadalead/cli/EntryCommand.java
@@ -45,12 +45,8 @@
                         .required()
                         .desc("settings of the process, in TOML")
                         .build())
-                .addOption(Option.builder()
-                        .longOpt("log-format")
-                        .hasArg()
-                        .argName("FORM")
-                        .desc("form of the log on standard error: plain (the default) or json")
-                        .build());
+                .addOption(CommandOptions.valued(
+                        "log-format", "FORM", "form of the log on standard error: plain (the default) or json"));
     }
 
     @Override
--- a/src/main/java/org/cicadalead/cli/MoveCommand.java
+++ b/src/main/java/org/cicadalead/cli/MoveCommand.java
@@ -39,12 +39,7 @@
     @Override
     public Options options() {
         return AddressOption.options()
-                .addOption(Option.builder()
-                        .longOpt("to")
-                        .hasArg()
-                        .argName("POOL")
-                        .desc("the pool that the host goes to")
-                        .build())
+                .addOption(CommandOptions.valued("to", "POOL", "the pool that the host goes to"))
                 .addOption(Option.builder()
                         .longOpt("cancel")
                         .desc("give up the move that is in progress")
@@ -53,12 +48,7 @@
                         .longOpt("wait")
                         .desc("wait until the host belongs to the pool")
                         .build())
-                .addOption(Option.builder()
-                        .longOpt("timeout")
-                        .hasArg()
-                        .argName("DURATION")
-                        .desc("how long to wait at most (5m)")
-                        .build());
+                .addOption(CommandOptions.valued("timeout", "DURATION", "how long to wait at most (5m)"));
     }
 
     @Override
--- a/src/main/java/org/cicadalead/cli/PlatformStandInCommand.java
+++ b/src/main/java/org/cicadalead/cli/PlatformStandInCommand.java
@@ -3,7 +3,6 @@
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import org.apache.commons.cli.CommandLine;
-import org.apache.commons.cli.Option;
 import org.apache.commons.cli.Options;
 import org.cicadalead.adapters.standin.PlatformStandIn;
 import org.cicadalead.model.configuration.NetworkAddress;
@@ -35,12 +34,8 @@
     @Override
     public Options options() {
         return new Options()
-                .addOption(Option.builder()
-                        .longOpt("listen")
-                        .hasArg()
-                        .argName("ADDRESS:PORT")
-                        .desc("where to listen (" + DEFAULT_ADDRESS + ")")
-                        .build());
+                .addOption(
+                        CommandOptions.valued("listen", "ADDRESS:PORT", "where to listen (" + DEFAULT_ADDRESS + ")"));
     }
 
     @Override
--- a/src/main/java/org/cicadalead/cli/QuickstartCommand.java
+++ b/src/main/java/org/cicadalead/cli/QuickstartCommand.java
@@ -5,7 +5,6 @@
 import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
 import org.apache.commons.cli.CommandLine;
-import org.apache.commons.cli.Option;
 import org.apache.commons.cli.Options;
 import org.cicadalead.adapters.quickstart.ExampleDeployment;
 import org.cicadalead.adapters.quickstart.QuickstartDay;
@@ -40,18 +39,12 @@
     @Override
     public Options options() {
         return new Options()
-                .addOption(Option.builder()
-                        .longOpt("deployment")
-                        .hasArg()
-                        .argName("NAME")
-                        .desc("blue-mountain (the default) or dakar-wage-survey")
-                        .build())
-                .addOption(Option.builder()
-                        .longOpt("for")
-                        .hasArg()
-                        .argName("DURATION")
-                        .desc("plays the deployment's day in this time and reports; without it, runs until stopped")
-                        .build());
+                .addOption(
+                        CommandOptions.valued("deployment", "NAME", "blue-mountain (the default) or dakar-wage-survey"))
+                .addOption(CommandOptions.valued(
+                        "for",
+                        "DURATION",
+                        "plays the deployment's day in this time and reports; without it, runs until stopped"));
     }
 
     @Override
--- a/src/main/java/org/cicadalead/cli/TimelineCommand.java
+++ b/src/main/java/org/cicadalead/cli/TimelineCommand.java
@@ -50,15 +50,16 @@
     @Override
     public Options options() {
         return new Options()
-                .addOption(valued("address", "ADDRESS:PORT", "administration port; may be repeated"))
-                .addOption(valued("subject", "NAME", "only events of a request, job, host, pool, wave or file"))
-                .addOption(valued("kind", "KIND", "only events of a kind, by name or number"))
-                .addOption(valued("from-offset", "OFFSET", "only events from this offset on"))
-                .addOption(valued("to-offset", "OFFSET", "only events up to this offset"))
-                .addOption(valued("from", "MILLISECONDS", "only events from this time on, since 1970"))
-                .addOption(valued("to", "MILLISECONDS", "only events up to this time, since 1970"))
-                .addOption(valued("explain", "NAME", "what happened to a subject, and why"))
-                .addOption(valued("html", "FILE", "write a page with a picture"))
+                .addOption(CommandOptions.valued("address", "ADDRESS:PORT", "administration port; may be repeated"))
+                .addOption(CommandOptions.valued(
+                        "subject", "NAME", "only events of a request, job, host, pool, wave or file"))
+                .addOption(CommandOptions.valued("kind", "KIND", "only events of a kind, by name or number"))
+                .addOption(CommandOptions.valued("from-offset", "OFFSET", "only events from this offset on"))
+                .addOption(CommandOptions.valued("to-offset", "OFFSET", "only events up to this offset"))
+                .addOption(CommandOptions.valued("from", "MILLISECONDS", "only events from this time on, since 1970"))
+                .addOption(CommandOptions.valued("to", "MILLISECONDS", "only events up to this time, since 1970"))
+                .addOption(CommandOptions.valued("explain", "NAME", "what happened to a subject, and why"))
+                .addOption(CommandOptions.valued("html", "FILE", "write a page with a picture"))
                 .addOption(Option.builder()
                         .longOpt("follow")
                         .desc("go on showing new events")
@@ -170,13 +171,4 @@
             throw new CicadaleadException(ErrorKind.MALFORMED_REQUEST, "'" + file + "' cannot be written", failure);
         }
     }
-
-    private static Option valued(String name, String argument, String description) {
-        return Option.builder()
-                .longOpt(name)
-                .hasArg()
-                .argName(argument)
-                .desc(description)
-                .build();
-    }
 }
--- a/src/main/java/org/cicadalead/cli/UpstreamStandInCommand.java
+++ b/src/main/java/org/cicadalead/cli/UpstreamStandInCommand.java
@@ -4,7 +4,6 @@
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import org.apache.commons.cli.CommandLine;
-import org.apache.commons.cli.Option;
 import org.apache.commons.cli.Options;
 import org.cicadalead.adapters.standin.UpstreamStandIn;
 import org.cicadalead.model.configuration.NetworkAddress;
@@ -37,18 +36,8 @@
     @Override
     public Options options() {
         return new Options()
-                .addOption(Option.builder()
-                        .longOpt("listen")
-                        .hasArg()
-                        .argName("ADDRESS:PORT")
-                        .desc("where to listen (" + DEFAULT_ADDRESS + ")")
-                        .build())
-                .addOption(Option.builder()
-                        .longOpt("work-time")
-                        .hasArg()
-                        .argName("DURATION")
-                        .desc("how long a request runs (5ms)")
-                        .build());
+                .addOption(CommandOptions.valued("listen", "ADDRESS:PORT", "where to listen (" + DEFAULT_ADDRESS + ")"))
+                .addOption(CommandOptions.valued("work-time", "DURATION", "how long a request runs (5ms)"));
     }
 
     @Override
