--- a/src/main/java/org/cicadalead/adapters/entry/EntryProcess.java
+++ b/src/main/java/org/cicadalead/adapters/entry/EntryProcess.java
@@ -52,6 +52,7 @@
 public final class EntryProcess implements AutoCloseable {
     private static final int UNAVAILABLE = 503;
     private static final int OK = 200;
+    private static final Duration READY_CHECK = Duration.ofMillis(100);
     private static final Duration SHUTDOWN_POLL = Duration.ofMillis(20);
 
     private final EntrySettings settings;
@@ -71,6 +72,7 @@
     private final PrometheusMeterRegistry metrics = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
     private final MemberWatch memberWatch = new MemberWatch(identifier);
     private volatile boolean stopping;
+    private boolean reportedReady;
 
     /** Starts a process. */
     public EntryProcess(EntrySettings settings) {
@@ -119,6 +121,7 @@
         sharedState.start();
         planning.start();
         administration.start();
+        timers.every(READY_CHECK, this::reportReady);
         timeline.emit(EventKind.PROCESS_STARTED, Optional.empty(), EventDetail.of("zone", settings.zone()));
     }
 
@@ -184,6 +187,15 @@
         timers.close();
     }
 
+    /** Called by the timer's thread only. */
+    private void reportReady() {
+        boolean ready = isReady();
+        if (ready && !reportedReady) {
+            timeline.emit(EventKind.PROCESS_READY, Optional.empty());
+        }
+        reportedReady = ready;
+    }
+
     private int left() {
         return callers.inFlight() + jobs.routes().inFlight();
     }
--- a/src/main/java/org/cicadalead/adapters/planning/PlanningService.java
+++ b/src/main/java/org/cicadalead/adapters/planning/PlanningService.java
@@ -73,6 +73,7 @@
     private final Map<String, List<EventDetail>> lastWaits = new HashMap<>();
     private HostObserver observer = HostObserver.initial();
     private StepAges ages = StepAges.initial();
+    private Set<HostName> suspects = Set.of();
     private volatile Set<HostName> leaving = Set.of();
 
     /** Creates a service; {@link #start} starts it. */
@@ -148,6 +149,7 @@
         Observation observation = observer.observe(current, listed, failingHere);
         observer = observation.next();
         noteLeaving(observation.leaving());
+        noteSuspects(observation.suspects());
         observation
                 .command()
                 .ifPresent(command -> append(Decision.append(
@@ -224,6 +226,15 @@
         return !controls.isEmpty() && controls.stream().allMatch(control -> control.inFlight(host) == 0);
     }
 
+    private void noteSuspects(Set<HostName> now) {
+        for (HostName host : now) {
+            if (!suspects.contains(host)) {
+                events.emit(EventKind.HOST_SUSPECTED, Optional.empty(), EventDetail.of("host", host));
+            }
+        }
+        suspects = now;
+    }
+
     private void noteLeaving(Set<HostName> now) {
         for (HostName host : now) {
             if (!leaving.contains(host)) {
--- a/src/test/java/org/cicadalead/adapters/quickstart/QuickstartFleetTest.java
+++ b/src/test/java/org/cicadalead/adapters/quickstart/QuickstartFleetTest.java
@@ -1,17 +1,22 @@
 package org.cicadalead.adapters.quickstart;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.util.concurrent.locks.LockSupport;
 import org.cicadalead.model.configuration.NetworkAddress;
 import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.Test;
 
 class QuickstartFleetTest {
+    private static final int MAXIMUM_POLLS = 1_000;
+    private static final long POLL_NANOSECONDS = 20_000_000;
+
     private static QuickstartFleet fleet;
 
     @BeforeAll
@@ -41,6 +46,21 @@
                 response.headers().firstValue("Content-Type").orElseThrow());
     }
 
+    @Test
+    void reportsOnItsTimelineThatItIsReady() throws Exception {
+        NetworkAddress address = fleet.entries().get(0).administrationAddress();
+        String timeline = "";
+        for (int poll = 0; poll < MAXIMUM_POLLS && !timeline.contains("PROCESS_READY"); poll++) {
+            LockSupport.parkNanos(POLL_NANOSECONDS);
+            HttpRequest request = HttpRequest.newBuilder(URI.create("http://" + address + "/timeline"))
+                    .build();
+            timeline = HttpClient.newHttpClient()
+                    .send(request, HttpResponse.BodyHandlers.ofString())
+                    .body();
+        }
+        assertTrue(timeline.contains("PROCESS_READY"));
+    }
+
     private static HttpResponse<String> post(NetworkAddress address, String path, String body) throws Exception {
         HttpRequest request = HttpRequest.newBuilder(URI.create("http://" + address + path))
                 .POST(HttpRequest.BodyPublishers.ofString(body))
