--- a/src/main/java/org/cicadalead/adapters/job/BatchQueue.java
+++ b/src/main/java/org/cicadalead/adapters/job/BatchQueue.java
@@ -50,7 +50,7 @@
         waiting.put(entry, outcome);
         gathered.add(new Waiting<>(entry, outcome));
         if (gathered.size() == 1) {
-            timers.after(JobDesk.BATCH_DELAY, this::flush);
+            timers.after(JobSubmitter.BATCH_DELAY, this::flush);
         }
         return outcome;
     }
--- a/src/main/java/org/cicadalead/adapters/job/JobRoutes.java
+++ b/src/main/java/org/cicadalead/adapters/job/JobRoutes.java
@@ -43,7 +43,7 @@
     private static final int MAXIMUM_LISTED = 10_000;
 
     private final Supplier<SharedState> state;
-    private final JobDesk desk;
+    private final JobSubmitter submitter;
     private final EventSink events;
     private final AtomicInteger inFlight = new AtomicInteger();
     private final ExecutorService answers = Executors.newFixedThreadPool(ANSWER_THREADS, runnable -> {
@@ -53,9 +53,9 @@
     });
 
     /** Creates routes. */
-    public JobRoutes(Supplier<SharedState> state, JobDesk desk, EventSink events) {
+    public JobRoutes(Supplier<SharedState> state, JobSubmitter submitter, EventSink events) {
         this.state = state;
-        this.desk = desk;
+        this.submitter = submitter;
         this.events = events;
     }
 
@@ -108,7 +108,7 @@
 
     private void submit(HttpExchange exchange) throws IOException {
         JobSubmission submission = JobRequestReader.read(exchange);
-        answerWhenDone(exchange, desk.submit(submission), submission.job(), outcome -> {
+        answerWhenDone(exchange, submitter.submit(submission), submission.job(), outcome -> {
             if (outcome instanceof CommandOutcome.Accepted accepted) {
                 exchange.getResponseHeaders()
                         .set(
@@ -126,7 +126,7 @@
                     ErrorKind.UNKNOWN_TEAM,
                     "The job belongs to the team '" + job.submission().team() + "'");
         }
-        answerWhenDone(exchange, desk.cancel(identifier), identifier, outcome -> {});
+        answerWhenDone(exchange, submitter.cancel(identifier), identifier, outcome -> {});
     }
 
     /** A process that has not folded the job's record yet says so, and never that the job does not exist. */
@@ -234,7 +234,7 @@
 
     private void cancelForOperator(HttpExchange exchange) throws IOException {
         JobIdentifier job = JsonExchange.readBody(exchange, JobIdentifier.class);
-        requireAccepted(desk.cancel(job).join());
+        requireAccepted(submitter.cancel(job).join());
         JsonExchange.answer(exchange, JobView.of(find(exchange, job)));
     }
 }
--- a/src/main/java/org/cicadalead/adapters/job/JobService.java
+++ b/src/main/java/org/cicadalead/adapters/job/JobService.java
@@ -18,7 +18,9 @@
 import org.cicadalead.ports.TaskPlatform;
 import org.cicadalead.ports.TimerService;
 
-/** The long jobs of one entry process: desk, routes, events and a thread for the runner. Safe for several threads. */
+/**
+ * The long jobs of one entry process: submitter, routes, events and a thread for the runner. Safe for several threads.
+ */
 public final class JobService implements PlacementControl, AutoCloseable {
     private static final Duration ACTING_PERIOD = Duration.ofMillis(500);
     private static final Duration STANDBY_PERIOD = Duration.ofSeconds(2);
@@ -41,10 +43,10 @@
             TimerService timers) {
         this.replica = replica;
         this.events = events;
-        JobDesk desk = new JobDesk(replica::state, commands, timers);
-        this.routes = new JobRoutes(replica::state, desk, events);
+        JobSubmitter submitter = new JobSubmitter(replica::state, commands, timers);
+        this.routes = new JobRoutes(replica::state, submitter, events);
         this.runner = new JobRunner(self, replica::state, platform, commands, events, timers);
-        replica.addListener(desk);
+        replica.addListener(submitter);
         replica.addListener(runner);
         replica.addListener(new JobEvents(self, events));
         replica.addListener(this::onFolded);
--- a/src/main/java/org/cicadalead/adapters/job/JobDesk.java
+++ b/src/main/java/org/cicadalead/adapters/job/JobSubmitter.java
@@ -22,7 +22,7 @@
  * one once the record has been read back. What this process can refuse by its own state never reaches the log. Safe for
  * use by several threads.
  */
-public final class JobDesk implements SharedStateReplica.FoldListener {
+public final class JobSubmitter implements SharedStateReplica.FoldListener {
     /** How long the first of a batch waits for others. */
     public static final Duration BATCH_DELAY = Duration.ofMillis(10);
 
@@ -30,8 +30,8 @@
     private final BatchQueue<JobSubmission> submissions;
     private final BatchQueue<JobIdentifier> cancellations;
 
-    /** Creates a desk; it must be added to the replica as a listener. */
-    public JobDesk(Supplier<SharedState> state, CommandSink commands, TimerService timers) {
+    /** Creates a submitter; it must be added to the replica as a listener. */
+    public JobSubmitter(Supplier<SharedState> state, CommandSink commands, TimerService timers) {
         this.state = state;
         this.submissions = new BatchQueue<>(commands, timers, JobCommand.Submit::new);
         this.cancellations = new BatchQueue<>(commands, timers, JobCommand.Cancel::new);
--- a/src/main/java/org/cicadalead/adapters/request/RequestPath.java
+++ b/src/main/java/org/cicadalead/adapters/request/RequestPath.java
@@ -44,7 +44,7 @@
     private final ZoneName zone;
     private final RequestMetrics metrics;
     private final ExecutorService threads;
-    private final SlotBook slots;
+    private final SlotTable slots;
     private final Optional<SlotExchange> exchange;
     private final RoutingTable routing;
     private final UpstreamClients clients = new UpstreamClients();
@@ -61,7 +61,7 @@
         this.metrics = metrics;
         this.threads = threads;
         this.zone = zone;
-        this.slots = new SlotBook(ports.process(), ports.peers().isPresent());
+        this.slots = new SlotTable(ports.process(), ports.peers().isPresent());
         this.routing = new RoutingTable(ports.state(), zone, slots::runtime);
         this.attempts = new UpstreamAttempt(ports, clients);
         this.exchange = ports.peers()
--- a/src/main/java/org/cicadalead/adapters/request/SlotBorrower.java
+++ b/src/main/java/org/cicadalead/adapters/request/SlotBorrower.java
@@ -21,7 +21,7 @@
 import org.cicadalead.model.identity.ServiceName;
 
 /**
- * The slots that this process has borrowed. After {@link SlotBook#LOAN_TIME}, counted from before the question was
+ * The slots that this process has borrowed. After {@link SlotTable#LOAN_TIME}, counted from before the question was
  * sent, no request starts on one; it is given back once nothing is in use above what is left. Safe for use by several
  * threads.
  */
@@ -87,7 +87,7 @@
     }
 
     private void accept(ProcessIdentifier owner, long number, ServiceName service, Answer answer, long askedAt) {
-        long useUntil = askedAt + SlotBook.LOAN_TIME.toNanos();
+        long useUntil = askedAt + SlotTable.LOAN_TIME.toNanos();
         int index = 0;
         for (HostName host : answer.lent()) {
             held.add(new Loan(owner, number, index++, service, host, useUntil));
--- a/src/main/java/org/cicadalead/adapters/request/SlotExchange.java
+++ b/src/main/java/org/cicadalead/adapters/request/SlotExchange.java
@@ -32,7 +32,7 @@
 
     private final RequestPorts ports;
     private final ZoneName zone;
-    private final SlotBook book;
+    private final SlotTable table;
     private final SlotPeers peers;
     private final SlotLoans loans;
     private final SlotBorrower borrower;
@@ -46,19 +46,19 @@
             RequestPorts ports,
             SlotPeers peers,
             ZoneName zone,
-            SlotBook book,
+            SlotTable table,
             Supplier<RoutingIndex> index,
             ToIntFunction<ServiceName> waiting,
             Consumer<PoolName> onSlots) {
         this.ports = ports;
         this.zone = zone;
-        this.book = book;
+        this.table = table;
         this.peers = peers;
         this.index = index;
         this.waiting = waiting;
         this.onSlots = onSlots;
-        this.loans = new SlotLoans(book::runtime);
-        this.borrower = new SlotBorrower(peers, book::runtime);
+        this.loans = new SlotLoans(table::runtime);
+        this.borrower = new SlotBorrower(peers, table::runtime);
         peers.answerWith(this::answer);
     }
 
@@ -81,12 +81,12 @@
         SharedState state = ports.state().get();
         if (now - nextReport >= 0) {
             nextReport = now + REPORT_PERIOD.toNanos();
-            for (ProcessIdentifier process : book.awaited()) {
+            for (ProcessIdentifier process : table.awaited()) {
                 peers.ask(process, Question.of(Verb.REPORT))
-                        .thenAccept(answer -> book.onReport(process, answer.drainedOffset()));
+                        .thenAccept(answer -> table.onReport(process, answer.drainedOffset()));
             }
         }
-        loans.reclaim(state.members()::containsKey, SlotBook.quarantine(state).toNanos(), now);
+        loans.reclaim(state.members()::containsKey, SlotTable.quarantine(state).toNanos(), now);
         borrower.settle(
                 loan -> !stopping && waiting.applyAsInt(loan.service()) > 0 && isUsable(loan.host()),
                 state.members()::containsKey,
@@ -133,14 +133,14 @@
     private Answer answer(ProcessIdentifier caller, Question question) {
         List<HostName> lent = List.of();
         switch (question.verb()) {
-            case REPORT -> book.refresh(ports.state().get(), ports.timers().nanoTime());
-            case IDLE -> book.onIdle(caller);
+            case REPORT -> table.refresh(ports.state().get(), ports.timers().nanoTime());
+            case IDLE -> table.onIdle(caller);
             case BORROW -> lent = lend(caller, question);
             case RETURN -> takeBack(loans.takeBack(caller, question.number(), question.hosts()), question.hosts());
             case CANCEL -> loans.cancel(caller, question.number());
             default -> throw new IllegalStateException("unknown verb " + question.verb());
         }
-        return new Answer(book.drainedOffset(), lent);
+        return new Answer(table.drainedOffset(), lent);
     }
 
     private List<HostName> lend(ProcessIdentifier caller, Question question) {
--- a/src/main/java/org/cicadalead/adapters/request/SlotBook.java
+++ b/src/main/java/org/cicadalead/adapters/request/SlotTable.java
@@ -20,7 +20,7 @@
  * uses {@link #SLOTS_WITHOUT_PEERS} of each worker, which is safe for as many processes as a worker has slots. Safe for
  * use by several threads.
  */
-final class SlotBook {
+final class SlotTable {
     /** Slots of a worker that a process uses when it cannot know who else does. */
     static final int SLOTS_WITHOUT_PEERS = 1;
 
@@ -37,7 +37,7 @@
     private final SlotShares shares;
     private SharedState applied = SharedState.empty();
 
-    SlotBook(ProcessIdentifier self, boolean hasPeers) {
+    SlotTable(ProcessIdentifier self, boolean hasPeers) {
         this.hasPeers = hasPeers;
         this.shares = new SlotShares(self);
     }
--- a/src/test/java/org/cicadalead/adapters/job/JobDeskTest.java
+++ b/src/test/java/org/cicadalead/adapters/job/JobSubmitterTest.java
@@ -26,28 +26,28 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
-class JobDeskTest {
+class JobSubmitterTest {
     private static final int WAVE = 2_000;
     private static final Duration LONG_TIME = Duration.ofMinutes(1);
 
     private final ManualTimerService timers = new ManualTimerService();
     private final SharedStateReplica replica = new SharedStateReplica();
-    private final JobDesk desk = new JobDesk(replica::state, this::append, timers);
+    private final JobSubmitter submitter = new JobSubmitter(replica::state, this::append, timers);
     private final List<Command> appended = new ArrayList<>();
     private CompletableFuture<CommandOutcome> answerOfTheLog = new CompletableFuture<>();
     private boolean readBack = true;
 
     @BeforeEach
     void configure() {
-        replica.addListener(desk);
+        replica.addListener(submitter);
         fold(JobFleet.configuration(2, 2));
     }
 
     @Test
     void answersASubmissionOnlyOnceItsRecordWasReadBack() {
         readBack = false;
-        CompletableFuture<CommandOutcome> answer = desk.submit(JobFleet.submission(1, false));
-        timers.advance(JobDesk.BATCH_DELAY);
+        CompletableFuture<CommandOutcome> answer = submitter.submit(JobFleet.submission(1, false));
+        timers.advance(JobSubmitter.BATCH_DELAY);
         assertEquals(1, appended.size());
         assertFalse(answer.isDone());
         fold(appended.get(0));
@@ -58,14 +58,14 @@
     void answersEveryCancellationOfAWaveWithFewRecords() {
         List<CompletableFuture<CommandOutcome>> answers = new ArrayList<>();
         for (int number = 0; number < JobFleet.QUOTA; number++) {
-            desk.submit(JobFleet.submission(number, false));
+            submitter.submit(JobFleet.submission(number, false));
         }
-        timers.advance(JobDesk.BATCH_DELAY);
+        timers.advance(JobSubmitter.BATCH_DELAY);
         appended.clear();
         for (int number = 0; number < WAVE; number++) {
-            answers.add(desk.cancel(JobFleet.job(number % JobFleet.QUOTA)));
+            answers.add(submitter.cancel(JobFleet.job(number % JobFleet.QUOTA)));
         }
-        timers.advance(JobDesk.BATCH_DELAY);
+        timers.advance(JobSubmitter.BATCH_DELAY);
         assertEquals(1, appended.size());
         answers.forEach(answer -> assertInstanceOf(Accepted.class, answer.join()));
     }
@@ -74,9 +74,9 @@
     void writesALargeWaveInRecordsOfBoundedSize() {
         readBack = false;
         for (int number = 0; number < JobCommand.MAXIMUM_ENTRIES + 1; number++) {
-            desk.submit(JobFleet.submission(number, false));
+            submitter.submit(JobFleet.submission(number, false));
         }
-        timers.advance(JobDesk.BATCH_DELAY);
+        timers.advance(JobSubmitter.BATCH_DELAY);
         assertEquals(2, appended.size());
     }
 
@@ -84,9 +84,9 @@
     void givesEachOfABatchItsOwnAnswer() {
         List<CompletableFuture<CommandOutcome>> answers = new ArrayList<>();
         for (int number = 0; number <= JobFleet.QUOTA; number++) {
-            answers.add(desk.submit(JobFleet.submission(number, false)));
+            answers.add(submitter.submit(JobFleet.submission(number, false)));
         }
-        timers.advance(JobDesk.BATCH_DELAY);
+        timers.advance(JobSubmitter.BATCH_DELAY);
         assertInstanceOf(Accepted.class, answers.get(0).join());
         Rejected last =
                 assertInstanceOf(Rejected.class, answers.get(JobFleet.QUOTA).join());
@@ -96,7 +96,7 @@
     @Test
     void refusesWithoutAnAppendWhatCanNeverRun() {
         var submission = JobFleet.submission(1, "red", new JobSize(JobFleet.PROCESSORS + 1, 1, 0), 3, false);
-        assertInstanceOf(Rejected.class, desk.submit(submission).join());
+        assertInstanceOf(Rejected.class, submitter.submit(submission).join());
         timers.advance(LONG_TIME);
         assertTrue(appended.isEmpty());
     }
@@ -114,7 +114,7 @@
     @Test
     void tellsThatTheOutcomeIsUnknownWhenTheRecordIsNotReadBackInTime() {
         readBack = false;
-        CompletableFuture<CommandOutcome> answer = desk.submit(JobFleet.submission(1, false));
+        CompletableFuture<CommandOutcome> answer = submitter.submit(JobFleet.submission(1, false));
         timers.advance(LONG_TIME);
         assertEquals(ErrorKind.LOG_OUTCOME_UNKNOWN, failureOf(answer));
     }
@@ -122,8 +122,8 @@
     private ErrorKind failureAfter(ErrorKind kind) {
         readBack = false;
         answerOfTheLog = CompletableFuture.failedFuture(new CicadaleadException(kind, "test"));
-        CompletableFuture<CommandOutcome> answer = desk.submit(JobFleet.submission(1, false));
-        timers.advance(JobDesk.BATCH_DELAY);
+        CompletableFuture<CommandOutcome> answer = submitter.submit(JobFleet.submission(1, false));
+        timers.advance(JobSubmitter.BATCH_DELAY);
         return failureOf(answer);
     }
 
