--- a/src/main/java/org/cicadalead/adapters/quickstart/QuickstartFleet.java
+++ b/src/main/java/org/cicadalead/adapters/quickstart/QuickstartFleet.java
@@ -115,7 +115,7 @@
         return old.stopGracefully();
     }
 
-    /** Returns the racks that hosts of more than one pool stand in, ordered by name. */
+    /** Returns the racks of the deployment, ordered by name. */
     public List<RackName> racks() {
         return deployment.hosts().stream()
                 .map(HostDefinition::rack)
