--- a/src/main/java/org/cicadalead/adapters/work/HostWatch.java
+++ b/src/main/java/org/cicadalead/adapters/work/HostWatch.java
@@ -8,6 +8,8 @@
 import org.cicadalead.logic.work.WorkTime;
 import org.cicadalead.model.event.EventDetail;
 import org.cicadalead.model.event.EventKind;
+import org.cicadalead.model.work.EndedRun;
+import org.cicadalead.model.work.HostListing;
 import org.cicadalead.ports.HostOrders;
 
 /** Looks at one host again and again, one look at a time. Used on the scheduling thread. */
@@ -25,7 +27,8 @@
     private final long epoch;
     private final Runnable ended;
     private boolean answering;
-    private long acknowledged;
+    private long logged;
+    private long born;
 
     HostWatch(
             SchedulingTerm term,
@@ -44,12 +47,11 @@
 
     void look() {
         WorkTime now = term.now();
-        Optional<LookRequest> request = scheduler.look(host, now, term.mayOrder());
+        Optional<LookRequest> request = scheduler.look(host, now, term.mayRenew());
         if (request.isEmpty()) {
             ended.run();
             return;
         }
-        acknowledged = request.get().acknowledged();
         HostOrders.Target target =
                 new HostOrders.Target(host, request.get().target().address(), epoch);
         ports.hosts()
@@ -68,7 +70,7 @@
                 boolean unacknowledgedEnds = answer.listing()
                         .map(listing -> !listing.ended().isEmpty())
                         .orElse(false);
-                logEnds(answer);
+                answer.listing().ifPresent(this::logEnds);
                 answer.listing().ifPresent(listing -> scheduler.listed(host, listing, sentAt, term.now()));
                 pause = unacknowledgedEnds ? PAUSE_AFTER_ENDS_MILLISECONDS : 1;
                 answers(true);
@@ -98,17 +100,24 @@
                         TimeUnit.MILLISECONDS);
     }
 
-    private void logEnds(HostOrders.Look answer) {
-        answer.listing().ifPresent(listing -> listing.ended().stream()
-                .filter(end -> end.number() > acknowledged)
-                .forEach(end -> ports.log()
+    private void logEnds(HostListing listing) {
+        if (listing.bornMilliseconds() != born) {
+            born = listing.bornMilliseconds();
+            logged = 0;
+        }
+        for (EndedRun end : listing.ended()) {
+            if (end.number() > logged) {
+                logged = end.number();
+                ports.log()
                         .emit(
                                 EventKind.RUN_ENDED,
                                 EventDetail.of("task", end.run().task()),
                                 EventDetail.of("attempt", end.run().attempt()),
                                 EventDetail.of("host", host),
                                 EventDetail.of("ending", end.ending()),
-                                EventDetail.of("end", end.number()))));
+                                EventDetail.of("end", end.number()));
+            }
+        }
     }
 
     private void answers(boolean answers) {
--- a/src/main/java/org/cicadalead/adapters/work/JobDesk.java
+++ b/src/main/java/org/cicadalead/adapters/work/JobDesk.java
@@ -1,16 +1,21 @@
 package org.cicadalead.adapters.work;
 
+import java.time.Duration;
+import java.util.Collections;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import org.cicadalead.model.event.EventDetail;
 import org.cicadalead.model.event.EventKind;
 import org.cicadalead.model.work.WorkPhase;
 import org.cicadalead.model.work.WorkSubmission;
-import org.cicadalead.ports.RecordStore;
 import org.cicadalead.ports.RecordStore.AppendOutcome;
 import org.cicadalead.ports.RecordStore.KeyedRecord;
 import org.cicadalead.ports.RecordStore.Topic;
+import org.cicadalead.ports.TimerService;
 
 /**
  * Takes callers' jobs and answers questions on them. A job is accepted once it is in the store, by whichever process
@@ -18,6 +23,21 @@
  * several threads.
  */
 public final class JobDesk {
+    /** Pause between two attempts of a request. */
+    private static final Duration RETRY = Duration.ofMillis(150);
+
+    /** Uncertain jobs that are remembered; at a few hundred a second this covers the repeats of their callers. */
+    private static final int MOST_UNCERTAIN = 2_000;
+
+    private final WatchedStore store;
+    private final TimerService timers;
+    private final Set<String> uncertainJobs =
+            Collections.synchronizedSet(Collections.newSetFromMap(new LinkedHashMap<>() {
+                @Override
+                protected boolean removeEldestEntry(Map.Entry<String, Boolean> eldest) {
+                    return size() > MOST_UNCERTAIN;
+                }
+            }));
     private final RecordAppender appender;
     private final JobRecords records;
     private final SchedulingService scheduling;
@@ -27,12 +47,15 @@
 
     /** Creates a desk. */
     public JobDesk(
-            RecordStore store,
+            WatchedStore store,
+            TimerService timers,
             WorkCodec codec,
             SchedulingService scheduling,
             PeerClient peers,
             LeaderElection election,
             DecisionLog log) {
+        this.store = store;
+        this.timers = timers;
         this.appender = new RecordAppender(store, Topic.JOBS);
         this.records = new JobRecords(codec);
         this.scheduling = scheduling;
@@ -41,23 +64,28 @@
         this.log = log;
     }
 
-    /** Stores a job; an identifier that is known already stays the one job that it is. */
-    public CompletableFuture<StoreAnswer> submit(WorkSubmission submission) {
-        return store(List.of(records.submission(submission))).thenApply(answer -> {
-            EventKind kind =
-                    switch (answer) {
-                        case STORED -> EventKind.JOB_STORED;
-                        case REFUSED -> EventKind.JOB_NOT_STORED;
-                        case UNCERTAIN -> EventKind.JOB_UNCERTAIN;
-                    };
-            log.emit(
-                    kind,
-                    EventDetail.of("job", submission.job()),
-                    EventDetail.of("queue", submission.queue()),
-                    EventDetail.of("service", submission.service()),
-                    EventDetail.of("tasks", taskCount(submission)));
-            return answer;
-        });
+    /**
+     * Stores a job; an identifier that is known already stays the one job that it is.
+     *
+     * @param patience how long its caller waits for an answer
+     */
+    public CompletableFuture<StoreAnswer> submit(WorkSubmission submission, Duration patience) {
+        return store(submission.job(), List.of(records.submission(submission)), patience)
+                .thenApply(answer -> {
+                    EventKind kind =
+                            switch (answer) {
+                                case STORED -> EventKind.JOB_STORED;
+                                case REFUSED -> EventKind.JOB_NOT_STORED;
+                                case UNCERTAIN -> EventKind.JOB_UNCERTAIN;
+                            };
+                    log.emit(
+                            kind,
+                            EventDetail.of("job", submission.job()),
+                            EventDetail.of("queue", submission.queue()),
+                            EventDetail.of("service", submission.service()),
+                            EventDetail.of("tasks", taskCount(submission)));
+                    return answer;
+                });
     }
 
     private static int taskCount(WorkSubmission submission) {
@@ -65,27 +93,76 @@
     }
 
     /** Stores the cancellation of a job. */
-    public CompletableFuture<StoreAnswer> cancel(String job) {
-        return store(List.of(JobRecords.cancellation(job))).thenApply(answer -> {
+    public CompletableFuture<StoreAnswer> cancel(String job, Duration patience) {
+        return store(job, List.of(JobRecords.cancellation(job)), patience).thenApply(answer -> {
             log.emit(EventKind.JOB_CANCEL_STORED, EventDetail.of("job", job), EventDetail.of("answer", answer));
             return answer;
         });
     }
 
-    /** Stores records by this process's own way to the store, or else by the scheduling process's. */
-    private CompletableFuture<StoreAnswer> store(List<KeyedRecord> batch) {
-        return appender.append(batch).thenCompose(first -> {
-            if (first == AppendOutcome.STORED) {
-                return CompletableFuture.completedFuture(StoreAnswer.STORED);
+    /**
+     * Stores records by this process's own way to the store, or else by the scheduling process's. While an attempt may
+     * still take effect, a refusal would not be true, so the attempts go on until the caller's patience ends.
+     */
+    private CompletableFuture<StoreAnswer> store(String job, List<KeyedRecord> batch, Duration patience) {
+        Attempts attempts = new Attempts(job, batch, timers.nanoTime() + patience.toNanos());
+        attempts.next();
+        return attempts.answer;
+    }
+
+    /** The attempts to store one request's records. Each begins after the one before has ended. */
+    private final class Attempts {
+        private final String job;
+        private final List<KeyedRecord> batch;
+        private final long deadline;
+        private final CompletableFuture<StoreAnswer> answer = new CompletableFuture<>();
+        private volatile boolean uncertain;
+
+        Attempts(String job, List<KeyedRecord> batch, long deadline) {
+            this.job = job;
+            this.batch = batch;
+            this.deadline = deadline;
+            this.uncertain = uncertainJobs.contains(job);
+            timers.after(Duration.ofNanos(Math.max(0, deadline - timers.nanoTime())), this::giveUp);
+        }
+
+        private void giveUp() {
+            if (answer.complete(StoreAnswer.UNCERTAIN)) {
+                uncertainJobs.add(job);
             }
-            boolean uncertain = first == AppendOutcome.UNKNOWN;
-            return otherWay(batch).thenApply(second -> {
-                if (second == AppendOutcome.STORED) {
-                    return StoreAnswer.STORED;
+        }
+
+        void next() {
+            CompletableFuture<AppendOutcome> own =
+                    store.isOut() ? CompletableFuture.completedFuture(AppendOutcome.REFUSED) : appender.append(batch);
+            own.thenAccept(first -> {
+                if (!settles(first)) {
+                    otherWay(batch).thenAccept(second -> {
+                        if (!settles(second)) {
+                            endOrRepeat();
+                        }
+                    });
                 }
-                return uncertain || second == AppendOutcome.UNKNOWN ? StoreAnswer.UNCERTAIN : StoreAnswer.REFUSED;
             });
-        });
+        }
+
+        private boolean settles(AppendOutcome outcome) {
+            if (outcome == AppendOutcome.STORED) {
+                answer.complete(StoreAnswer.STORED);
+                uncertainJobs.remove(job);
+                return true;
+            }
+            uncertain |= outcome == AppendOutcome.UNKNOWN;
+            return false;
+        }
+
+        private void endOrRepeat() {
+            if (!uncertain) {
+                answer.complete(StoreAnswer.REFUSED);
+            } else if (!answer.isDone() && timers.nanoTime() < deadline) {
+                timers.after(RETRY, this::next);
+            }
+        }
     }
 
     private CompletableFuture<AppendOutcome> otherWay(List<KeyedRecord> batch) {
@@ -102,9 +179,9 @@
 
     /** Returns how far a job is. */
     public CompletableFuture<JobAnswer> phaseOf(String job) {
-        Optional<Optional<WorkPhase>> own = scheduling.ask(scheduler -> scheduler.phaseOf(job));
+        Optional<JobAnswer> own = scheduling.ask(jobs -> jobs.phaseOf(job));
         CompletableFuture<JobAnswer> answer = own.isPresent()
-                ? CompletableFuture.completedFuture(JobAnswer.of(own.get()))
+                ? CompletableFuture.completedFuture(own.get())
                 : election.leader()
                         .map(leader -> peers.phaseOf(leader.address(), job))
                         .orElseGet(() -> CompletableFuture.completedFuture(JobAnswer.UNAVAILABLE));
@@ -116,9 +193,9 @@
 
     /** Counts the jobs of a queue of which nothing has started; empty when that is not known. */
     public CompletableFuture<Optional<Integer>> waitingCount(String queue) {
-        Optional<Integer> own = scheduling.ask(scheduler -> scheduler.waitingCount(queue));
+        Optional<Optional<Integer>> own = scheduling.ask(jobs -> jobs.waitingCount(queue));
         if (own.isPresent()) {
-            return CompletableFuture.completedFuture(own);
+            return CompletableFuture.completedFuture(own.get());
         }
         return election.leader()
                 .map(leader -> peers.waitingCount(leader.address(), queue))
--- a/src/main/java/org/cicadalead/adapters/work/LeaderElection.java
+++ b/src/main/java/org/cicadalead/adapters/work/LeaderElection.java
@@ -26,13 +26,13 @@
  */
 public final class LeaderElection {
     /** Time between heartbeats of the leader: three fit into the time after which it is taken for lost. */
-    private static final Duration HEARTBEAT = Duration.ofMillis(600);
+    private static final Duration HEARTBEAT = Duration.ofMillis(450);
 
     /** Silence after which another process takes over, with two heartbeats lost and one slow answer. */
-    private static final long SILENCE_MILLISECONDS = 2_000;
+    private static final long SILENCE_MILLISECONDS = 1_600;
 
     /** Wait of a read; short, so that a connection that went silent is noticed before the silence ends. */
-    private static final Duration READ_WAIT = Duration.ofMillis(700);
+    private static final Duration READ_WAIT = Duration.ofMillis(600);
 
     private static final Duration RETRY = Duration.ofMillis(120);
 
--- a/src/main/java/org/cicadalead/adapters/work/MachineUpkeep.java
+++ b/src/main/java/org/cicadalead/adapters/work/MachineControl.java
@@ -6,6 +6,8 @@
 import java.util.Map;
 import java.util.Set;
 import org.cicadalead.logic.work.MachineView;
+import org.cicadalead.logic.work.PoolBalancer;
+import org.cicadalead.logic.work.PoolView;
 import org.cicadalead.logic.work.SchedulingTerms;
 import org.cicadalead.logic.work.UpkeepPlanner;
 import org.cicadalead.logic.work.WorkScheduler;
@@ -18,16 +20,21 @@
 import org.cicadalead.model.work.WaveProgress;
 import org.cicadalead.ports.RecordStore.Topic;
 
-/** Carries out maintenance waves. Used on the scheduling thread. */
-final class MachineUpkeep {
-    /** Time between two readings of the list of machines while a wave goes on. */
+/** Carries out maintenance waves and moves between pools. Used on the scheduling thread. */
+final class MachineControl {
+    /** Time between two readings of the list of machines while a wave or a move goes on. */
     private static final long LIST_PERIOD_MILLISECONDS = 800;
 
+    /** Time between two readings of the list of machines otherwise, so that machines which left are noticed. */
+    private static final long IDLE_LIST_PERIOD_MILLISECONDS = 4_000;
+
     private final SchedulingTerm term;
     private final SchedulingPorts ports;
     private final long epoch;
     private final MachineView view;
     private final UpkeepPlanner planner;
+    private final PoolBalancer balancer = new PoolBalancer();
+    private final WorkScheduler scheduler;
     private final TermAppender status;
     private final JobRecords records;
     private final TermAppender progress;
@@ -40,7 +47,7 @@
     private boolean readingStatus;
     private long nextListAt = Long.MIN_VALUE;
 
-    MachineUpkeep(
+    MachineControl(
             SchedulingTerm term,
             SchedulingPorts ports,
             WorkScheduler scheduler,
@@ -54,6 +61,7 @@
         this.kept = List.copyOf(kept);
         this.term = term;
         this.ports = ports;
+        this.scheduler = scheduler;
         this.epoch = epoch;
         this.view = scheduler.machineView();
         this.planner = new UpkeepPlanner(terms.maintenance());
@@ -62,19 +70,45 @@
 
     void round(WorkTime now, boolean mayOrder) {
         ports.operator().waves().forEach(wave -> planner.wave(wave, now));
-        if (!planner.isActive() || !mayOrder) {
+        if (!mayOrder || ports.operator().plan().isEmpty()) {
             return;
         }
-        if (!statusRead) {
+        PoolView pools = scheduler.poolView(ports.operator().plan().get(), now);
+        if (planner.isActive() && !statusRead) {
             readStatus();
-            return;
         }
-        readList(now);
-        for (UpkeepPlanner.Order order : planner.decide(view, now)) {
-            send(order);
+        boolean waves = planner.isActive() && statusRead;
+        if (waves || balancer.needsList(pools, now.monotonic())) {
+            readList(now, LIST_PERIOD_MILLISECONDS);
+        } else {
+            readList(now, IDLE_LIST_PERIOD_MILLISECONDS);
         }
-        planner.running().forEach(wave -> report(wave, false));
-        planner.completed().forEach(wave -> report(wave, true));
+        if (waves) {
+            planner.decide(view, now).forEach(this::sendDown);
+            planner.running().forEach(wave -> report(wave, false));
+            planner.completed().forEach(wave -> report(wave, true));
+        }
+        balancer.decide(pools, view, planner.reserved(), now.monotonic()).forEach(this::sendMove);
+    }
+
+    private void sendMove(PoolBalancer.Move move) {
+        view.leaving(move.host(), true);
+        ports.machines()
+                .move(move.machine(), move.pool(), epoch)
+                .thenAccept(outcome -> term.enqueue(() -> {
+                    ports.log()
+                            .emit(
+                                    EventKind.MACHINE_ORDERED,
+                                    EventDetail.of("machine", move.machine()),
+                                    EventDetail.of("host", move.host()),
+                                    EventDetail.of("pool", move.pool()),
+                                    EventDetail.of("outcome", outcome));
+                    balancer.answered(move, outcome, term.now().monotonic());
+                    if (outcome != MachineOutcome.BEGUN && outcome != MachineOutcome.UNKNOWN) {
+                        view.leaving(move.host(), false);
+                    }
+                    nextListAt = Long.MIN_VALUE;
+                }));
     }
 
     private void readStatus() {
@@ -94,12 +128,12 @@
                 }));
     }
 
-    private void readList(WorkTime now) {
+    private void readList(WorkTime now, long period) {
         if (listing || now.monotonic() < nextListAt) {
             return;
         }
         listing = true;
-        nextListAt = now.monotonic() + LIST_PERIOD_MILLISECONDS;
+        nextListAt = now.monotonic() + period;
         ports.machines()
                 .list()
                 .thenAccept(list -> term.enqueue(() -> {
@@ -111,6 +145,7 @@
     /** A machine that is down or carries another host has ended the host that it carried. */
     private void take(List<MachineEntry> machines, long askedAt) {
         planner.machinesListed(machines, askedAt);
+        balancer.machinesListed(machines);
         for (MachineEntry machine : machines) {
             boolean ended =
                     machine.condition() == MachineCondition.UPKEEP || machine.condition() == MachineCondition.MOVING;
@@ -122,10 +157,16 @@
                 view.ended(machine.host());
             }
             hostByMachine.put(machine.machine(), machine.host());
+            boolean stays = machine.condition() == MachineCondition.UP
+                    && !balancer.isMoving(machine.machine())
+                    && !planner.reserved().contains(machine.machine());
+            if (stays) {
+                view.leaving(machine.host(), false);
+            }
         }
     }
 
-    private void send(UpkeepPlanner.Order order) {
+    private void sendDown(UpkeepPlanner.Order order) {
         ports.machines()
                 .maintain(order.machine(), order.wave(), epoch)
                 .thenAccept(outcome -> term.enqueue(() -> {
--- a/src/main/java/org/cicadalead/adapters/work/PeerServer.java
+++ b/src/main/java/org/cicadalead/adapters/work/PeerServer.java
@@ -10,7 +10,6 @@
 import org.cicadalead.adapters.http.HttpServers;
 import org.cicadalead.model.event.EventDetail;
 import org.cicadalead.model.event.EventKind;
-import org.cicadalead.model.work.WorkPhase;
 import org.cicadalead.ports.RecordStore.AppendOutcome;
 import org.cicadalead.ports.RecordStore.KeyedRecord;
 
@@ -73,14 +72,17 @@
     }
 
     private PeerReply phaseOf(String job) {
-        Optional<Optional<WorkPhase>> phase = scheduling.ask(scheduler -> scheduler.phaseOf(job));
-        return phase.map(found -> new PeerReply(true, found, 0, AppendOutcome.REFUSED))
+        return scheduling
+                .ask(jobs -> jobs.phaseOf(job))
+                .filter(JobDesk.JobAnswer::known)
+                .map(found -> new PeerReply(true, found.phase(), 0, AppendOutcome.REFUSED))
                 .orElse(PeerReply.UNKNOWN);
     }
 
     private PeerReply waiting(String queue) {
         return scheduling
-                .ask(scheduler -> scheduler.waitingCount(queue))
+                .ask(jobs -> jobs.waitingCount(queue))
+                .flatMap(count -> count)
                 .map(count -> new PeerReply(true, Optional.empty(), count, AppendOutcome.REFUSED))
                 .orElse(PeerReply.UNKNOWN);
     }
--- a/src/main/java/org/cicadalead/adapters/work/SchedulingService.java
+++ b/src/main/java/org/cicadalead/adapters/work/SchedulingService.java
@@ -12,7 +12,6 @@
 import java.util.function.Function;
 import org.cicadalead.logic.work.HostsInUse;
 import org.cicadalead.logic.work.SchedulingTerms;
-import org.cicadalead.logic.work.WorkScheduler;
 import org.cicadalead.model.event.EventDetail;
 import org.cicadalead.model.event.EventKind;
 import org.cicadalead.model.work.LeaderRecord;
@@ -84,7 +83,7 @@
     }
 
     /** Asks the scheduler; empty while this process has no term or has not read all jobs. */
-    public <T> Optional<T> ask(Function<WorkScheduler, T> question) {
+    public <T> Optional<T> ask(Function<JobsView, T> question) {
         Optional<SchedulingTerm> term = current.get();
         if (term.isEmpty()) {
             return Optional.empty();
--- a/src/main/java/org/cicadalead/adapters/work/SchedulingTerm.java
+++ b/src/main/java/org/cicadalead/adapters/work/SchedulingTerm.java
@@ -34,7 +34,7 @@
  */
 final class SchedulingTerm {
     /** Reads of the registry; a host that drains must get no work two seconds later. */
-    private static final Duration REGISTRY_PERIOD = Duration.ofMillis(400);
+    private static final Duration REGISTRY_PERIOD = Duration.ofMillis(250);
 
     /** Wait of a read of new jobs. */
     private static final Duration JOBS_WAIT = Duration.ofSeconds(1);
@@ -42,6 +42,9 @@
     /** Longest time between two rounds of decisions, for what is due by time alone. */
     private static final long ROUND_MILLISECONDS = 100;
 
+    /** Age of the last reading of jobs from which on a job that is not known may be a new one. */
+    private static final long STALE_MILLISECONDS = 2_000;
+
     /** Pause before a reading that failed is repeated. */
     private static final long RETRY_MILLISECONDS = 150;
 
@@ -65,9 +68,10 @@
     private boolean registryLoaded;
     private Optional<WorkScheduler> scheduler = Optional.empty();
     private Optional<OrderDispatch> dispatch = Optional.empty();
-    private Optional<MachineUpkeep> upkeep = Optional.empty();
+    private Optional<MachineControl> machines = Optional.empty();
     private Optional<ScheduledFuture<?>> rounds = Optional.empty();
     private boolean roundScheduled;
+    private volatile long jobsReadAt;
     private volatile boolean closed;
 
     SchedulingTerm(
@@ -138,12 +142,13 @@
         rounds.ifPresent(timer -> timer.cancel(false));
         jobs.close();
         progress.close();
-        upkeep.ifPresent(MachineUpkeep::close);
+        machines.ifPresent(MachineControl::close);
         registry.close();
     }
 
-    <T> Optional<T> ask(Function<WorkScheduler, T> question) {
-        return scheduler.map(question);
+    <T> Optional<T> ask(Function<JobsView, T> question) {
+        boolean current = now().monotonic() - jobsReadAt < STALE_MILLISECONDS;
+        return scheduler.map(present -> question.apply(new JobsView(present, current)));
     }
 
     WorkTime now() {
@@ -189,10 +194,10 @@
             return;
         }
         WorkTime now = now();
-        boolean mayStart = mayOrder();
+        boolean mayStart = mayStart();
         List<WorkOrder> orders = scheduler.get().decide(now, mayStart);
         dispatch.ifPresent(orderDispatch -> orders.forEach(orderDispatch::execute));
-        upkeep.ifPresent(machineUpkeep -> machineUpkeep.round(now, mayStart));
+        machines.ifPresent(machineControl -> machineControl.round(now, mayStart));
         hostsInUseListener.accept(scheduler.get().hostsInUse(now));
     }
 
@@ -209,7 +214,7 @@
         created.hostsListed(List.copyOf(entries.values()), now);
         scheduler = Optional.of(created);
         dispatch = Optional.of(new OrderDispatch(this, ports, created, records, progress, epoch));
-        upkeep = Optional.of(new MachineUpkeep(this, ports, created, terms, records, progress, keptWaves(), epoch));
+        machines = Optional.of(new MachineControl(this, ports, created, terms, records, progress, keptWaves(), epoch));
         loadedJobs = Optional.of(List.of());
         loadedProgress = Optional.of(List.of());
         watchHosts();
@@ -283,8 +288,13 @@
         }
     }
 
-    /** Tells whether this process may still give orders, by its last confirmed heartbeat. */
-    boolean mayOrder() {
+    /** Tells whether this process may still start work, by its last confirmed heartbeat. */
+    private boolean mayStart() {
+        return ports.unconfirmedMilliseconds().getAsLong() < terms.startLimit();
+    }
+
+    /** Tells whether this process may still renew leases, by its last confirmed heartbeat. */
+    boolean mayRenew() {
         return ports.unconfirmedMilliseconds().getAsLong() < terms.unconfirmedLimit();
     }
 
@@ -297,6 +307,13 @@
     }
 
     private final class JobsListener implements TopicFollower.Listener {
+        @Override
+        public void answered(boolean answers) {
+            if (answers) {
+                jobsReadAt = now().monotonic();
+            }
+        }
+
         @Override
         public void snapshot(List<KeyedRecord> stored) {
             enqueue(() -> {
--- a/src/main/java/org/cicadalead/logic/work/HostChoice.java
+++ b/src/main/java/org/cicadalead/logic/work/HostChoice.java
@@ -17,8 +17,14 @@
     /** Outweighs every difference of room, which is at most 1. */
     private static final double AWAY_FROM_DATA_PENALTY = 10;
 
+    /** Tasks of a lasting step on one host beyond which its loss hurts more than a further host costs. */
+    private static final int MOST_OF_A_STEP = 2;
+
+    /** Outweighs a difference of a whole host's processors, and an empty host. */
+    private static final double CROWDED_PENALTY = 4;
+
     /** Outweighs a difference of a whole host's processors. */
-    private static final double SPREAD_WEIGHT = 1.5;
+    private static final double EMPTY_HOST_PENALTY = 1.5;
 
     private final Map<WorkHost, HostCapacity> free = new HashMap<>();
 
@@ -88,11 +94,19 @@
         double cpuLeft = (double) free.get(host).milliCores()
                 / Math.max(1, host.entry.capacity().milliCores());
         if (specification.longRunning()) {
-            return awayFromData + lastingTasks(host) * SPREAD_WEIGHT - cpuLeft;
+            return awayFromData + lastingScore(step, host) - cpuLeft;
         }
         return awayFromData + cpuLeft;
     }
 
+    /** Puts lasting tasks on few hosts, so that the others can change their pool, but few of a step on one host. */
+    private static double lastingScore(WorkStep step, WorkHost host) {
+        if (step.countOn(host) >= MOST_OF_A_STEP) {
+            return CROWDED_PENALTY;
+        }
+        return lastingTasks(host) > 0 ? 0 : EMPTY_HOST_PENALTY;
+    }
+
     private static int lastingTasks(WorkHost host) {
         int count = 0;
         for (WorkRun run : host.runs.values()) {
--- a/src/main/java/org/cicadalead/logic/work/MachineView.java
+++ b/src/main/java/org/cicadalead/logic/work/MachineView.java
@@ -6,6 +6,9 @@
 
 /** What decisions on machines need to know of the work on them. For use by the scheduler's thread. */
 public final class MachineView {
+    /** Time for which a host that was cleared gets nothing: the stops, and the order for its machine. */
+    private static final long CLEARED_MILLISECONDS = 2_000;
+
     private final WorkState state;
     private final RunLedger ledger;
 
@@ -40,6 +43,23 @@
         return host == null ? 0 : host.runs.size() - shortRuns(identifier);
     }
 
+    /**
+     * Stops what ends by itself on a host, and gives it nothing new for a while. A machine goes only once its host runs
+     * no such task: an end that the host reports while it goes down would be lost, and its task would run again.
+     */
+    public void clear(String identifier, long now) {
+        WorkHost host = state.hosts.get(identifier);
+        if (host == null) {
+            return;
+        }
+        host.closeUntil(now + CLEARED_MILLISECONDS);
+        for (WorkRun run : host.runs.values()) {
+            if (run.state == WorkRun.State.RUNNING && !run.task.step.specification.longRunning()) {
+                run.become(WorkRun.State.STOPPING, now);
+            }
+        }
+    }
+
     /** Tells whether every step with a promise of availability can spare its tasks on a host now. */
     public boolean canSpare(String identifier) {
         WorkHost host = state.hosts.get(identifier);
@@ -60,6 +80,29 @@
         return true;
     }
 
+    /** Stops one lasting task on a host that its step can spare, so that it starts again elsewhere. */
+    public void evacuateOne(String identifier, long now) {
+        WorkHost host = state.hosts.get(identifier);
+        if (host == null) {
+            return;
+        }
+        for (WorkRun run : host.runs.values()) {
+            WorkStep step = run.task.step;
+            boolean lasting = step.specification.longRunning();
+            boolean spared = step.specification.maximumUnavailable() == 0
+                    || step.countAway() + 1 <= step.specification.maximumUnavailable();
+            if (lasting && spared && run.state == WorkRun.State.RUNNING && hasRoomElsewhere(run, now)) {
+                run.become(WorkRun.State.STOPPING, now);
+                return;
+            }
+        }
+    }
+
+    private boolean hasRoomElsewhere(WorkRun run, long now) {
+        HostChoice choice = new HostChoice(state.hostsOf(run.host.entry.service()), now);
+        return choice.find(run.task, choice.hosts()) != null;
+    }
+
     /** Tells whether an order to send a host's machine away is on its way or may have been carried out. */
     public void leaving(String identifier, boolean leaving) {
         WorkHost host = state.hosts.get(identifier);
--- a/src/main/java/org/cicadalead/logic/work/TakeoverGate.java
+++ b/src/main/java/org/cicadalead/logic/work/TakeoverGate.java
@@ -8,13 +8,15 @@
 /**
  * Keeps a new term from starting what an earlier term may still run. A service is open once each of its hosts that an
  * earlier term may have used has answered in this term, which also fences the earlier ones there, or can have no lease
- * any more. Answers the loss of the scheduling process while hosts are out of reach, also several times in a row. For
- * use by one thread.
+ * any more; jobs that no earlier term can have known are admitted before. Answers the loss of the scheduling process
+ * while hosts are out of reach, also several times in a row. For use by one thread.
  */
 final class TakeoverGate {
+    private final long earlierStartsOver;
     private final Map<String, Unresolved> unresolved = new HashMap<>();
 
-    TakeoverGate(EarlierHosts earlier, long now) {
+    TakeoverGate(EarlierHosts earlier, long now, long earlierStartsOver) {
+        this.earlierStartsOver = earlierStartsOver;
         earlier.services()
                 .forEach((host, service) -> unresolved.put(
                         host, new Unresolved(service, now + earlier.goneAfter().getOrDefault(host, 0L))));
@@ -25,7 +27,12 @@
         unresolved.remove(host);
     }
 
-    boolean isOpen(String service, long now) {
+    /** Tells whether a job may start: nothing of an earlier term can run it, or its service is open. */
+    boolean admits(WorkJob job, long now) {
+        return job.learnedAt > earlierStartsOver || isOpen(job.submission.service(), now);
+    }
+
+    private boolean isOpen(String service, long now) {
         for (Unresolved host : unresolved.values()) {
             if (host.service().equals(service) && now < host.goneAt()) {
                 return false;
--- a/src/main/java/org/cicadalead/logic/work/TaskPlacement.java
+++ b/src/main/java/org/cicadalead/logic/work/TaskPlacement.java
@@ -25,17 +25,13 @@
 
     /** Starts what has room. */
     void place(List<WorkOrder> orders, WorkTime now) {
-        waitingJobs().forEach((service, jobs) -> {
-            if (gate.isOpen(service, now.monotonic())) {
-                placeService(service, jobs, orders, now);
-            }
-        });
+        waitingJobs(now.monotonic()).forEach((service, jobs) -> placeService(service, jobs, orders, now));
     }
 
-    private Map<String, List<WorkJob>> waitingJobs() {
+    private Map<String, List<WorkJob>> waitingJobs(long now) {
         Map<String, List<WorkJob>> waiting = new HashMap<>();
         for (WorkJob job : state.jobs.values()) {
-            if (!job.phase.isTerminal() && hasWaitingTask(job)) {
+            if (!job.phase.isTerminal() && hasWaitingTask(job) && gate.admits(job, now)) {
                 waiting.computeIfAbsent(job.submission.service(), unseen -> new ArrayList<>())
                         .add(job);
             }
@@ -64,23 +60,26 @@
                 if (step.specification.gang()) {
                     placeGang(step, choice, orders, now.monotonic());
                 } else {
-                    placeTasks(step, choice, orders, now.monotonic());
+                    placeTasks(step, choice, orders, now);
                 }
             }
         }
     }
 
-    private void placeTasks(WorkStep step, HostChoice choice, List<WorkOrder> orders, long now) {
+    private void placeTasks(WorkStep step, HostChoice choice, List<WorkOrder> orders, WorkTime now) {
         for (WorkTask task : step.tasks) {
             if (!task.isWaiting()) {
                 continue;
             }
             WorkHost host = choice.find(task, hostsFor(step, choice));
             if (host == null) {
+                if (step.specification.longRunning()) {
+                    Preemption.makeRoom(task, choice.hosts(), now);
+                }
                 return;
             }
             choice.take(host, step.specification);
-            start(task, host, state.nextAttempt(task), orders, now);
+            start(task, host, state.nextAttempt(task), orders, now.monotonic());
         }
     }
 
--- a/src/main/java/org/cicadalead/logic/work/UpkeepPlanner.java
+++ b/src/main/java/org/cicadalead/logic/work/UpkeepPlanner.java
@@ -17,16 +17,16 @@
 /**
  * Sends the machines of maintenance waves down, within the limit of each wave and without taking more of a step than it
  * can spare. A machine is closed to new work first, and goes when its short work is done or has had its time. A pool
- * loses one machine at a time, and more only where its share of the wave would be late otherwise: closing as many as
- * the limit allows would leave no room for the work, nor for tasks whose return the next machine waits for. For use by
- * one thread.
+ * loses one machine that is in use at a time, and more only where its share of the wave would be late otherwise:
+ * closing as many as the limit allows would leave no room for the work, nor for tasks whose return the next machine
+ * waits for. For use by one thread.
  */
 public final class UpkeepPlanner {
     /** Time for short work to end on a machine that is closed to new work; about two task durations. */
     private static final long CLEARING_MILLISECONDS = 2_000;
 
     /** Time for which a machine stays closed while its tasks cannot be spared; then another one gets its turn. */
-    private static final long PATIENCE_MILLISECONDS = 3_500;
+    private static final long PATIENCE_MILLISECONDS = 8_000;
 
     /** Time after which an order that was not carried out, or got no answer, is repeated. */
     private static final long REPEAT_MILLISECONDS = 700;
@@ -120,16 +120,22 @@
                 return;
             }
             boolean closed = progress.closedAt.containsKey(machine.machine());
-            if (!closed && (open.getOrDefault(machine.pool(), 1) <= 0 || !view.canSpare(machine.host()))) {
+            boolean idle = view.shortRuns(machine.host()) == 0 && view.lastingRuns(machine.host()) == 0;
+            boolean turn = idle || open.getOrDefault(machine.pool(), 1) > 0;
+            if (!closed && !turn) {
                 continue;
             }
             room--;
-            open.merge(machine.pool(), -1, Integer::sum);
+            open.merge(machine.pool(), idle ? 0 : -1, Integer::sum);
             long closedAt = progress.closedAt.computeIfAbsent(machine.machine(), unseen -> now.monotonic());
             view.cordon(machine.host(), true);
-            boolean cleared =
-                    view.shortRuns(machine.host()) == 0 || now.monotonic() - closedAt >= CLEARING_MILLISECONDS;
-            if (cleared && view.canSpare(machine.host())) {
+            boolean empty = view.shortRuns(machine.host()) == 0;
+            if (!empty && now.monotonic() - closedAt >= CLEARING_MILLISECONDS) {
+                view.clear(machine.host(), now.monotonic());
+            }
+            if (!view.canSpare(machine.host())) {
+                view.evacuateOne(machine.host(), now.monotonic());
+            } else if (empty) {
                 progress.asked.put(machine.machine(), now.monotonic());
                 view.leaving(machine.host(), true);
                 orders.add(new Order(progress.wave.number(), machine.machine(), machine.host()));
@@ -232,6 +238,19 @@
         }
     }
 
+    /** Returns machines that are about to go down, or may be down. */
+    public Set<String> reserved() {
+        Set<String> reserved = new HashSet<>();
+        for (Progress progress : waves.values()) {
+            if (!progress.reported) {
+                reserved.addAll(progress.closedAt.keySet());
+                reserved.addAll(progress.asked.keySet());
+                reserved.addAll(progress.down.keySet());
+            }
+        }
+        return reserved;
+    }
+
     /** Returns what is to be kept of a wave. */
     public WaveProgress progress(long number) {
         Progress progress = waves.get(number);
--- a/src/main/java/org/cicadalead/logic/work/WorkJob.java
+++ b/src/main/java/org/cicadalead/logic/work/WorkJob.java
@@ -21,10 +21,12 @@
     private int finishedOccurrences;
     WorkPhase phase = WorkPhase.QUEUED;
     WorkPhase durablePhase = WorkPhase.QUEUED;
+    final long learnedAt;
     boolean dirty;
     long endedAt;
 
-    WorkJob(WorkSubmission submission) {
+    WorkJob(WorkSubmission submission, long now) {
+        this.learnedAt = now;
         this.submission = submission;
         this.longRunning = submission.steps().stream().anyMatch(StepSpecification::longRunning);
         this.objectiveMilliseconds = Math.round(submission.terms().slackFactor() * longestChain(submission.steps()))
--- a/src/main/java/org/cicadalead/logic/work/WorkOrdering.java
+++ b/src/main/java/org/cicadalead/logic/work/WorkOrdering.java
@@ -25,6 +25,11 @@
                 .toList();
     }
 
+    /** Tells whether a job can still meet its objective, or lasts and so has none. */
+    static boolean isInTime(WorkJob job, long wallNow) {
+        return rank(job, wallNow) <= 1;
+    }
+
     private static int rank(WorkJob job, long wallNow) {
         if (job.longRunning) {
             return 0;
--- a/src/main/java/org/cicadalead/logic/work/WorkRun.java
+++ b/src/main/java/org/cicadalead/logic/work/WorkRun.java
@@ -33,7 +33,7 @@
     }
 
     boolean isAtWork() {
-        return state == State.RUNNING && percentage >= FULL_SPEED;
+        return state == State.RUNNING && percentage >= FULL_SPEED && !host.leaving;
     }
 
     /** How far an order for the run is. */
--- a/src/main/java/org/cicadalead/logic/work/WorkScheduler.java
+++ b/src/main/java/org/cicadalead/logic/work/WorkScheduler.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import org.cicadalead.model.work.FleetPlan;
 import org.cicadalead.model.work.HostClaim;
 import org.cicadalead.model.work.HostEntry;
 import org.cicadalead.model.work.HostListing;
@@ -55,7 +56,7 @@
     public WorkScheduler(SchedulingTerms terms, long epoch, EarlierHosts earlier, long now) {
         this.state = new WorkState(terms, epoch);
         this.ledger = new RunLedger(state);
-        this.gate = new TakeoverGate(earlier, now);
+        this.gate = new TakeoverGate(earlier, now, now + terms.earlierStartsOver());
         this.placement = new TaskPlacement(state, ledger, gate);
         this.batches = new ProgressBatches(state);
     }
@@ -65,9 +66,12 @@
         if (state.jobs.containsKey(submission.job()) || forgotten.contains(submission.job())) {
             return;
         }
-        WorkJob job = new WorkJob(submission);
+        WorkJob job = new WorkJob(submission, now.monotonic());
         job.openDue(now.wall());
         state.jobs.put(submission.job(), job);
+        if (!job.longRunning && WorkOrdering.isInTime(job, now.wall())) {
+            state.arrivals.add(submission.service(), job.remainingWork(), now.monotonic());
+        }
     }
 
     /** Takes over what an earlier term kept of a job. */
@@ -230,16 +234,15 @@
         Map<String, HostClaim> used = new HashMap<>();
         gate.unresolved().forEach((identifier, waiting) -> {
             if (now.monotonic() < waiting.goneAt()) {
+                Optional.ofNullable(state.hosts.get(identifier)).ifPresent(host -> host.saidSilentIn = generation);
                 used.put(identifier, new HostClaim(waiting.service(), false, waiting.goneAt() - now.monotonic()));
             }
         });
         for (WorkHost host : state.hosts.values()) {
             long remaining = host.leaseGoneAt() - now.monotonic();
             boolean answering = !host.isSilent(now.monotonic());
-            if (!answering) {
-                host.saidSilentIn = generation;
-            }
             if (!host.runs.isEmpty() || remaining > 0) {
+                host.saidSilentIn = answering ? host.saidSilentIn : generation;
                 used.put(host.identifier, new HostClaim(host.entry.service(), answering, Math.max(0, remaining)));
             }
         }
@@ -271,6 +274,11 @@
         return gate.waitingFor(now.monotonic());
     }
 
+    /** Returns demand and room of every pool. */
+    public PoolView poolView(FleetPlan plan, WorkTime now) {
+        return new PoolView(state, plan, now);
+    }
+
     /** Returns what maintenance needs to know and may order here. */
     public MachineView machineView() {
         return new MachineView(state, ledger);
--- a/src/main/java/org/cicadalead/logic/work/WorkState.java
+++ b/src/main/java/org/cicadalead/logic/work/WorkState.java
@@ -18,6 +18,7 @@
     final long epoch;
     final Map<String, WorkJob> jobs = new LinkedHashMap<>();
     final Map<String, WorkHost> hosts = new HashMap<>();
+    final ArrivalRates arrivals = new ArrivalRates();
 
     WorkState(SchedulingTerms terms, long epoch) {
         this.terms = terms;
--- a/src/main/java/org/cicadalead/platform/JobServer.java
+++ b/src/main/java/org/cicadalead/platform/JobServer.java
@@ -5,6 +5,7 @@
 import com.sun.net.httpserver.HttpServer;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.Locale;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -33,6 +34,12 @@
     private static final int GATEWAY_TIMEOUT = 504;
     private static final String RETRY_AFTER_SECONDS = "1";
 
+    /** Wait for a caller who names none, on a queue that names none. */
+    private static final long DEFAULT_PATIENCE_MILLISECONDS = 3_000;
+
+    /** Time for an answer to reach its caller: twice the way between a caller and an entry host, and a round here. */
+    private static final long ANSWER_WAY_MILLISECONDS = 150;
+
     private final HttpServer server;
     private final JobDesk desk;
     private final OperatorFeed operator;
@@ -101,13 +108,26 @@
         }
         String job = path.substring(queue.get().pathPrefix().length());
         return switch (exchange.getRequestMethod()) {
-            case "POST" -> submit(job, queue.get(), body);
+            case "POST" -> submit(job, queue.get(), body, patienceOf(exchange, queue.get()));
             case "GET" -> job.isEmpty() ? waiting(queue.get()) : state(job);
-            case "DELETE" -> cancel(job);
+            case "DELETE" -> cancel(job, patienceOf(exchange, queue.get()));
             default -> CompletableFuture.completedFuture(Answer.of(METHOD_NOT_ALLOWED));
         };
     }
 
+    /** Returns how long the caller waits for an answer, less the way of the answer. */
+    private static Duration patienceOf(HttpExchange exchange, WorkQueue queue) {
+        String header = Optional.ofNullable(exchange.getRequestHeaders().getFirst("X-Deadline-Ms"))
+                .orElse("");
+        long limit = queue.timeoutMilliseconds() > 0 ? queue.timeoutMilliseconds() : DEFAULT_PATIENCE_MILLISECONDS;
+        try {
+            limit = header.isEmpty() ? limit : Math.min(limit, Long.parseLong(header.strip()));
+        } catch (NumberFormatException malformed) {
+            // The queue's own limit holds.
+        }
+        return Duration.ofMillis(Math.max(0, limit - ANSWER_WAY_MILLISECONDS));
+    }
+
     private static String authorityOf(HttpExchange exchange) {
         String authority = Optional.ofNullable(exchange.getRequestHeaders().getFirst("Host"))
                 .orElse("")
@@ -116,13 +136,13 @@
         return colon < 0 ? authority : authority.substring(0, colon);
     }
 
-    private CompletableFuture<Answer> submit(String job, WorkQueue queue, byte[] body) {
+    private CompletableFuture<Answer> submit(String job, WorkQueue queue, byte[] body, Duration patience) {
         Optional<WorkSubmission> submission =
                 job.isEmpty() ? Optional.empty() : JobBodies.read(job, queue, body, timers.wallClockMilliseconds());
         if (submission.isEmpty()) {
             return CompletableFuture.completedFuture(Answer.of(HttpCalls.BAD_REQUEST));
         }
-        return desk.submit(submission.get()).thenApply(JobServer::stored);
+        return desk.submit(submission.get(), patience).thenApply(JobServer::stored);
     }
 
     private static Answer stored(JobDesk.StoreAnswer answer) {
@@ -146,12 +166,12 @@
         });
     }
 
-    private CompletableFuture<Answer> cancel(String job) {
+    private CompletableFuture<Answer> cancel(String job, Duration patience) {
         return desk.phaseOf(job).thenCompose(found -> {
             boolean unknown = found.known() && found.phase().isEmpty();
             return unknown
                     ? CompletableFuture.completedFuture(Answer.of(HttpCalls.GONE))
-                    : desk.cancel(job).thenApply(JobServer::stored);
+                    : desk.cancel(job, patience).thenApply(JobServer::stored);
         });
     }
 
--- a/src/main/java/org/cicadalead/platform/PlatformEntry.java
+++ b/src/main/java/org/cicadalead/platform/PlatformEntry.java
@@ -2,6 +2,7 @@
 
 import java.io.FileDescriptor;
 import java.io.FileOutputStream;
+import java.io.OutputStream;
 import java.net.http.HttpClient;
 import java.nio.file.Path;
 import java.time.Duration;
@@ -18,6 +19,7 @@
 import org.cicadalead.adapters.work.PeerServer;
 import org.cicadalead.adapters.work.SchedulingPorts;
 import org.cicadalead.adapters.work.SchedulingService;
+import org.cicadalead.adapters.work.WatchedStore;
 import org.cicadalead.adapters.work.WorkCodec;
 import org.cicadalead.logic.work.SchedulingTerms;
 import org.cicadalead.model.error.CicadaleadException;
@@ -31,7 +33,10 @@
     /** Share of the longest lease that is used: the rest covers the difference of clocks and the way of an order. */
     private static final double LEASE_SHARE = 0.95;
 
-    /** Longest time for which a leader gives orders without a confirmed heartbeat; leases outlast it. */
+    /** Longest time for which a leader starts work without a confirmed heartbeat: beyond the time to take over. */
+    private static final long START_LIMIT_MILLISECONDS = 2_500;
+
+    /** Longest time for which a leader renews leases without a confirmed heartbeat; leases outlast it. */
     private static final long UNCONFIRMED_LIMIT_MILLISECONDS = 6_000;
 
     /** Processors of a host above which it takes part in elections without letting others go first. */
@@ -61,11 +66,16 @@
     private final ReadinessServer readinessServer;
     private volatile boolean stopping;
 
-    /** Starts a process. */
+    /** Starts a process that writes its log to standard output. */
     public PlatformEntry(PlatformSettings settings) {
+        this(settings, new FileOutputStream(FileDescriptor.out));
+    }
+
+    /** Starts a process that writes its log to a stream. */
+    PlatformEntry(PlatformSettings settings, OutputStream logOutput) {
         HttpServers.configureProcess();
         this.settings = settings;
-        this.log = new DecisionLog(new FileOutputStream(FileDescriptor.out), settings.nodeName());
+        this.log = new DecisionLog(logOutput, settings.nodeName());
         log.emit(EventKind.PROCESS_STARTED, EventDetail.of("zone", settings.zone()));
         this.timers = new SystemTimerService(
                 failure -> log.emit(EventKind.INTERNAL_FAILURE, EventDetail.of("failure", failure.toString())));
@@ -75,7 +85,7 @@
                 .executor(Executors.newFixedThreadPool(CLIENT_THREADS, PlatformEntry::clientThread))
                 .build();
         HttpCalls calls = new HttpCalls(client);
-        StoreClient store = new StoreClient(calls, settings.storeAddress());
+        WatchedStore store = new WatchedStore(new StoreClient(calls, settings.storeAddress()), timers);
         WorkCodec codec =
                 new WorkCodec(problem -> log.emit(EventKind.RECORD_UNREADABLE, EventDetail.of("problem", problem)));
         PlatformRecords records = new PlatformRecords();
@@ -95,7 +105,7 @@
         this.scheduling = new SchedulingService(ports, terms(settings));
         this.election = new LeaderElection(store, codec, timers, log, candidate(settings, peerAddress), scheduling);
         PeerClient peers = new PeerClient(client, codec, peerAddress);
-        JobDesk desk = new JobDesk(store, codec, scheduling, peers, election, log);
+        JobDesk desk = new JobDesk(store, timers, codec, scheduling, peers, election, log);
         ExecutorService serverThreads = HttpServers.daemonThreads("server");
         this.peerServer =
                 new PeerServer(settings.ip(), settings.internalPort(), serverThreads, codec, scheduling, desk, log);
@@ -108,6 +118,7 @@
     private static SchedulingTerms terms(PlatformSettings settings) {
         return new SchedulingTerms(
                 Math.round(settings.holdMaximumMilliseconds() * LEASE_SHARE),
+                START_LIMIT_MILLISECONDS,
                 UNCONFIRMED_LIMIT_MILLISECONDS,
                 settings.stopTimeoutMilliseconds(),
                 settings.maintenanceMilliseconds(),
--- a/src/test/java/org/cicadalead/architecture/LayersTest.java
+++ b/src/test/java/org/cicadalead/architecture/LayersTest.java
@@ -90,6 +90,24 @@
             .dependOnClassesThat()
             .resideInAPackage("org.cicadalead.cli..");
 
+    @ArchTest
+    static final ArchRule ONLY_THE_COMMAND_LINE_KNOWS_THE_USERS_PLATFORM = noClasses()
+            .that()
+            .resideOutsideOfPackages("org.cicadalead.platform..", "org.cicadalead.cli..")
+            .should()
+            .dependOnClassesThat()
+            .resideInAPackage("org.cicadalead.platform..");
+
+    @ArchTest
+    static final ArchRule THE_PLATFORM_ADAPTER_DECIDES_NOTHING = noClasses()
+            .that()
+            .resideInAPackage("org.cicadalead.platform..")
+            .should()
+            .dependOnClassesThat(describe(
+                    "take decisions",
+                    type -> type.getPackageName().startsWith("org.cicadalead.logic")
+                            && !type.getSimpleName().equals("SchedulingTerms")));
+
     @ArchTest
     static final ArchRule NO_PROCESS_IS_STARTED =
             noClasses().should().dependOnClassesThat().haveFullyQualifiedName("java.lang.ProcessBuilder");
--- /dev/null
+++ b/src/test/java/org/cicadalead/logic/work/PoolBalancerTest.java
@@ -0,0 +1,142 @@
+package org.cicadalead.logic.work;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import org.cicadalead.model.work.HostEntry;
+import org.cicadalead.model.work.MachineCondition;
+import org.cicadalead.model.work.MachineEntry;
+import org.cicadalead.model.work.MachineOutcome;
+import org.junit.jupiter.api.Test;
+
+/** Replays turns of demand: one pool asks for several times its room while the others are idle. */
+class PoolBalancerTest {
+    private final PoolBalancer balancer = new PoolBalancer();
+    private final List<MachineEntry> machines = new ArrayList<>();
+    private final List<HostEntry> hosts = new ArrayList<>();
+
+    private void pool(String service, int count) {
+        for (int number = 0; number < count; number++) {
+            String name = service + "-" + number;
+            machines.add(new MachineEntry("machine-" + name, service, MachineCondition.UP, name));
+            hosts.add(WorkFixtures.host(name, service, "rack"));
+        }
+    }
+
+    private void standby(int count) {
+        for (int number = 0; number < count; number++) {
+            machines.add(new MachineEntry("machine-off-" + number, WorkFixtures.STANDBY, MachineCondition.UP, ""));
+        }
+    }
+
+    private WorkScheduler scheduler() {
+        balancer.machinesListed(machines);
+        return WorkFixtures.scheduler(hosts.toArray(HostEntry[]::new));
+    }
+
+    /** Jobs whose work is several times what the pool does within their objective. */
+    private static void turn(WorkScheduler scheduler, String service, int jobs, long now) {
+        for (int number = 0; number < jobs; number++) {
+            scheduler.submitted(
+                    WorkFixtures.job(
+                            service + "-job-" + now + "-" + number, service, now, WorkFixtures.step(4, 2_000, 1_000)),
+                    WorkFixtures.at(now));
+        }
+    }
+
+    private List<PoolBalancer.Move> decide(WorkScheduler scheduler, long now) {
+        return balancer.decide(
+                scheduler.poolView(WorkFixtures.PLAN, WorkFixtures.at(now)), scheduler.machineView(), Set.of(), now);
+    }
+
+    @Test
+    void machinesOfIdlePoolsAndTheStandbyPoolGoWhereATurnBegins() {
+        pool(WorkFixtures.BUSY, 2);
+        pool(WorkFixtures.QUIET, 4);
+        standby(2);
+        WorkScheduler scheduler = scheduler();
+        turn(scheduler, WorkFixtures.BUSY, 20, 100);
+        scheduler.decide(WorkFixtures.at(101), true);
+        List<PoolBalancer.Move> moves = decide(scheduler, 102);
+        assertTrue(moves.stream().allMatch(move -> move.pool().equals(WorkFixtures.BUSY)));
+        assertEquals(5, moves.size(), "all but the one that the quiet pool keeps");
+    }
+
+    @Test
+    void aPoolWithWorkOfItsOwnGivesNothingAway() {
+        pool(WorkFixtures.BUSY, 2);
+        pool(WorkFixtures.QUIET, 2);
+        WorkScheduler scheduler = scheduler();
+        turn(scheduler, WorkFixtures.BUSY, 20, 100);
+        turn(scheduler, WorkFixtures.QUIET, 20, 100);
+        scheduler.decide(WorkFixtures.at(101), true);
+        assertEquals(List.of(), decide(scheduler, 102));
+    }
+
+    @Test
+    void workThatIsLateAnywayMovesNothing() {
+        pool(WorkFixtures.BUSY, 1);
+        standby(3);
+        WorkScheduler scheduler = scheduler();
+        turn(scheduler, WorkFixtures.BUSY, 20, 100);
+        scheduler.decide(WorkFixtures.at(101), true);
+        assertEquals(List.of(), decide(scheduler, 60_000));
+    }
+
+    @Test
+    void aMachineWithLateWorkIsClearedBeforeItMoves() {
+        pool(WorkFixtures.BUSY, 1);
+        pool(WorkFixtures.QUIET, 2);
+        WorkScheduler scheduler = scheduler();
+        scheduler.submitted(
+                WorkFixtures.job("late", WorkFixtures.QUIET, -60_000, WorkFixtures.step(16, 1_000, 5_000)),
+                WorkFixtures.at(1));
+        List<WorkOrder.Start> late = WorkFixtures.starts(scheduler.decide(WorkFixtures.at(1), true));
+        WorkFixtures.confirm(scheduler, late, 5);
+        turn(scheduler, WorkFixtures.BUSY, 20, 100);
+        scheduler.decide(WorkFixtures.at(101), true);
+        assertEquals(List.of(), decide(scheduler, 102), "its work must end first");
+        List<WorkOrder> orders = scheduler.decide(WorkFixtures.at(103), true);
+        assertEquals(8, orders.stream().filter(WorkOrder.Stop.class::isInstance).count());
+    }
+
+    @Test
+    void aMachineOnItsWayIsNotOrderedAgain() {
+        pool(WorkFixtures.BUSY, 1);
+        standby(3);
+        WorkScheduler scheduler = scheduler();
+        turn(scheduler, WorkFixtures.BUSY, 20, 100);
+        scheduler.decide(WorkFixtures.at(101), true);
+        assertEquals(3, decide(scheduler, 102).size());
+        assertEquals(List.of(), decide(scheduler, 110));
+    }
+
+    @Test
+    void aMachineThatWasRefusedIsAskedAgainLater() {
+        pool(WorkFixtures.BUSY, 1);
+        standby(1);
+        WorkScheduler scheduler = scheduler();
+        turn(scheduler, WorkFixtures.BUSY, 20, 100);
+        scheduler.decide(WorkFixtures.at(101), true);
+        PoolBalancer.Move move = decide(scheduler, 102).get(0);
+        balancer.answered(move, MachineOutcome.BUSY, 110);
+        assertEquals(List.of(), decide(scheduler, 111));
+        assertEquals(List.of(move), decide(scheduler, 1_200));
+    }
+
+    @Test
+    void idleMachinesAreSwitchedOffAfterAWhileButOneStays() {
+        pool(WorkFixtures.QUIET, 3);
+        WorkScheduler scheduler = scheduler();
+        assertEquals(List.of(), decide(scheduler, 100));
+        for (HostEntry host : hosts) {
+            WorkFixtures.answer(scheduler, host.identifier(), 10_000, List.of(), List.of());
+        }
+        List<PoolBalancer.Move> moves = decide(scheduler, 10_000);
+        assertEquals(2, moves.size());
+        assertTrue(moves.stream().allMatch(move -> move.pool().equals(WorkFixtures.STANDBY)));
+    }
+}
--- a/src/test/java/org/cicadalead/logic/work/SimulatedFleet.java
+++ b/src/test/java/org/cicadalead/logic/work/SimulatedFleet.java
@@ -32,7 +32,7 @@
  * them. An oracle judges every start by what the hosts saw.
  */
 final class SimulatedFleet {
-    static final SchedulingTerms TERMS = new SchedulingTerms(5_700, 6_000, 200, 2_000, 3);
+    static final SchedulingTerms TERMS = new SchedulingTerms(5_700, 2_500, 6_000, 200, 2_000, 3);
     private static final String SERVICE = "service";
     private static final int TICK = 10;
 
@@ -105,8 +105,10 @@
             hostsInUse = newest().scheduler.hostsInUse(time());
         }
         for (Term before : terms) {
-            long longest = resigns ? 0 : random.nextInt((int) TERMS.unconfirmedLimit());
-            before.mayStartUntil = Math.min(before.mayStartUntil, now + longest);
+            long starts = resigns ? 0 : random.nextInt((int) TERMS.startLimit());
+            long renews = resigns ? 0 : starts + random.nextInt((int) (TERMS.unconfirmedLimit() - TERMS.startLimit()));
+            before.mayStartUntil = Math.min(before.mayStartUntil, now + starts);
+            before.abandonedAt = Math.min(before.abandonedAt, now + renews);
         }
         EarlierHosts earlier = epoch == 1
                 ? EarlierHosts.NONE
@@ -158,7 +160,7 @@
                 trouble();
             }
             for (Term term : terms) {
-                if (now < term.abandonedAt()) {
+                if (now < term.abandonedAt) {
                     execute(term, term.scheduler.decide(time(), now < term.mayStartUntil));
                 }
             }
@@ -233,7 +235,7 @@
     }
 
     private void look(Term term, String identifier) {
-        if (now >= term.abandonedAt()) {
+        if (now >= term.abandonedAt) {
             return;
         }
         Optional<LookRequest> request = term.scheduler.look(identifier, time(), true);
@@ -292,6 +294,7 @@
                 persist(term, persist);
             } else if (order instanceof WorkOrder.StandDown) {
                 term.mayStartUntil = Math.min(term.mayStartUntil, now);
+                term.abandonedAt = Math.min(term.abandonedAt, now);
             }
         }
     }
@@ -410,16 +413,12 @@
         private final WorkScheduler scheduler;
         private final Set<String> watched = new HashSet<>();
         private long mayStartUntil = Long.MAX_VALUE;
+        private long abandonedAt = Long.MAX_VALUE;
 
         Term(long epoch, WorkScheduler scheduler) {
             this.epoch = epoch;
             this.scheduler = scheduler;
         }
-
-        /** A holder that may start no more looks at its hosts no more either, so that its leases expire. */
-        long abandonedAt() {
-            return mayStartUntil;
-        }
     }
 
     private record Event(long at, long sequence, Runnable action) implements Comparable<Event> {
--- /dev/null
+++ b/src/test/java/org/cicadalead/logic/work/WorkFixtures.java
@@ -0,0 +1,151 @@
+package org.cicadalead.logic.work;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.cicadalead.model.work.ActiveRun;
+import org.cicadalead.model.work.EndedRun;
+import org.cicadalead.model.work.FleetPlan;
+import org.cicadalead.model.work.HostCapacity;
+import org.cicadalead.model.work.HostEntry;
+import org.cicadalead.model.work.HostListing;
+import org.cicadalead.model.work.QueueTerms;
+import org.cicadalead.model.work.StepSpecification;
+import org.cicadalead.model.work.WorkSubmission;
+
+/** Values and short ways for tests of scheduling decisions. */
+final class WorkFixtures {
+    static final SchedulingTerms TERMS = SimulatedFleet.TERMS;
+    static final String BUSY = "busy-service";
+    static final String QUIET = "quiet-service";
+    static final String STANDBY = "standby-service";
+    static final FleetPlan PLAN = new FleetPlan(1, Map.of(), Set.of(BUSY, QUIET, STANDBY), Set.of(STANDBY), 100_000);
+
+    private WorkFixtures() {}
+
+    static HostEntry host(String identifier, String service, String rack) {
+        return new HostEntry(
+                identifier,
+                service,
+                identifier + ":1",
+                "zone",
+                false,
+                1,
+                0,
+                new HostCapacity(8_000, 16_000, 0),
+                List.of("kind", rack));
+    }
+
+    static HostEntry draining(HostEntry entry) {
+        return new HostEntry(
+                entry.identifier(),
+                entry.service(),
+                entry.address(),
+                entry.zone(),
+                true,
+                entry.bornMilliseconds(),
+                0,
+                entry.capacity(),
+                entry.labels());
+    }
+
+    static StepSpecification step(int tasks, long milliCores, long estimate) {
+        return with(tasks, milliCores, estimate, false, false, false, 0);
+    }
+
+    static StepSpecification lasting(int tasks, int maximumUnavailable) {
+        return with(tasks, 1_000, 0, false, false, true, maximumUnavailable);
+    }
+
+    static StepSpecification gang(int tasks, boolean sameRack) {
+        return with(tasks, 2_000, 1_000, true, sameRack, false, 0);
+    }
+
+    private static StepSpecification with(
+            int tasks,
+            long milliCores,
+            long estimate,
+            boolean gang,
+            boolean sameRack,
+            boolean longRunning,
+            int maximumUnavailable) {
+        return new StepSpecification(
+                tasks,
+                milliCores,
+                100,
+                0,
+                estimate,
+                List.of(),
+                false,
+                gang,
+                sameRack,
+                Optional.empty(),
+                Optional.empty(),
+                0,
+                false,
+                longRunning,
+                Optional.empty(),
+                0,
+                false,
+                maximumUnavailable);
+    }
+
+    static WorkSubmission job(String identifier, String service, long acceptedAt, StepSpecification... steps) {
+        return new WorkSubmission(
+                identifier,
+                "queue",
+                service,
+                new QueueTerms(0, 3, 1.6, 600, Optional.empty()),
+                "run",
+                List.of(steps),
+                0,
+                0,
+                0,
+                acceptedAt);
+    }
+
+    static WorkTime at(long milliseconds) {
+        return new WorkTime(milliseconds, milliseconds);
+    }
+
+    /** Starts a first term with hosts that have all answered a look. */
+    static WorkScheduler scheduler(HostEntry... hosts) {
+        WorkScheduler scheduler = new WorkScheduler(TERMS, 1, EarlierHosts.NONE, 0);
+        scheduler.hostsListed(List.of(hosts), at(0));
+        for (HostEntry host : hosts) {
+            answer(scheduler, host.identifier(), 0, List.of(), List.of());
+        }
+        return scheduler;
+    }
+
+    static void answer(WorkScheduler scheduler, String host, long now, List<ActiveRun> active, List<EndedRun> ended) {
+        scheduler.listed(host, new HostListing(1, now, active, ended), now, at(now));
+    }
+
+    static List<WorkOrder.Start> starts(List<WorkOrder> orders) {
+        List<WorkOrder.Start> starts = new ArrayList<>();
+        orders.forEach(order -> {
+            if (order instanceof WorkOrder.Start start) {
+                starts.add(start);
+            }
+        });
+        return starts;
+    }
+
+    /** Confirms all starts, and lists the runs as working. */
+    static void confirm(WorkScheduler scheduler, List<WorkOrder.Start> starts, long now) {
+        for (WorkOrder.Start start : starts) {
+            scheduler.startAnswered(
+                    start.target().host(), start.run(), org.cicadalead.model.work.StartOutcome.STARTED, at(now));
+        }
+        starts.stream().map(start -> start.target().host()).distinct().forEach(host -> {
+            List<ActiveRun> active = starts.stream()
+                    .filter(start -> start.target().host().equals(host))
+                    .map(start -> new ActiveRun(start.run(), "", WorkRun.FULL_SPEED, 0))
+                    .toList();
+            answer(scheduler, host, now + 1, active, List.of());
+        });
+    }
+}
--- /dev/null
+++ b/src/test/java/org/cicadalead/platform/Loopback.java
@@ -0,0 +1,138 @@
+package org.cicadalead.platform;
+
+import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpHandler;
+import com.sun.net.httpserver.HttpServer;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.net.URLDecoder;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.cicadalead.adapters.http.HttpServers;
+
+/** A platform on this machine: a store, workers and machines, and processes of the program. For use by one thread. */
+final class Loopback implements AutoCloseable {
+    private static final String ADDRESS = "127.0.0.1";
+
+    final LoopbackStore store = new LoopbackStore();
+    final List<LoopbackWorker> workers = new ArrayList<>();
+    private final List<HttpServer> servers = new ArrayList<>();
+    private final List<PlatformEntry> entries = new ArrayList<>();
+    private final Path folder;
+    private final HttpClient client = HttpClient.newHttpClient();
+    private final int storePort;
+
+    Loopback(Path folder, int workerCount) {
+        this.folder = folder;
+        this.storePort = serve(exchange -> store.handle(exchange));
+        for (int number = 0; number < workerCount; number++) {
+            LoopbackWorker worker = new LoopbackWorker();
+            workers.add(worker);
+            int port = serve(worker::handle);
+            store.put(
+                    "keyed.servers",
+                    "worker-" + number,
+                    "{\"service\":\"planning\",\"address\":\"" + ADDRESS + ":" + port
+                            + "\",\"zone\":\"zone\",\"state\":\"ready\",\"born\":1,\"clockMs\":1,"
+                            + "\"capacity\":{\"cpu\":4000,\"memMb\":8000,\"gpu\":0},\"labels\":[\"a\",\"r1\"]}");
+        }
+        store.put(
+                "keyed.op",
+                "config",
+                "{\"version\":1,\"routes\":[{\"name\":\"queue\",\"host\":\"jobs.example\",\"pathPrefix\":\"/plan/\","
+                        + "\"service\":\"planning\",\"timeoutMs\":3000,\"targetDurationMs\":600,\"priority\":0,"
+                        + "\"maxAttempts\":3,\"slackFactor\":1.6}],"
+                        + "\"services\":[{\"name\":\"planning\",\"standby\":false}],"
+                        + "\"limits\":{\"maxBodyBytes\":262144}}");
+    }
+
+    private int serve(HttpHandler handler) {
+        HttpServer server = HttpServers.bind(ADDRESS, 0);
+        server.setExecutor(HttpServers.daemonThreads("loopback"));
+        server.createContext("/", handler);
+        server.start();
+        servers.add(server);
+        return server.getAddress().getPort();
+    }
+
+    private static int freePort() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0)) {
+            return socket.getLocalPort();
+        }
+    }
+
+    /** Starts a process of the program; returns the address for callers. */
+    String startEntry(String name) throws IOException {
+        int frontend = freePort();
+        Path file = folder.resolve(name + ".conf");
+        Files.writeString(
+                file,
+                String.join(
+                        "\n",
+                        "nodeName=" + name,
+                        "zone=zone",
+                        "ip=" + ADDRESS,
+                        "listenAddrs.frontend=" + ADDRESS + ":" + frontend,
+                        "listenAddrs.ready=" + ADDRESS + ":" + freePort(),
+                        "internalPortRange=" + freePort() + ",65000",
+                        "platform.address=" + ADDRESS + ":" + storePort,
+                        "cloudApi.address=" + ADDRESS + ":" + storePort,
+                        "limits.cpuShare=0.75",
+                        "bounds.holdMaxMs=6000",
+                        "something.new=ignored"));
+        entries.add(new PlatformEntry(PlatformSettings.read(file), OutputStream.nullOutputStream()));
+        return ADDRESS + ":" + frontend;
+    }
+
+    PlatformEntry entry(int number) {
+        return entries.get(number);
+    }
+
+    /** Sends a caller's request. */
+    HttpResponse<String> call(String method, String address, String host, String path, String body)
+            throws IOException, InterruptedException {
+        HttpRequest request = HttpRequest.newBuilder(URI.create("http://" + address + path))
+                .header("Host", host)
+                .header("X-Deadline-Ms", "3000")
+                .method(method, HttpRequest.BodyPublishers.ofString(body))
+                .build();
+        return client.send(request, HttpResponse.BodyHandlers.ofString());
+    }
+
+    static Map<String, String> query(HttpExchange exchange) {
+        Map<String, String> values = new HashMap<>();
+        for (String part : Optional.ofNullable(exchange.getRequestURI().getRawQuery())
+                .orElse("")
+                .split("&", -1)) {
+            int equals = part.indexOf('=');
+            if (equals > 0) {
+                values.put(
+                        part.substring(0, equals),
+                        URLDecoder.decode(part.substring(equals + 1), StandardCharsets.UTF_8));
+            }
+        }
+        return values;
+    }
+
+    static void send(HttpExchange exchange, int status, byte[] body) throws IOException {
+        exchange.sendResponseHeaders(status, body.length == 0 ? -1 : body.length);
+        exchange.getResponseBody().write(body);
+    }
+
+    @Override
+    public void close() {
+        entries.forEach(PlatformEntry::stopGracefully);
+        servers.forEach(server -> server.stop(0));
+    }
+}
--- /dev/null
+++ b/src/test/java/org/cicadalead/platform/LoopbackWorker.java
@@ -0,0 +1,110 @@
+package org.cicadalead.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.sun.net.httpserver.HttpExchange;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+/** A worker over HTTP whose runs all take the same short time. Safe for use by several threads. */
+final class LoopbackWorker {
+    private static final long RUN_MILLISECONDS = 60;
+
+    private final long born = System.currentTimeMillis();
+    private final Map<String, Long> active = new LinkedHashMap<>();
+    private final List<ArrayNode> ended = new ArrayList<>();
+    private final List<String> starts = new ArrayList<>();
+    private long fence;
+    private long nextEnd = 1;
+
+    /** Returns the tasks that were started, in order. */
+    synchronized List<String> starts() {
+        return List.copyOf(starts);
+    }
+
+    void handle(HttpExchange exchange) throws IOException {
+        try (exchange) {
+            JsonNode body = HttpCalls.decode(exchange.getRequestBody().readAllBytes());
+            synchronized (this) {
+                long token = body.path("fencingToken").asLong();
+                if (token < fence) {
+                    Loopback.send(exchange, HttpCalls.CONFLICT, HttpCalls.encode(answer().put("reason", "fence")));
+                    return;
+                }
+                fence = token;
+                if (exchange.getRequestURI().getPath().equals("/v1/run-start")) {
+                    starts.add(body.path("task").asText());
+                    active.put(
+                            body.path("task").asText() + "/"
+                                    + body.path("attempt").asLong(),
+                            System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(RUN_MILLISECONDS));
+                }
+            }
+            if (body.path("waitMs").asLong() > 0) {
+                awaitEnd(body.path("ackPosition").asLong());
+            }
+            Loopback.send(exchange, HttpCalls.OK, HttpCalls.encode(listing(body)));
+        }
+    }
+
+    private ObjectNode answer() {
+        return HttpCalls.JSON.createObjectNode().put("clockMs", System.currentTimeMillis() - born);
+    }
+
+    private void awaitEnd(long acknowledged) {
+        long limit = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(300);
+        try {
+            while (System.nanoTime() < limit && !hasEnds(acknowledged)) {
+                Thread.sleep(5);
+            }
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private synchronized boolean hasEnds(long acknowledged) {
+        endWhatIsDue();
+        return ended.stream().anyMatch(end -> end.get(0).asLong() > acknowledged);
+    }
+
+    private void endWhatIsDue() {
+        active.entrySet().removeIf(run -> {
+            boolean due = System.nanoTime() >= run.getValue();
+            if (due) {
+                String[] parts = run.getKey().split("/", -1);
+                ended.add(HttpCalls.JSON
+                        .createArrayNode()
+                        .add(nextEnd++)
+                        .add(parts[0])
+                        .add(Long.parseLong(parts[1]))
+                        .add("done")
+                        .add(""));
+            }
+            return due;
+        });
+    }
+
+    private synchronized ObjectNode listing(JsonNode body) {
+        endWhatIsDue();
+        long acknowledged = body.path("ackPosition").asLong();
+        ended.removeIf(end -> end.get(0).asLong() <= acknowledged);
+        ObjectNode answer = answer().put("born", born);
+        ArrayNode running = answer.putArray("active");
+        active.keySet().forEach(run -> {
+            String[] parts = run.split("/", -1);
+            running.addArray()
+                    .add(parts[0])
+                    .add(Long.parseLong(parts[1]))
+                    .add("")
+                    .add(100)
+                    .add(0);
+        });
+        answer.putArray("ended").addAll(ended);
+        return answer;
+    }
+}
--- /dev/null
+++ b/src/test/java/org/cicadalead/platform/PlatformEntryTest.java
@@ -0,0 +1,131 @@
+package org.cicadalead.platform;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.http.HttpResponse;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+class PlatformEntryTest {
+    private static final Duration LIMIT = Duration.ofSeconds(30);
+    private static final String JOB = "{\"spec\":\"text\",\"jobSteps\":[{\"count\":3,\"cpu\":500,\"estimatedMs\":60},"
+            + "{\"count\":2,\"cpu\":500,\"estimatedMs\":60,\"dependsOn\":[0]}]}";
+    private static final String HOST = "jobs.example";
+
+    @TempDir
+    Path folder;
+
+    private Loopback loopback;
+
+    @BeforeEach
+    void start() {
+        System.setProperty("jdk.httpclient.allowRestrictedHeaders", "host");
+        loopback = new Loopback(folder, 2);
+    }
+
+    @AfterEach
+    void stop() {
+        loopback.close();
+    }
+
+    private HttpResponse<String> call(String method, String address, String job, String body)
+            throws IOException, InterruptedException {
+        return loopback.call(method, address, HOST, "/plan/" + job, body);
+    }
+
+    private void awaitState(String address, String job, String state) throws IOException, InterruptedException {
+        long end = System.nanoTime() + LIMIT.toNanos();
+        String last = "";
+        while (System.nanoTime() < end) {
+            last = call("GET", address, job, "").body();
+            if (last.contains(state)) {
+                return;
+            }
+            Thread.sleep(30);
+        }
+        assertTrue(last.contains(state), "the last state was " + last);
+    }
+
+    private void awaitAccepted(String address, String job) throws IOException, InterruptedException {
+        long end = System.nanoTime() + LIMIT.toNanos();
+        int status = 0;
+        while (System.nanoTime() < end && status != HttpCalls.OK) {
+            status = call("POST", address, job, JOB).statusCode();
+            Thread.sleep(status == HttpCalls.OK ? 0 : 50);
+        }
+        assertEquals(HttpCalls.OK, status);
+    }
+
+    private List<String> startsOf(String job) {
+        return loopback.workers.stream()
+                .flatMap(worker -> worker.starts().stream())
+                .filter(task -> task.startsWith(job))
+                .sorted()
+                .toList();
+    }
+
+    @Test
+    void runsEachTaskOfAJobOnceHoweverOftenItIsSent() throws IOException, InterruptedException {
+        String address = loopback.startEntry("one");
+        awaitAccepted(address, "00000000000000a1");
+        assertEquals(
+                HttpCalls.OK, call("POST", address, "00000000000000a1", JOB).statusCode());
+        awaitState(address, "00000000000000a1", "completed");
+        assertEquals(
+                List.of("0.0.0", "0.0.1", "0.0.2", "0.1.0", "0.1.1").stream()
+                        .map(task -> "00000000000000a1." + task)
+                        .toList(),
+                startsOf("00000000000000a1"));
+    }
+
+    @Test
+    void aSecondProcessGoesOnWhenTheSchedulingOneEnds() throws IOException, InterruptedException {
+        String first = loopback.startEntry("one");
+        awaitAccepted(first, "00000000000000b1");
+        awaitState(first, "00000000000000b1", "completed");
+        String second = loopback.startEntry("two");
+        awaitAccepted(second, "00000000000000b2");
+        loopback.entry(0).stopGracefully();
+        awaitState(second, "00000000000000b1", "completed");
+        awaitState(second, "00000000000000b2", "completed");
+        assertEquals(5, startsOf("00000000000000b1").size());
+        assertEquals(5, startsOf("00000000000000b2").size());
+    }
+
+    @Test
+    void refusesAtOnceWhileTheStoreRefusesAndAcceptsAgainAfterwards() throws IOException, InterruptedException {
+        String address = loopback.startEntry("one");
+        awaitAccepted(address, "00000000000000c1");
+        loopback.store.setDown(true);
+        HttpResponse<String> refused = call("POST", address, "00000000000000c2", JOB);
+        assertEquals(HttpCalls.UNAVAILABLE, refused.statusCode());
+        assertEquals("1", refused.headers().firstValue("Retry-After").orElse(""));
+        loopback.store.setDown(false);
+        awaitAccepted(address, "00000000000000c3");
+        awaitState(address, "00000000000000c3", "completed");
+        assertEquals(List.of(), startsOf("00000000000000c2"));
+    }
+
+    @Test
+    void answersWhatItKnowsOfQueuesAndJobs() throws IOException, InterruptedException {
+        String address = loopback.startEntry("one");
+        awaitAccepted(address, "00000000000000d1");
+        awaitState(address, "00000000000000d1", "completed");
+        assertEquals(404, loopback.call("POST", address, HOST, "/other/1", JOB).statusCode());
+        assertEquals(
+                HttpCalls.GONE, call("GET", address, "00000000000000d9", "").statusCode());
+        assertEquals(
+                HttpCalls.GONE, call("DELETE", address, "00000000000000d9", "").statusCode());
+        assertEquals("{\"waitingCount\":0}", call("GET", address, "", "").body());
+        assertEquals(
+                HttpCalls.BAD_REQUEST,
+                call("POST", address, "00000000000000d2", "{").statusCode());
+    }
+}
--- /dev/null
+++ b/src/test/java/org/cicadalead/support/InMemoryRecordStore.java
@@ -0,0 +1,127 @@
+package org.cicadalead.support;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
+import org.cicadalead.ports.RecordStore;
+
+/** A store of keyed records in memory, with faults to order. Answers at once. Safe for use by several threads. */
+public final class InMemoryRecordStore implements RecordStore {
+    private final Map<Topic, List<KeyedRecord>> topics = new EnumMap<>(Topic.class);
+    private final Map<Topic, Long> epochs = new EnumMap<>(Topic.class);
+    private final Map<Topic, Map<WriterPosition, Appended>> answered = new HashMap<>();
+    private final Map<Topic, Long> sequences = new EnumMap<>(Topic.class);
+    private Fault fault = Fault.NONE;
+    private int faults;
+
+    /** What goes wrong with the next appends. */
+    public enum Fault {
+        /** Nothing. */
+        NONE,
+        /** Nothing is done, and the caller is told so. */
+        REFUSED,
+        /** Nothing is done, and no answer comes. */
+        LOST,
+        /** It is done, and no answer comes. */
+        ANSWER_LOST
+    }
+
+    /** Lets the next appends go wrong. */
+    public synchronized void failNext(Fault kind, int count) {
+        fault = kind;
+        faults = count;
+    }
+
+    private Fault nextFault() {
+        if (faults == 0) {
+            return Fault.NONE;
+        }
+        faults--;
+        return fault;
+    }
+
+    private List<KeyedRecord> of(Topic topic) {
+        return topics.computeIfAbsent(topic, unseen -> new ArrayList<>());
+    }
+
+    @Override
+    public synchronized CompletableFuture<Appended> append(
+            Topic topic, List<KeyedRecord> records, OptionalLong expectedEnd) {
+        return withFault(() -> {
+            long end = of(topic).size();
+            return expectedEnd.isPresent() && expectedEnd.getAsLong() != end
+                    ? new Appended(AppendOutcome.CONFLICT, end)
+                    : write(topic, records);
+        });
+    }
+
+    @Override
+    public synchronized CompletableFuture<Appended> appendAs(
+            Topic topic, List<KeyedRecord> records, WriterPosition position) {
+        return withFault(() -> {
+            long known = epochs.getOrDefault(topic, 0L);
+            if (position.epoch() < known) {
+                return new Appended(AppendOutcome.FENCED, -1);
+            }
+            if (position.epoch() > known) {
+                epochs.put(topic, position.epoch());
+                sequences.remove(topic);
+            }
+            Map<WriterPosition, Appended> before = answered.computeIfAbsent(topic, unseen -> new HashMap<>());
+            if (before.containsKey(position)) {
+                return before.get(position);
+            }
+            long expected = sequences.containsKey(topic) ? sequences.get(topic) + 1 : position.sequence();
+            if (position.sequence() != expected) {
+                return new Appended(AppendOutcome.OUT_OF_SEQUENCE, expected);
+            }
+            sequences.put(topic, position.sequence());
+            Appended appended = write(topic, records);
+            before.put(position, appended);
+            return appended;
+        });
+    }
+
+    private Appended write(Topic topic, List<KeyedRecord> records) {
+        for (KeyedRecord stored : records) {
+            of(topic)
+                    .add(new KeyedRecord(stored.key(), stored.value(), of(topic).size()));
+        }
+        return new Appended(AppendOutcome.STORED, of(topic).size());
+    }
+
+    private CompletableFuture<Appended> withFault(Supplier<Appended> action) {
+        Fault next = nextFault();
+        boolean carriedOut = next == Fault.NONE || next == Fault.ANSWER_LOST;
+        Appended outcome = carriedOut ? action.get() : new Appended(AppendOutcome.REFUSED, -1);
+        boolean answers = next == Fault.NONE || next == Fault.REFUSED;
+        return CompletableFuture.completedFuture(answers ? outcome : new Appended(AppendOutcome.UNKNOWN, -1));
+    }
+
+    @Override
+    public synchronized CompletableFuture<Slice> read(Topic topic, long fromOffset, Duration wait) {
+        List<KeyedRecord> all = of(topic);
+        List<KeyedRecord> records = all.subList((int) Math.min(fromOffset, all.size()), all.size());
+        return CompletableFuture.completedFuture(new Slice(ReadOutcome.READ, records, all.size()));
+    }
+
+    @Override
+    public synchronized CompletableFuture<Snapshot> snapshot(Topic topic) {
+        Map<String, KeyedRecord> newest = new LinkedHashMap<>();
+        for (KeyedRecord stored : of(topic)) {
+            newest.remove(stored.key());
+            if (stored.value().isPresent()) {
+                newest.put(stored.key(), stored);
+            }
+        }
+        return CompletableFuture.completedFuture(
+                new Snapshot(true, new ArrayList<>(newest.values()), of(topic).size()));
+    }
+}
