Order no machine whose host has not answered in this term; read empty bodies before answering in the task stand-in

HttpTaskPlatformTest failed once beside load ("Too many retries"): the stand-in answered requests without a body before it had read their end, so that the JDK's server, which may handle the answer first, ended the connection under the next request. The end is read first now.

--- a/src/main/java/org/cicadalead/adapters/standin/TaskStandInRoutes.java
+++ b/src/main/java/org/cicadalead/adapters/standin/TaskStandInRoutes.java
@@ -60,6 +60,8 @@
         } else {
             throw new CicadaleadException(ErrorKind.UNKNOWN_RESOURCE, "There is nothing at " + path);
         }
+        // The server ends a connection whose last request, also an empty one, was not read when it is answered.
+        JsonExchange.discardBody(exchange, 1);
         exchange.sendResponseHeaders(ACCEPTED, NO_BODY);
     }
 
--- a/src/main/java/org/cicadalead/logic/work/MachineView.java
+++ b/src/main/java/org/cicadalead/logic/work/MachineView.java
@@ -60,11 +60,14 @@
         }
     }
 
-    /** Tells whether every step with a promise of availability can spare its tasks on a host now. */
-    public boolean canSpare(String identifier) {
+    /**
+     * Tells whether every step with a promise of availability can spare its tasks on a host now. A host that has not
+     * answered in this term, or not lately, may run anything.
+     */
+    public boolean canSpare(String identifier, long now) {
         WorkHost host = state.hosts.get(identifier);
-        if (host == null) {
-            return true;
+        if (host == null || !host.mayBeUsed(now)) {
+            return identifier.isEmpty();
         }
         Set<WorkStep> steps = new HashSet<>();
         for (WorkRun run : host.runs.values()) {
--- a/src/main/java/org/cicadalead/logic/work/PoolView.java
+++ b/src/main/java/org/cicadalead/logic/work/PoolView.java
@@ -28,10 +28,10 @@
                 Tally tally = tallies.computeIfAbsent(host.entry.service(), unseen -> new Tally());
                 tally.hosts++;
                 tally.cores += host.entry.capacity().milliCores() / MILLI;
-                if (host.runs.isEmpty()) {
+                if (host.runs.isEmpty() && host.mayBeUsed(now)) {
                     idle.add(host.identifier);
                 }
-                disposable.put(host.identifier, runsNothingInTime(host, time.wall()));
+                disposable.put(host.identifier, host.mayBeUsed(now) && runsNothingInTime(host, time.wall()));
             }
         }
         for (WorkJob job : state.jobs.values()) {
--- a/src/main/java/org/cicadalead/logic/work/UpkeepPlanner.java
+++ b/src/main/java/org/cicadalead/logic/work/UpkeepPlanner.java
@@ -133,7 +133,7 @@
             if (!empty && now.monotonic() - closedAt >= CLEARING_MILLISECONDS) {
                 view.clear(machine.host(), now.monotonic());
             }
-            if (!view.canSpare(machine.host())) {
+            if (!view.canSpare(machine.host(), now.monotonic())) {
                 view.evacuateOne(machine.host(), now.monotonic());
             } else if (empty) {
                 progress.asked.put(machine.machine(), now.monotonic());
--- a/src/test/java/org/cicadalead/logic/work/PoolBalancerTest.java
+++ b/src/test/java/org/cicadalead/logic/work/PoolBalancerTest.java
@@ -103,6 +103,17 @@
         assertEquals(8, orders.stream().filter(WorkOrder.Stop.class::isInstance).count());
     }
 
+    @Test
+    void aHostThatHasNotAnsweredInThisTermMayRunAnythingAndStays() {
+        pool(WorkFixtures.BUSY, 1);
+        pool(WorkFixtures.QUIET, 3);
+        balancer.machinesListed(machines);
+        WorkScheduler successor = new WorkScheduler(WorkFixtures.TERMS, 2, EarlierHosts.NONE, 0);
+        successor.hostsListed(hosts, WorkFixtures.at(0));
+        turn(successor, WorkFixtures.BUSY, 20, 100);
+        assertEquals(List.of(), decide(successor, 102));
+    }
+
     @Test
     void aMachineOnItsWayIsNotOrderedAgain() {
         pool(WorkFixtures.BUSY, 1);
--- a/src/test/java/org/cicadalead/logic/work/UpkeepPlannerTest.java
+++ b/src/test/java/org/cicadalead/logic/work/UpkeepPlannerTest.java
@@ -119,6 +119,19 @@
         assertTrue(orders.size() + stops <= 1, orders.size() + " machines and " + stops + " tasks at once");
     }
 
+    @Test
+    void aHostThatHasNotAnsweredInThisTermMayRunAnythingAndStays() {
+        fleet(2);
+        wave(2, 2);
+        WorkScheduler successor = new WorkScheduler(WorkFixtures.TERMS, 2, EarlierHosts.NONE, 0);
+        successor.hostsListed(hosts, WorkFixtures.at(0));
+        assertEquals(List.of(), decide(successor, 10));
+        WorkFixtures.answer(successor, "host-1", 20, List.of(), List.of());
+        assertEquals(
+                List.of("host-1"),
+                decide(successor, 21).stream().map(UpkeepPlanner.Order::host).toList());
+    }
+
     @Test
     void aWaveIsCompletedWhenAllItsMachinesHaveBegun() {
         WorkScheduler scheduler = fleet(1);
