Read the jobs after the fence; take a call without a connection for one that was not sent

Also: appends and starts that found no connection counted as uncertain; they were never sent. Callers of a process whose store refuses connections get a true refusal at once instead of a 504 at the end of their patience.

--- a/src/main/java/org/cicadalead/adapters/work/DecisionLog.java
+++ b/src/main/java/org/cicadalead/adapters/work/DecisionLog.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.atomic.AtomicLong;
 import org.cicadalead.model.event.EventDetail;
 import org.cicadalead.model.event.EventKind;
+import org.cicadalead.model.event.EventSeverity;
 
 /**
  * Writes one line of JSON for each decision. Writing never blocks a decision: lines wait in a bounded queue, and what
@@ -71,8 +72,7 @@
             inSecond = 0;
         }
         inSecond++;
-        return inSecond <= MOST_PER_SECOND
-                || kind.severity().compareTo(org.cicadalead.model.event.EventSeverity.WARNING) >= 0;
+        return inSecond <= MOST_PER_SECOND || kind.severity().compareTo(EventSeverity.WARNING) >= 0;
     }
 
     private static void quote(StringBuilder line, String text) {
--- a/src/main/java/org/cicadalead/adapters/work/SchedulingTerm.java
+++ b/src/main/java/org/cicadalead/adapters/work/SchedulingTerm.java
@@ -96,8 +96,11 @@
     }
 
     void start() {
-        jobs.start();
-        progress.fence().thenRun(this::readProgress);
+        // Read after the fence, the jobs include every one of which an earlier term can have kept progress.
+        progress.fence().thenRun(() -> {
+            jobs.start();
+            readProgress();
+        });
         registry.start();
         rounds = Optional.of(executor.scheduleWithFixedDelay(
                 () -> scheduleRound(0), ROUND_MILLISECONDS, ROUND_MILLISECONDS, TimeUnit.MILLISECONDS));
--- a/src/main/java/org/cicadalead/model/work/StartOutcome.java
+++ b/src/main/java/org/cicadalead/model/work/StartOutcome.java
@@ -14,7 +14,7 @@
     NO_ROOM,
     /** The ticket of the outside policy was missing or not valid. */
     NO_TICKET,
-    /** The host is unhealthy and has done nothing. */
+    /** The host is unhealthy and has done nothing, or could not be connected to. */
     UNHEALTHY,
     /** Another process answers at the host's address. */
     OTHER_HOST,
--- a/src/main/java/org/cicadalead/platform/HostClient.java
+++ b/src/main/java/org/cicadalead/platform/HostClient.java
@@ -57,7 +57,7 @@
             case HttpCalls.CONFLICT -> refusal(reply.json().path("reason").asText());
             case HttpCalls.BAD_REQUEST -> StartOutcome.INVALID;
             case HttpCalls.MISDIRECTED -> StartOutcome.OTHER_HOST;
-            case HttpCalls.TOO_MANY, HttpCalls.UNAVAILABLE -> StartOutcome.UNHEALTHY;
+            case HttpCalls.NOT_SENT, HttpCalls.TOO_MANY, HttpCalls.UNAVAILABLE -> StartOutcome.UNHEALTHY;
             default -> StartOutcome.UNKNOWN;
         };
     }
--- a/src/main/java/org/cicadalead/platform/HttpCalls.java
+++ b/src/main/java/org/cicadalead/platform/HttpCalls.java
@@ -6,17 +6,23 @@
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import com.fasterxml.jackson.databind.node.MissingNode;
 import java.io.IOException;
+import java.net.ConnectException;
 import java.net.URI;
 import java.net.http.HttpClient;
+import java.net.http.HttpConnectTimeoutException;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.time.Duration;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
 
 /** Calls of the platform over HTTP, with JSON bodies where a call has one. Safe for use by several threads. */
 final class HttpCalls {
+    /** In place of a status: there was no connection, so that nothing was sent. */
+    static final int NOT_SENT = 0;
+
     static final int OK = 200;
     static final int BAD_REQUEST = 400;
     static final int CONFLICT = 409;
@@ -49,7 +55,13 @@
         headers.forEach(request::header);
         return client.sendAsync(request.build(), HttpResponse.BodyHandlers.ofByteArray())
                 .thenApply(response -> Optional.of(new Reply(response.statusCode(), response.body())))
-                .exceptionally(unanswered -> Optional.empty());
+                .exceptionally(HttpCalls::unanswered);
+    }
+
+    private static Optional<Reply> unanswered(Throwable failure) {
+        Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
+        boolean connected = !(cause instanceof ConnectException) && !(cause instanceof HttpConnectTimeoutException);
+        return connected ? Optional.empty() : Optional.of(new Reply(NOT_SENT, new byte[0]));
     }
 
     /** Sends a call with a JSON body. */
--- a/src/main/java/org/cicadalead/platform/MachineClient.java
+++ b/src/main/java/org/cicadalead/platform/MachineClient.java
@@ -100,7 +100,7 @@
                     default -> MachineOutcome.BUSY;
                 };
             case HttpCalls.BAD_REQUEST -> MachineOutcome.IMPOSSIBLE;
-            case HttpCalls.TOO_MANY, HttpCalls.UNAVAILABLE -> MachineOutcome.NOT_DONE;
+            case HttpCalls.NOT_SENT, HttpCalls.TOO_MANY, HttpCalls.UNAVAILABLE -> MachineOutcome.NOT_DONE;
             default -> MachineOutcome.UNKNOWN;
         };
     }
--- a/src/main/java/org/cicadalead/platform/StoreClient.java
+++ b/src/main/java/org/cicadalead/platform/StoreClient.java
@@ -85,7 +85,8 @@
                 new Appended(AppendOutcome.STORED, body.path("endOffset").asLong());
             case HttpCalls.PRECONDITION_FAILED ->
                 new Appended(AppendOutcome.CONFLICT, body.path("endOffset").asLong());
-            case HttpCalls.BAD_REQUEST,
+            case HttpCalls.NOT_SENT,
+                    HttpCalls.BAD_REQUEST,
                     HttpCalls.CONFLICT,
                     HttpCalls.TOO_MANY,
                     HttpCalls.UNAVAILABLE,
