--- a/src/main/java/org/cicadalead/adapters/work/JobDesk.java
+++ b/src/main/java/org/cicadalead/adapters/work/JobDesk.java
@@ -26,9 +26,6 @@
  * several threads.
  */
 public final class JobDesk {
-    /** Pause between two attempts of a request. */
-    private static final Duration RETRY = Duration.ofMillis(150);
-
     /** Uncertain jobs that are remembered; at a few hundred a second this covers the repeats of their callers. */
     private static final int MOST_UNCERTAIN = 2_000;
 
@@ -106,12 +103,13 @@
     }
 
     /**
-     * Stores records by this process's own way to the store, or else by the scheduling process's. While an attempt may
-     * still take effect, a refusal would not be true, so the attempts go on until the caller's patience ends.
+     * Stores records by this process's own way to the store, or else by the scheduling process's, and answers as soon
+     * as both have failed, so that the caller can ask another process in time. While an attempt may still take effect,
+     * a refusal would not be true.
      */
     private CompletableFuture<StoreAnswer> store(String job, List<KeyedRecord> batch, Duration patience) {
-        Attempts attempts = new Attempts(job, batch, timers.nanoTime() + patience.toNanos());
-        attempts.next();
+        Attempts attempts = new Attempts(job, batch, patience);
+        attempts.ownWay(JobsFeed.TOPICS.iterator());
         return attempts.answer;
     }
 
@@ -119,16 +117,14 @@
     private final class Attempts {
         private final String job;
         private final List<KeyedRecord> batch;
-        private final long deadline;
         private final CompletableFuture<StoreAnswer> answer = new CompletableFuture<>();
         private volatile boolean uncertain;
 
-        Attempts(String job, List<KeyedRecord> batch, long deadline) {
+        Attempts(String job, List<KeyedRecord> batch, Duration patience) {
             this.job = job;
             this.batch = batch;
-            this.deadline = deadline;
             this.uncertain = uncertainJobs.contains(job);
-            timers.after(Duration.ofNanos(Math.max(0, deadline - timers.nanoTime())), this::giveUp);
+            timers.after(patience, this::giveUp);
         }
 
         private void giveUp() {
@@ -137,12 +133,8 @@
             }
         }
 
-        void next() {
-            ownWay(JobsFeed.TOPICS.iterator());
-        }
-
         /** The same record in two topics is one job, so an attempt without an answer may be repeated in the next. */
-        private void ownWay(Iterator<Topic> topics) {
+        void ownWay(Iterator<Topic> topics) {
             while (topics.hasNext()) {
                 Topic topic = topics.next();
                 if (!store.isOut(topic)) {
@@ -156,7 +148,7 @@
             }
             otherWay(batch).thenAccept(outcome -> {
                 if (!settles(outcome)) {
-                    endOrRepeat();
+                    answer.complete(uncertain ? StoreAnswer.UNCERTAIN : StoreAnswer.REFUSED);
                 }
             });
         }
@@ -174,14 +166,6 @@
             }
             return false;
         }
-
-        private void endOrRepeat() {
-            if (!uncertain) {
-                answer.complete(StoreAnswer.REFUSED);
-            } else if (!answer.isDone() && timers.nanoTime() < deadline) {
-                timers.after(RETRY, this::next);
-            }
-        }
     }
 
     private CompletableFuture<AppendOutcome> otherWay(List<KeyedRecord> batch) {
--- a/src/main/java/org/cicadalead/adapters/work/LeaderElection.java
+++ b/src/main/java/org/cicadalead/adapters/work/LeaderElection.java
@@ -28,13 +28,13 @@
  */
 public final class LeaderElection {
     /** Time between heartbeats of the leader: three fit into the time after which it is taken for lost. */
-    private static final Duration HEARTBEAT = Duration.ofMillis(450);
+    private static final Duration HEARTBEAT = Duration.ofMillis(300);
 
     /** Silence after which another process takes over, with two heartbeats lost and one slow answer. */
-    private static final long SILENCE_MILLISECONDS = 1_600;
+    private static final long SILENCE_MILLISECONDS = 1_200;
 
     /** Wait of a read; short, so that a connection that went silent is noticed before the silence ends. */
-    private static final Duration READ_WAIT = Duration.ofMillis(600);
+    private static final Duration READ_WAIT = Duration.ofMillis(400);
 
     private static final Duration RETRY = Duration.ofMillis(120);
 
@@ -52,6 +52,9 @@
     private volatile Optional<LeaderRecord> newest = Optional.empty();
     private volatile long leadingEpoch;
     private volatile long confirmedAt;
+    /** What the term says until it has read jobs and hosts: whatever the term before said. */
+    private HostsInUse carriedOver = HostsInUse.NONE;
+
     private long nextOffset;
     private long observedAt;
     private boolean synchronizedWithStore;
@@ -133,7 +136,7 @@
     private void lead() throws InterruptedException {
         long sentAt = clock.milliseconds();
         statementWanted.drainPermits();
-        HostsInUse used = listener.hostsInUse();
+        HostsInUse used = listener.hostsInUse(leadingEpoch).orElse(carriedOver);
         Appended appended = append(record(leadingEpoch, false, used));
         switch (appended.outcome()) {
             case STORED -> {
@@ -240,7 +243,8 @@
 
     private void begin(long epoch, Optional<LeaderRecord> before, long sentAt) {
         confirmedAt = sentAt;
-        newest = Optional.of(record(epoch, false, HostsInUse.carriedOver(before)));
+        carriedOver = HostsInUse.carriedOver(before);
+        newest = Optional.of(record(epoch, false, carriedOver));
         leadingEpoch = epoch;
         synchronizedWithStore = true;
         log.emit(
@@ -339,8 +343,8 @@
         /** The term of this process has ended. */
         void deposed();
 
-        /** Returns the hosts that may run something. */
-        HostsInUse hostsInUse();
+        /** Returns the hosts that may run something; empty before a term has read jobs and hosts. */
+        Optional<HostsInUse> hostsInUse(long epoch);
 
         /** A statement on the hosts in use is in the store. */
         void published(HostsInUse stored);
--- a/src/main/java/org/cicadalead/adapters/work/MachineControl.java
+++ b/src/main/java/org/cicadalead/adapters/work/MachineControl.java
@@ -65,7 +65,7 @@
         this.epoch = epoch;
         this.view = scheduler.machineView();
         this.planner = new UpkeepPlanner(terms.maintenance());
-        this.status = new TermAppender(ports.store(), Topic.STATUS, ports.timers(), epoch, ports.superseded());
+        this.status = new TermAppender(ports.store(), List.of(Topic.STATUS), ports.timers(), epoch, ports.superseded());
     }
 
     void round(WorkTime now, boolean mayOrder) {
@@ -84,7 +84,7 @@
             readList(now, IDLE_LIST_PERIOD_MILLISECONDS);
         }
         if (waves) {
-            planner.decide(view, now).forEach(this::sendDown);
+            planner.decide(view, now, balancer.isShort(pools)).forEach(this::sendDown);
             planner.running().forEach(wave -> report(wave, false));
             planner.completed().forEach(wave -> report(wave, true));
         }
--- a/src/main/java/org/cicadalead/adapters/work/OrderDispatch.java
+++ b/src/main/java/org/cicadalead/adapters/work/OrderDispatch.java
@@ -45,10 +45,12 @@
             stop(stop);
         } else if (order instanceof WorkOrder.Pace pace) {
             pace(pace);
+        } else if (order instanceof WorkOrder.AskAdvisor question) {
+            ask(question);
         } else if (order instanceof WorkOrder.Persist persist) {
             persist(persist);
         } else if (order instanceof WorkOrder.Forget forget) {
-            progress.append(
+            progress.appendEverywhere(
                     forget.jobs().stream().map(JobRecords::droppingProgress).toList());
             List<KeyedRecord> dropped = forget.jobs().stream()
                     .flatMap(job -> JobRecords.dropping(job).stream())
@@ -125,6 +127,24 @@
         ports.hosts().pace(targetOf(pace.target()), pace.run(), pace.percentage());
     }
 
+    private void ask(WorkOrder.AskAdvisor question) {
+        long askedAt = term.now().monotonic();
+        ports.advisor()
+                .ask(question.name(), question.hosts())
+                .thenAccept(allowed -> term.enqueue(() -> {
+                    ports.log()
+                            .emit(
+                                    EventKind.ADVICE_TAKEN,
+                                    EventDetail.of("step", question.name()),
+                                    EventDetail.of("asked", question.hosts().size()),
+                                    EventDetail.of(
+                                            "allowed",
+                                            allowed.map(tickets -> Integer.toString(tickets.size()))
+                                                    .orElse("no answer")));
+                    scheduler.advised(question, allowed, askedAt, term.now());
+                }));
+    }
+
     private void persist(WorkOrder.Persist persist) {
         List<KeyedRecord> batch =
                 persist.records().stream().map(records::progress).toList();
--- a/src/main/java/org/cicadalead/adapters/work/SchedulingPorts.java
+++ b/src/main/java/org/cicadalead/adapters/work/SchedulingPorts.java
@@ -1,6 +1,7 @@
 package org.cicadalead.adapters.work;
 
 import java.util.function.LongSupplier;
+import org.cicadalead.ports.Advisor;
 import org.cicadalead.ports.HostOrders;
 import org.cicadalead.ports.MachineOrders;
 import org.cicadalead.ports.RecordStore;
@@ -12,6 +13,7 @@
  * @param store the platform's store
  * @param hosts orders to hosts
  * @param machines orders for machines
+ * @param advisor the outside policy on hosts
  * @param registry reads the registry of hosts and writes what operators read
  * @param operator what the operator has written
  * @param timers time
@@ -25,6 +27,7 @@
         RecordStore store,
         HostOrders hosts,
         MachineOrders machines,
+        Advisor advisor,
         RegistryFormat registry,
         OperatorFeed operator,
         TimerService timers,
--- a/src/main/java/org/cicadalead/adapters/work/SchedulingService.java
+++ b/src/main/java/org/cicadalead/adapters/work/SchedulingService.java
@@ -29,7 +29,7 @@
     private final SchedulingPorts ports;
     private final SchedulingTerms terms;
     private final AtomicReference<Optional<SchedulingTerm>> current = new AtomicReference<>(Optional.empty());
-    private volatile HostsInUse hostsInUse = HostsInUse.NONE;
+    private volatile Stated stated = new Stated(0, HostsInUse.NONE);
 
     /** Creates a service; nothing happens before a term. */
     public SchedulingService(SchedulingPorts ports, SchedulingTerms terms) {
@@ -41,8 +41,8 @@
     public void elected(long epoch, Optional<LeaderRecord> before) {
         executor.execute(() -> {
             endTerm();
-            hostsInUse = HostsInUse.carriedOver(before);
-            SchedulingTerm term = new SchedulingTerm(ports, executor, terms, epoch, before, used -> hostsInUse = used);
+            SchedulingTerm term =
+                    new SchedulingTerm(ports, executor, terms, epoch, before, used -> stated = new Stated(epoch, used));
             current.set(Optional.of(term));
             term.start();
         });
@@ -54,8 +54,9 @@
     }
 
     @Override
-    public HostsInUse hostsInUse() {
-        return hostsInUse;
+    public Optional<HostsInUse> hostsInUse(long epoch) {
+        Stated newest = stated;
+        return newest.epoch() == epoch ? Optional.of(newest.hostsInUse()) : Optional.empty();
     }
 
     @Override
@@ -70,7 +71,6 @@
                         Optional<HostsInUse> used = current.getAndSet(Optional.empty())
                                 .filter(SchedulingTerm::hasBegun)
                                 .map(SchedulingTerm::resign);
-                        hostsInUse = HostsInUse.NONE;
                         return used;
                     })
                     .get(ASK_LIMIT.toMillis(), TimeUnit.MILLISECONDS);
@@ -102,7 +102,6 @@
 
     private void endTerm() {
         current.getAndSet(Optional.empty()).ifPresent(SchedulingTerm::close);
-        hostsInUse = HostsInUse.NONE;
     }
 
     @Override
@@ -110,6 +109,9 @@
         executor.shutdownNow();
     }
 
+    /** What a term says of the hosts in use. */
+    private record Stated(long epoch, HostsInUse hostsInUse) {}
+
     private static Thread thread(Runnable runnable) {
         Thread thread = new Thread(runnable, "scheduler");
         thread.setDaemon(true);
--- a/src/main/java/org/cicadalead/adapters/work/SchedulingTerm.java
+++ b/src/main/java/org/cicadalead/adapters/work/SchedulingTerm.java
@@ -4,15 +4,18 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import java.util.stream.Stream;
 import org.cicadalead.logic.work.EarlierHosts;
 import org.cicadalead.logic.work.HostsInUse;
 import org.cicadalead.logic.work.SchedulingTerms;
@@ -24,7 +27,9 @@
 import org.cicadalead.model.work.HostEntry;
 import org.cicadalead.model.work.LeaderRecord;
 import org.cicadalead.model.work.WaveProgress;
+import org.cicadalead.model.work.WorkProgress;
 import org.cicadalead.ports.RecordStore.KeyedRecord;
+import org.cicadalead.ports.RecordStore.Snapshot;
 import org.cicadalead.ports.RecordStore.Topic;
 
 /**
@@ -33,6 +38,9 @@
  * answers.
  */
 final class SchedulingTerm {
+    /** Where progress is stored; a job's record may be in each, and the highest version counts. */
+    private static final List<Topic> PROGRESS_TOPICS = List.of(Topic.PROGRESS, Topic.SPARE_PROGRESS);
+
     /** Reads of the registry; a host that drains must get no work two seconds later. */
     private static final Duration REGISTRY_PERIOD = Duration.ofMillis(250);
 
@@ -84,7 +92,7 @@
         this.before = before;
         this.hostsInUseListener = hostsInUseListener;
         this.records = new JobRecords(ports.codec());
-        this.progress = new TermAppender(ports.store(), Topic.PROGRESS, ports.timers(), epoch, ports.superseded());
+        this.progress = new TermAppender(ports.store(), PROGRESS_TOPICS, ports.timers(), epoch, ports.superseded());
         this.jobs = new JobsFeed(ports.store(), ports.timers(), new JobsListener());
         this.registry = new TopicFollower(
                 ports.store(), Topic.HOSTS, ports.timers(), Duration.ZERO, REGISTRY_PERIOD, new RegistryListener());
@@ -106,11 +114,16 @@
      * an earlier term can be written any more.
      */
     private void readProgress() {
-        ports.store()
-                .snapshot(Topic.PROGRESS)
-                .thenAccept(snapshot -> enqueue(() -> {
-                    if (snapshot.complete()) {
-                        loadedProgress = Optional.of(snapshot.records());
+        List<CompletableFuture<Snapshot>> reading =
+                PROGRESS_TOPICS.stream().map(ports.store()::snapshot).toList();
+        CompletableFuture.allOf(reading.toArray(CompletableFuture<?>[]::new))
+                .thenRun(() -> enqueue(() -> {
+                    List<Snapshot> read =
+                            reading.stream().map(CompletableFuture::join).toList();
+                    if (read.stream().allMatch(Snapshot::complete)) {
+                        loadedProgress = Optional.of(read.stream()
+                                .flatMap(snapshot -> snapshot.records().stream())
+                                .toList());
                         beginWhenLoaded();
                     } else {
                         executor.schedule(() -> enqueue(this::readProgress), RETRY_MILLISECONDS, TimeUnit.MILLISECONDS);
@@ -239,14 +252,20 @@
         for (KeyedRecord entry : stored) {
             records.readSubmission(entry).ifPresent(submission -> target.submitted(submission, now));
         }
-        for (KeyedRecord entry : progressRecords) {
-            records.readProgress(entry).ifPresent(kept -> target.restored(kept, now));
-        }
+        newestOfEachJob(progressRecords.stream().flatMap(entry -> records.readProgress(entry).stream()))
+                .forEach(kept -> target.restored(kept, now));
         for (KeyedRecord entry : stored) {
             JobRecords.readCancellation(entry).ifPresent(job -> target.cancelled(job, now));
         }
     }
 
+    static List<WorkProgress> newestOfEachJob(Stream<WorkProgress> records) {
+        Map<String, WorkProgress> newest = new LinkedHashMap<>();
+        records.forEach(
+                kept -> newest.merge(kept.job(), kept, (one, other) -> one.version() >= other.version() ? one : other));
+        return List.copyOf(newest.values());
+    }
+
     private void takeNewJobs(List<KeyedRecord> stored) {
         if (scheduler.isEmpty()) {
             List<KeyedRecord> all = new ArrayList<>(loadedJobs.orElse(List.of()));
--- a/src/main/java/org/cicadalead/adapters/work/TermAppender.java
+++ b/src/main/java/org/cicadalead/adapters/work/TermAppender.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
@@ -11,51 +12,67 @@
 import org.cicadalead.ports.RecordStore.Topic;
 import org.cicadalead.ports.RecordStore.WriterPosition;
 import org.cicadalead.ports.TimerService;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Appends records for one term. The first append only makes the term known to the store, so that nothing of an earlier
- * term is written any more, however late; what is read after that is complete. One append is on its way at a time, and
- * is repeated until the store has it or knows a later term. Safe for use by several threads.
+ * term is written any more, however late; what is read after that is complete. Where there are several topics, a batch
+ * goes to the first that is free, and also to the next one when it gets no answer there: records of one key may then be
+ * in both, in any order. One append is on its way a topic, and is repeated there until the store has it or knows a
+ * later term. Safe for use by several threads.
  */
 final class TermAppender {
     private static final Duration RETRY = Duration.ofMillis(150);
 
     private final RecordStore store;
-    private final Topic topic;
     private final TimerService timers;
     private final long epoch;
     private final Runnable superseded;
+    private final List<Lane> lanes = new ArrayList<>();
     private final Deque<Batch> waiting = new ArrayDeque<>();
-    private long sequence;
-    private boolean inFlight;
     private volatile boolean closed;
 
     /**
      * Creates an appender.
      *
+     * @param topics where records go, in the order in which topics are tried
      * @param superseded called when the store knows a later term
      */
-    TermAppender(RecordStore store, Topic topic, TimerService timers, long epoch, Runnable superseded) {
+    TermAppender(RecordStore store, List<Topic> topics, TimerService timers, long epoch, Runnable superseded) {
         this.store = store;
-        this.topic = topic;
         this.timers = timers;
         this.epoch = epoch;
         this.superseded = superseded;
+        topics.forEach(topic -> lanes.add(new Lane(topic)));
     }
 
     /** Makes the term known; completes when nothing of an earlier term can be written any more. */
     CompletableFuture<Void> fence() {
-        return append(List.of());
+        return appendEverywhere(List.of());
     }
 
     /** Appends records; completes when they are stored, and never if a later term is known. */
     CompletableFuture<Void> append(List<KeyedRecord> records) {
-        Batch batch = new Batch(List.copyOf(records), new CompletableFuture<>());
+        Batch batch = new Batch(records, lanes.size() > 1);
         synchronized (this) {
             waiting.add(batch);
         }
         sendNext();
-        return batch.stored();
+        return batch.stored;
+    }
+
+    /** Appends records to every topic; completes when all have them. */
+    CompletableFuture<Void> appendEverywhere(List<KeyedRecord> records) {
+        List<CompletableFuture<Void>> all = new ArrayList<>();
+        for (Lane lane : lanes) {
+            Batch batch = new Batch(records, false);
+            synchronized (this) {
+                lane.waiting.add(batch);
+            }
+            all.add(batch.stored);
+        }
+        sendNext();
+        return CompletableFuture.allOf(all.toArray(CompletableFuture<?>[]::new));
     }
 
     void close() {
@@ -63,33 +80,36 @@
     }
 
     private void sendNext() {
-        Batch batch;
-        synchronized (this) {
-            batch = waiting.peek();
-            if (inFlight || batch == null) {
-                return;
+        for (Lane lane : lanes) {
+            Batch next;
+            synchronized (this) {
+                if (lane.inFlight != null) {
+                    continue;
+                }
+                next = lane.waiting.isEmpty() ? waiting.poll() : lane.waiting.poll();
+                lane.inFlight = next;
+            }
+            if (next != null) {
+                send(lane, next);
             }
-            inFlight = true;
         }
-        send(batch);
     }
 
-    private void send(Batch batch) {
+    private void send(Lane lane, Batch batch) {
         if (!closed) {
-            store.appendAs(topic, batch.records(), new WriterPosition(epoch, sequence))
-                    .thenAccept(appended -> answered(batch, appended));
+            store.appendAs(lane.topic, batch.records, new WriterPosition(epoch, lane.sequence))
+                    .thenAccept(appended -> answered(lane, batch, appended));
         }
     }
 
-    private void answered(Batch batch, Appended appended) {
+    private void answered(Lane lane, Batch batch, Appended appended) {
         switch (appended.outcome()) {
             case STORED -> {
                 synchronized (this) {
-                    waiting.remove();
-                    sequence++;
-                    inFlight = false;
+                    lane.sequence++;
+                    lane.inFlight = null;
                 }
-                batch.stored().complete(null);
+                batch.stored.complete(null);
                 sendNext();
             }
             case FENCED -> {
@@ -98,13 +118,51 @@
             }
             case OUT_OF_SEQUENCE -> {
                 synchronized (this) {
-                    sequence = appended.endOffset();
+                    lane.sequence = appended.endOffset();
                 }
-                timers.after(RETRY, () -> send(batch));
+                timers.after(RETRY, () -> send(lane, batch));
+            }
+            default -> {
+                offerToOthers(batch);
+                timers.after(RETRY, () -> send(lane, batch));
             }
-            default -> timers.after(RETRY, () -> send(batch));
         }
     }
 
-    private record Batch(List<KeyedRecord> records, CompletableFuture<Void> stored) {}
+    /** The topic may be silent for long, so another one gets the batch as well, once. */
+    private void offerToOthers(Batch batch) {
+        synchronized (this) {
+            if (!batch.mayGoElsewhere) {
+                return;
+            }
+            batch.mayGoElsewhere = false;
+            waiting.addFirst(batch);
+        }
+        sendNext();
+    }
+
+    /** A topic with its own sequence. Guarded by the appender. */
+    private static final class Lane {
+        private final Topic topic;
+        private final Deque<Batch> waiting = new ArrayDeque<>();
+        private volatile long sequence;
+
+        private @Nullable Batch inFlight;
+
+        Lane(Topic topic) {
+            this.topic = topic;
+        }
+    }
+
+    /** Records that are stored together. */
+    private static final class Batch {
+        private final List<KeyedRecord> records;
+        private final CompletableFuture<Void> stored = new CompletableFuture<>();
+        private boolean mayGoElsewhere;
+
+        Batch(List<KeyedRecord> records, boolean mayGoElsewhere) {
+            this.records = List.copyOf(records);
+            this.mayGoElsewhere = mayGoElsewhere;
+        }
+    }
 }
--- a/src/main/java/org/cicadalead/adapters/work/WatchedStore.java
+++ b/src/main/java/org/cicadalead/adapters/work/WatchedStore.java
@@ -18,6 +18,9 @@
     /** Calls in a row without an answer that show an outage; a single one may be a lost answer. */
     private static final int FAILURES_OF_AN_OUTAGE = 2;
 
+    /** The same for one topic: there is another one for most purposes, so that a switch in vain costs nothing. */
+    private static final int FAILURES_OF_A_TOPIC = 1;
+
     /** Time after the last failure for which the store counts as out; reads go on and show its return earlier. */
     private static final long OUTAGE_MILLISECONDS = 2_500;
 
@@ -33,7 +36,7 @@
         this.store = store;
         this.timers = timers;
         for (Topic topic : Topic.values()) {
-            topics.put(topic, new PathHealth(FAILURES_OF_AN_OUTAGE, OUTAGE_MILLISECONDS));
+            topics.put(topic, new PathHealth(FAILURES_OF_A_TOPIC, OUTAGE_MILLISECONDS));
         }
     }
 
--- a/src/main/java/org/cicadalead/logic/work/PoolBalancer.java
+++ b/src/main/java/org/cicadalead/logic/work/PoolBalancer.java
@@ -94,6 +94,13 @@
         return moves;
     }
 
+    /** Tells whether a pool waits for machines, beyond those that are on their way to it. */
+    public boolean isShort(PoolView pools) {
+        return pools.demands().stream()
+                .anyMatch(demand ->
+                        !pools.isStandby(demand.service()) && hostsMissing(demand, arriving(demand.service())) > 0);
+    }
+
     private static double neededCores(PoolView.Demand demand) {
         return (demand.steadyCores() + demand.dueCores()) / USABLE_SHARE;
     }
--- a/src/main/java/org/cicadalead/logic/work/ProgressBatches.java
+++ b/src/main/java/org/cicadalead/logic/work/ProgressBatches.java
@@ -19,6 +19,9 @@
     /** Least time between two batches: calls to the store cost, and an end waits half of this on average. */
     private static final long GATHER_MILLISECONDS = 50;
 
+    /** Versions of one term lie below those of the next: at the least time between batches, a term of 600 days. */
+    private static final long MOST_BATCHES_OF_A_TERM = 1L << 30;
+
     private final WorkState state;
     private long lastBatchAt = Long.MIN_VALUE / 2;
     private long lastBatch;
@@ -46,12 +49,13 @@
                 covered.put(host, new Covered(host.bornMilliseconds, host.highestEnd));
             }
         }
+        long version = state.epoch * MOST_BATCHES_OF_A_TERM + lastBatch;
         List<WorkProgress> records = new ArrayList<>();
         for (WorkJob job : state.jobs.values()) {
             if (job.dirty) {
                 job.dirty = false;
                 written.put(job, job.phase);
-                records.add(job.progress());
+                records.add(job.progress(version));
             }
         }
         if (records.isEmpty()) {
--- a/src/main/java/org/cicadalead/logic/work/RunLedger.java
+++ b/src/main/java/org/cicadalead/logic/work/RunLedger.java
@@ -199,6 +199,12 @@
     private void refused(WorkHost host, WorkRun run, StartOutcome outcome, long now) {
         drop(run);
         switch (outcome) {
+            case NO_TICKET -> {
+                StepTickets tickets = run.task.step.tickets;
+                if (tickets != null) {
+                    tickets.rejected(host.identifier);
+                }
+            }
             case NO_ROOM -> host.closeUntil(now + REFUSED_FOR_ROOM_PAUSE_MILLISECONDS);
             case UNHEALTHY, OTHER_HOST, INVALID -> {
                 host.countFailure(now);
--- a/src/main/java/org/cicadalead/logic/work/TaskPlacement.java
+++ b/src/main/java/org/cicadalead/logic/work/TaskPlacement.java
@@ -13,6 +13,9 @@
 
 /** Gives the room of each service to its waiting tasks. For use by one thread. */
 final class TaskPlacement {
+    /** Questions to the outside policy at a time; it refuses more than 32, and takes them one after the other. */
+    private static final int MOST_QUESTIONS = 16;
+
     private final WorkState state;
     private final RunLedger ledger;
     private final TakeoverGate gate;
@@ -57,6 +60,7 @@
         }
         for (WorkJob job : WorkOrdering.order(jobs, now.wall())) {
             for (WorkStep step : job.openSteps()) {
+                askForTickets(step, choice, orders, now.monotonic());
                 if (step.specification.gang()) {
                     placeGang(step, choice, orders, now.monotonic());
                 } else {
@@ -71,10 +75,10 @@
             if (!task.isWaiting()) {
                 continue;
             }
-            WorkHost host = choice.find(task, hostsFor(step, choice));
+            WorkHost host = choice.find(task, permitted(step, hostsFor(step, choice), now.monotonic()));
             if (host == null) {
                 if (step.specification.longRunning()) {
-                    Preemption.makeRoom(task, choice.hosts(), now);
+                    Preemption.makeRoom(task, permitted(step, choice.hosts(), now.monotonic()), now);
                 }
                 return;
             }
@@ -96,6 +100,30 @@
         return job.statedIn <= state.publishedGeneration;
     }
 
+    /** Asks the outside policy about all hosts that it has not been asked about, in good time for the whole step. */
+    private void askForTickets(WorkStep step, HostChoice choice, List<WorkOrder> orders, long now) {
+        if (step.tickets == null
+                || state.openQuestions >= MOST_QUESTIONS
+                || step.tasks.stream().noneMatch(WorkTask::isWaiting)) {
+            return;
+        }
+        List<String> question = step.tickets.nextQuestion(choice.hosts(), now);
+        if (!question.isEmpty()) {
+            state.openQuestions++;
+            orders.add(new WorkOrder.AskAdvisor(step.job.identifier(), step.occurrence, step.number, question));
+        }
+    }
+
+    /** Returns hosts that a step may run on, by the outside policy. */
+    private static Collection<WorkHost> permitted(WorkStep step, Collection<WorkHost> hosts, long now) {
+        StepTickets tickets = step.tickets;
+        return tickets == null
+                ? hosts
+                : hosts.stream()
+                        .filter(host -> tickets.ticketFor(host.identifier, now).isPresent())
+                        .toList();
+    }
+
     /** Keeps a step that needs one rack on the rack where it has begun. */
     private static Collection<WorkHost> hostsFor(WorkStep step, HostChoice choice) {
         if (!step.specification.sameRack()) {
@@ -122,10 +150,10 @@
         Map<WorkTask, WorkHost> places = null;
         if (step.specification.sameRack()) {
             for (List<WorkHost> rack : choice.racks()) {
-                places = places == null ? tryGang(step, choice, rack) : places;
+                places = places == null ? tryGang(step, choice, permitted(step, rack, now)) : places;
             }
         }
-        places = places == null ? tryGang(step, choice, choice.hosts()) : places;
+        places = places == null ? tryGang(step, choice, permitted(step, choice.hosts(), now)) : places;
         if (places == null || !isStated(step.job)) {
             return;
         }
@@ -172,6 +200,6 @@
                 task.step.job.submission.payload(),
                 host.extendLease(now, state.terms.lease()),
                 task.checkpoint,
-                Optional.empty()));
+                Optional.ofNullable(task.step.tickets).flatMap(tickets -> tickets.ticketFor(host.identifier, now))));
     }
 }
--- a/src/main/java/org/cicadalead/logic/work/UpkeepPlanner.java
+++ b/src/main/java/org/cicadalead/logic/work/UpkeepPlanner.java
@@ -92,21 +92,27 @@
         }
     }
 
-    /** Returns the orders that are due. */
-    public List<Order> decide(MachineView view, WorkTime now) {
+    /**
+     * Returns the orders that are due.
+     *
+     * @param machinesAreShort whether a pool waits for machines; then idle ones are left to it, as far as the wave is
+     *     in time
+     */
+    public List<Order> decide(MachineView view, WorkTime now, boolean machinesAreShort) {
         List<Order> orders = new ArrayList<>();
         if (listedAt == Long.MIN_VALUE) {
             return orders;
         }
         for (Progress progress : waves.values()) {
             if (!progress.reported) {
-                decide(progress, view, orders, now);
+                decide(progress, view, orders, now, machinesAreShort);
             }
         }
         return orders;
     }
 
-    private void decide(Progress progress, MachineView view, List<Order> orders, WorkTime now) {
+    private void decide(
+            Progress progress, MachineView view, List<Order> orders, WorkTime now, boolean machinesAreShort) {
         progress.finishMissing(machines);
         progress.down
                 .values()
@@ -120,26 +126,34 @@
                 return;
             }
             boolean closed = progress.closedAt.containsKey(machine.machine());
-            boolean idle = view.unfinished(machine.host()) == 0 && view.lastingRuns(machine.host()) == 0;
-            boolean turn = idle || open.getOrDefault(machine.pool(), 1) > 0;
-            if (!closed && !turn) {
+            boolean takesNoTurn = !machinesAreShort && isIdle(machine, view);
+            if (!closed && !takesNoTurn && open.getOrDefault(machine.pool(), 1) <= 0) {
                 continue;
             }
             room--;
-            open.merge(machine.pool(), idle ? 0 : -1, Integer::sum);
-            long closedAt = progress.closedAt.computeIfAbsent(machine.machine(), unseen -> now.monotonic());
-            view.cordon(machine.host(), true);
-            boolean empty = view.unfinished(machine.host()) == 0;
-            if (!empty && now.monotonic() - closedAt >= CLEARING_MILLISECONDS) {
-                view.clear(machine.host(), now.monotonic());
-            }
-            if (!view.canSpare(machine.host(), now.monotonic())) {
-                view.evacuateOne(machine.host(), now.monotonic());
-            } else if (empty) {
-                progress.asked.put(machine.machine(), now.monotonic());
-                view.leaving(machine.host(), true);
-                orders.add(new Order(progress.wave.number(), machine.machine(), machine.host()));
-            }
+            open.merge(machine.pool(), takesNoTurn ? 0 : -1, Integer::sum);
+            empty(progress, machine, view, orders, now.monotonic());
+        }
+    }
+
+    private static boolean isIdle(MachineEntry machine, MachineView view) {
+        return view.unfinished(machine.host()) == 0 && view.lastingRuns(machine.host()) == 0;
+    }
+
+    /** Closes a machine, and sends it down once nothing is lost with it. */
+    private static void empty(Progress progress, MachineEntry machine, MachineView view, List<Order> orders, long now) {
+        long closedAt = progress.closedAt.computeIfAbsent(machine.machine(), unseen -> now);
+        view.cordon(machine.host(), true);
+        boolean empty = view.unfinished(machine.host()) == 0;
+        if (!empty && now - closedAt >= CLEARING_MILLISECONDS) {
+            view.clear(machine.host(), now);
+        }
+        if (!view.canSpare(machine.host(), now)) {
+            view.evacuateOne(machine.host(), now);
+        } else if (empty) {
+            progress.asked.put(machine.machine(), now);
+            view.leaving(machine.host(), true);
+            orders.add(new Order(progress.wave.number(), machine.machine(), machine.host()));
         }
     }
 
--- a/src/main/java/org/cicadalead/logic/work/WorkJob.java
+++ b/src/main/java/org/cicadalead/logic/work/WorkJob.java
@@ -97,17 +97,14 @@
         return finishedOccurrences == submission.occurrences();
     }
 
-    boolean hasStarted() {
-        return phase != WorkPhase.QUEUED;
+    @Nullable WorkStep step(int occurrence, int number) {
+        List<WorkStep> steps = occurrences.get(occurrence);
+        return steps == null || number < 0 || number >= steps.size() ? null : steps.get(number);
     }
 
     @Nullable WorkTask find(int occurrence, int step, int index) {
-        List<WorkStep> steps = occurrences.get(occurrence);
-        if (steps == null || step < 0 || step >= steps.size()) {
-            return null;
-        }
-        List<WorkTask> tasks = steps.get(step).tasks;
-        return index < 0 || index >= tasks.size() ? null : tasks.get(index);
+        WorkStep found = step(occurrence, step);
+        return found == null || index < 0 || index >= found.tasks.size() ? null : found.tasks.get(index);
     }
 
     List<WorkStep> allSteps() {
@@ -164,7 +161,7 @@
     }
 
     /** Returns what a successor needs to know. */
-    WorkProgress progress() {
+    WorkProgress progress(long version) {
         Map<String, List<Integer>> done = new HashMap<>();
         Map<String, List<Long>> failedAttempts = new HashMap<>();
         Map<String, Long> attempts = new HashMap<>();
@@ -191,7 +188,7 @@
                 done.put(step.text(), finished);
             }
         }
-        return new WorkProgress(identifier(), phase, done, failedAttempts, attempts, checkpoints);
+        return new WorkProgress(identifier(), version, phase, done, failedAttempts, attempts, checkpoints);
     }
 
     /** Takes over what an earlier term kept. */
--- a/src/main/java/org/cicadalead/logic/work/WorkOrder.java
+++ b/src/main/java/org/cicadalead/logic/work/WorkOrder.java
@@ -49,10 +49,17 @@
     /**
      * Asks the outside policy which hosts may run a step.
      *
-     * @param step the step in text form
+     * @param job the job
+     * @param occurrence number of its occurrence
+     * @param step number of the step
      * @param hosts identifiers of hosts
      */
-    record AskAdvisor(String step, List<String> hosts) implements WorkOrder {}
+    record AskAdvisor(String job, int occurrence, int step, List<String> hosts) implements WorkOrder {
+        /** Returns the step in text form. */
+        public String name() {
+            return job + "." + occurrence + "." + step;
+        }
+    }
 
     /**
      * Removes jobs that ended long ago from the store.
--- a/src/main/java/org/cicadalead/logic/work/WorkScheduler.java
+++ b/src/main/java/org/cicadalead/logic/work/WorkScheduler.java
@@ -209,6 +209,22 @@
         }
     }
 
+    /**
+     * Takes the answer of the outside policy.
+     *
+     * @param allowed tickets by host; empty where no answer came
+     * @param askedAt when it was asked on the monotonic clock
+     */
+    public void advised(
+            WorkOrder.AskAdvisor question, Optional<Map<String, String>> allowed, long askedAt, WorkTime now) {
+        state.openQuestions--;
+        WorkJob job = state.jobs.get(question.job());
+        WorkStep step = job == null ? null : job.step(question.occurrence(), question.step());
+        if (step != null && step.tickets != null) {
+            step.tickets.answered(question.hosts(), allowed, askedAt, now.monotonic());
+        }
+    }
+
     /** Takes whether a batch of progress is in the store. */
     public void persisted(long batch, boolean stored) {
         batches.answered(batch, stored);
--- a/src/main/java/org/cicadalead/logic/work/WorkState.java
+++ b/src/main/java/org/cicadalead/logic/work/WorkState.java
@@ -19,6 +19,9 @@
     final Map<String, WorkJob> jobs = new LinkedHashMap<>();
     final Map<String, WorkHost> hosts = new HashMap<>();
     final ArrivalRates arrivals = new ArrivalRates();
+    /** Questions to the outside policy that are not answered. */
+    int openQuestions;
+
     /** The newest statement on started jobs that is in the store. */
     long publishedGeneration;
 
--- a/src/main/java/org/cicadalead/logic/work/WorkStep.java
+++ b/src/main/java/org/cicadalead/logic/work/WorkStep.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import org.cicadalead.model.work.StepSpecification;
 import org.cicadalead.model.work.TaskKey;
+import org.jspecify.annotations.Nullable;
 
 /** One step of one occurrence of a job. For use by one thread. */
 final class WorkStep {
@@ -12,6 +13,9 @@
     final int occurrence;
     final int number;
     final List<WorkTask> tasks = new ArrayList<>();
+    /** Permissions of the outside policy; null where the queue has none. */
+    final @Nullable StepTickets tickets;
+
     private int done;
 
     WorkStep(WorkJob job, StepSpecification specification, int occurrence, int number) {
@@ -19,6 +23,7 @@
         this.specification = specification;
         this.occurrence = occurrence;
         this.number = number;
+        this.tickets = job.submission.terms().advisor().map(StepTickets::new).orElse(null);
         for (int index = 0; index < specification.taskCount(); index++) {
             tasks.add(new WorkTask(new TaskKey(job.identifier(), occurrence, number, index), this));
         }
--- a/src/main/java/org/cicadalead/model/event/EventKind.java
+++ b/src/main/java/org/cicadalead/model/event/EventKind.java
@@ -196,6 +196,8 @@
     HOST_SILENT(8025, EventSeverity.WARNING, "A host does not answer"),
     /** A host answers again, or for the first time. */
     HOST_ANSWERING(8026, EventSeverity.INFORMATION, "A host answers again, or for the first time"),
+    /** The outside policy was asked which hosts may run a step. */
+    ADVICE_TAKEN(8027, EventSeverity.INFORMATION, "The outside policy was asked which hosts may run a step"),
     /** A machine was ordered to change. */
     MACHINE_ORDERED(8030, EventSeverity.INFORMATION, "A machine was ordered to change"),
     /** All machines of a maintenance wave have begun their maintenance. */
--- a/src/main/java/org/cicadalead/model/work/WorkProgress.java
+++ b/src/main/java/org/cicadalead/model/work/WorkProgress.java
@@ -7,6 +7,7 @@
  * What is kept of a job beside its submission: only what a successor cannot learn from the hosts. Immutable.
  *
  * @param job the job
+ * @param version rises with each record of the job, over all terms
  * @param phase how far it is
  * @param done tasks that have finished, by step in text form
  * @param failedAttempts numbers of failed runs by task in text form
@@ -15,6 +16,7 @@
  */
 public record WorkProgress(
         String job,
+        long version,
         WorkPhase phase,
         Map<String, List<Integer>> done,
         Map<String, List<Long>> failedAttempts,
--- /dev/null
+++ b/src/main/java/org/cicadalead/platform/AdvisorClient.java
@@ -0,0 +1,50 @@
+package org.cicadalead.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.cicadalead.ports.Advisor;
+
+/** The platform's policy service. Safe for use by several threads. */
+final class AdvisorClient implements Advisor {
+    /** Longest wait for an answer: the service takes one question at a time, and up to 32 may be before this one. */
+    private static final Duration LIMIT = Duration.ofSeconds(3);
+
+    private final HttpCalls calls;
+    private final String address;
+
+    /** Creates a client; with an empty address, no question is ever answered. */
+    AdvisorClient(HttpCalls calls, String address) {
+        this.calls = calls;
+        this.address = address;
+    }
+
+    @Override
+    public CompletableFuture<Optional<Map<String, String>>> ask(String step, List<String> hosts) {
+        if (address.isEmpty()) {
+            return CompletableFuture.completedFuture(Optional.empty());
+        }
+        ObjectNode body = HttpCalls.JSON.createObjectNode();
+        body.put("stepId", step);
+        hosts.forEach(body.putArray("workers")::add);
+        return calls.post(address, "/v1/advise", body, Map.of("Content-Type", "application/json"), LIMIT)
+                .thenApply(reply ->
+                        reply.filter(answer -> answer.status() == HttpCalls.OK).map(answer -> tickets(answer.json())));
+    }
+
+    /** Rows of host and ticket. */
+    private static Map<String, String> tickets(JsonNode body) {
+        Map<String, String> tickets = new HashMap<>();
+        for (JsonNode row : body.path("allowed")) {
+            if (row.isArray() && row.size() >= 2) {
+                tickets.put(row.get(0).asText(), row.get(1).asText());
+            }
+        }
+        return tickets;
+    }
+}
--- a/src/main/java/org/cicadalead/platform/JobServer.java
+++ b/src/main/java/org/cicadalead/platform/JobServer.java
@@ -39,7 +39,10 @@
     private static final long DEFAULT_PATIENCE_MILLISECONDS = 3_000;
 
     /** Time for an answer to reach its caller: twice the way between a caller and an entry host, and a round here. */
-    private static final long ANSWER_WAY_MILLISECONDS = 150;
+    private static final long ANSWER_WAY_MILLISECONDS = 50;
+
+    /** Share of a short patience that is used: a store that is well answers within a few milliseconds (a ratio). */
+    private static final double LEAST_SHARE_OF_PATIENCE = 0.6;
 
     private final HttpServer server;
     private final JobDesk desk;
@@ -133,7 +136,8 @@
         } catch (NumberFormatException malformed) {
             // The queue's own limit holds.
         }
-        return Duration.ofMillis(Math.max(0, limit - ANSWER_WAY_MILLISECONDS));
+        return Duration.ofMillis(
+                Math.max(Math.round(limit * LEAST_SHARE_OF_PATIENCE), limit - ANSWER_WAY_MILLISECONDS));
     }
 
     private static String authorityOf(HttpExchange exchange) {
--- a/src/main/java/org/cicadalead/platform/PlatformEntry.java
+++ b/src/main/java/org/cicadalead/platform/PlatformEntry.java
@@ -108,6 +108,7 @@
                 store,
                 new HostClient(calls),
                 new MachineClient(calls, settings.machinesAddress(), settings.nodeName()),
+                new AdvisorClient(calls, settings.advisorAddress()),
                 records,
                 operator,
                 timers,
--- a/src/main/java/org/cicadalead/platform/StoreClient.java
+++ b/src/main/java/org/cicadalead/platform/StoreClient.java
@@ -199,6 +199,7 @@
             case JOBS -> "keyed.jobs";
             case SPARE_JOBS -> "keyed.jobs-spare";
             case PROGRESS -> "keyed.progress";
+            case SPARE_PROGRESS -> "keyed.progress-spare";
             case LEADER -> "keyed.leader";
             case OPERATOR -> "keyed.op";
             case HOSTS -> "keyed.servers";
--- a/src/main/java/org/cicadalead/ports/RecordStore.java
+++ b/src/main/java/org/cicadalead/ports/RecordStore.java
@@ -38,6 +38,8 @@
         SPARE_JOBS,
         /** What the scheduling process keeps of the jobs. */
         PROGRESS,
+        /** The same, used while {@link #PROGRESS} does not answer. */
+        SPARE_PROGRESS,
         /** The process that schedules. */
         LEADER,
         /** What operators write: the configuration and maintenance waves. */
--- a/src/test/java/org/cicadalead/adapters/work/JobDeskTest.java
+++ b/src/test/java/org/cicadalead/adapters/work/JobDeskTest.java
@@ -10,6 +10,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import org.cicadalead.adapters.work.JobDesk.StoreAnswer;
 import org.cicadalead.logic.work.HostsInUse;
 import org.cicadalead.logic.work.SchedulingTerms;
@@ -63,7 +64,9 @@
                 0,
                 0,
                 0);
-        return desk.submit(submission, PATIENCE).getNow(StoreAnswer.UNCERTAIN);
+        CompletableFuture<StoreAnswer> answer = desk.submit(submission, PATIENCE);
+        assertTrue(answer.isDone(), "no answer is held back");
+        return answer.join();
     }
 
     private int stored(Topic topic) {
@@ -114,8 +117,8 @@
         public void deposed() {}
 
         @Override
-        public HostsInUse hostsInUse() {
-            return HostsInUse.NONE;
+        public Optional<HostsInUse> hostsInUse(long epoch) {
+            return Optional.empty();
         }
 
         @Override
--- a/src/test/java/org/cicadalead/adapters/work/LeaderElectionTest.java
+++ b/src/test/java/org/cicadalead/adapters/work/LeaderElectionTest.java
@@ -33,6 +33,7 @@
     private final WorkCodec codec = new WorkCodec(problem -> {});
     private final DecisionLog log =
             new DecisionLog(OutputStream.nullOutputStream(), "process", new WorkMetrics(new SimpleMeterRegistry()));
+    private volatile boolean hasBegun = true;
     private final List<String> terms = new CopyOnWriteArrayList<>();
     private final List<LeaderElection> elections = new ArrayList<>();
 
@@ -47,8 +48,8 @@
             public void deposed() {}
 
             @Override
-            public HostsInUse hostsInUse() {
-                return USED;
+            public Optional<HostsInUse> hostsInUse(long epoch) {
+                return hasBegun ? Optional.of(USED) : Optional.empty();
             }
 
             @Override
@@ -131,4 +132,20 @@
         await(() -> terms.contains("a 5"));
         assertTrue(System.nanoTime() - begun < Duration.ofMillis(1_900).toNanos());
     }
+
+    @Test
+    void aTermThatHasReadNothingYetGoesOnSayingWhatTheTermBeforeSaid() throws InterruptedException {
+        hasBegun = false;
+        store.append(
+                Topic.LEADER,
+                List.of(org.cicadalead.ports.RecordStore.KeyedRecord.of(
+                        "leader",
+                        codec.encode(new LeaderRecord(4, "a#0", "a:1", false, USED.claims(), USED.startedJobs())))),
+                java.util.OptionalLong.empty());
+        candidate("a").start();
+        await(() -> store.read(Topic.LEADER, 0, Duration.ZERO).join().records().size() >= 4);
+        assertEquals(5, stored().epoch());
+        assertEquals(USED.startedJobs(), stored().startedJobs());
+        assertEquals(USED.claims().keySet(), stored().hosts().keySet());
+    }
 }
--- a/src/test/java/org/cicadalead/adapters/work/SchedulingTermTest.java
+++ b/src/test/java/org/cicadalead/adapters/work/SchedulingTermTest.java
@@ -7,12 +7,14 @@
 import java.io.OutputStream;
 import java.time.Duration;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.stream.Stream;
 import org.cicadalead.logic.work.SchedulingTerms;
 import org.cicadalead.model.work.FleetPlan;
 import org.cicadalead.model.work.HostEntry;
@@ -21,6 +23,8 @@
 import org.cicadalead.model.work.RunKey;
 import org.cicadalead.model.work.StartOutcome;
 import org.cicadalead.model.work.UpkeepWave;
+import org.cicadalead.model.work.WorkPhase;
+import org.cicadalead.model.work.WorkProgress;
 import org.cicadalead.ports.HostOrders;
 import org.cicadalead.ports.MachineOrders;
 import org.cicadalead.ports.RecordStore;
@@ -58,6 +62,14 @@
         }
     };
 
+    @Test
+    void takesTheNewestOfTheRecordsThatAJobHasInSeveralTopics() {
+        WorkProgress older = new WorkProgress("job", 1, WorkPhase.RUNNING, Map.of(), Map.of(), Map.of(), Map.of());
+        WorkProgress newer = new WorkProgress("job", 2, WorkPhase.FAILED, Map.of(), Map.of(), Map.of(), Map.of());
+        assertEquals(List.of(newer), SchedulingTerm.newestOfEachJob(Stream.of(newer, older)));
+        assertEquals(List.of(newer), SchedulingTerm.newestOfEachJob(Stream.of(older, newer)));
+    }
+
     @Test
     void readsJobsAndProgressOnlyAfterNothingOfAnEarlierTermCanBeWritten() {
         ScheduledExecutorService executor = Executors.newSingleThreadScheduledExecutor();
@@ -95,6 +107,7 @@
                 store,
                 new SilentHosts(),
                 new SilentMachines(),
+                (step, hosts) -> new CompletableFuture<>(),
                 new EmptyRegistry(),
                 new OperatorFeed(store, timers, new EmptyOperator(), log),
                 timers,
--- a/src/test/java/org/cicadalead/adapters/work/TermAppenderTest.java
+++ b/src/test/java/org/cicadalead/adapters/work/TermAppenderTest.java
@@ -21,7 +21,8 @@
     private final AtomicInteger superseded = new AtomicInteger();
 
     private TermAppender term(long epoch) {
-        return new TermAppender(store, Topic.PROGRESS, timers, epoch, superseded::incrementAndGet);
+        return new TermAppender(
+                store, List.of(Topic.PROGRESS, Topic.SPARE_PROGRESS), timers, epoch, superseded::incrementAndGet);
     }
 
     private static List<KeyedRecord> value(String text) {
@@ -49,9 +50,39 @@
     }
 
     @Test
-    void anAppendWithoutAnAnswerIsRepeatedAndDoneOnce() {
+    void aBatchGoesToTheSpareTopicWhileTheFirstIsSilent() {
+        TermAppender term = term(1);
+        term.fence();
+        store.silence(Topic.PROGRESS);
+        assertTrue(term.append(value("first")).isDone());
+        assertTrue(term.append(value("second")).isDone(), "the first topic still waits for its answer");
+        assertEquals(
+                2,
+                store.read(Topic.SPARE_PROGRESS, 0, Duration.ZERO)
+                        .join()
+                        .records()
+                        .size());
+    }
+
+    @Test
+    void aTermIsKnownOnlyOnceEveryTopicKnowsIt() {
+        store.silence(Topic.SPARE_PROGRESS);
+        assertFalse(term(1).fence().isDone());
+    }
+
+    @Test
+    void whatIsDroppedIsDroppedEverywhere() {
         TermAppender term = term(1);
         term.fence();
+        term.appendEverywhere(value("value"));
+        assertEquals(1, store.snapshot(Topic.PROGRESS).join().records().size());
+        assertEquals(1, store.snapshot(Topic.SPARE_PROGRESS).join().records().size());
+    }
+
+    @Test
+    void anAppendWithoutAnAnswerIsRepeatedAndDoneOnce() {
+        TermAppender term = new TermAppender(store, List.of(Topic.PROGRESS), timers, 1, superseded::incrementAndGet);
+        term.fence();
         store.failNext(Fault.ANSWER_LOST, 1);
         CompletableFuture<Void> first = term.append(value("first"));
         CompletableFuture<Void> second = term.append(value("second"));
@@ -65,7 +96,7 @@
 
     @Test
     void anAppendThatWasRefusedIsRepeated() {
-        TermAppender term = term(1);
+        TermAppender term = new TermAppender(store, List.of(Topic.PROGRESS), timers, 1, superseded::incrementAndGet);
         term.fence();
         store.failNext(Fault.REFUSED, 3);
         CompletableFuture<Void> append = term.append(value("value"));
--- a/src/test/java/org/cicadalead/logic/work/UpkeepPlannerTest.java
+++ b/src/test/java/org/cicadalead/logic/work/UpkeepPlannerTest.java
@@ -38,7 +38,7 @@
     }
 
     private List<UpkeepPlanner.Order> decide(WorkScheduler scheduler, long now) {
-        return planner.decide(scheduler.machineView(), WorkFixtures.at(now));
+        return planner.decide(scheduler.machineView(), WorkFixtures.at(now), false);
     }
 
     @Test
@@ -49,6 +49,32 @@
         assertEquals(List.of(), decide(scheduler, 20));
     }
 
+    @Test
+    void idleMachinesAreLeftToAPoolThatWaitsForThemAsLongAsTheWaveIsInTime() {
+        WorkScheduler scheduler = fleet(5);
+        wave(4, 5);
+        assertEquals(
+                1,
+                planner.decide(scheduler.machineView(), WorkFixtures.at(10), true)
+                        .size());
+        assertEquals(3, decide(scheduler, 20).size(), "the limit less the one that is down");
+    }
+
+    @Test
+    void idleMachinesGoInTimeAlsoWhilePoolsWaitForMachines() {
+        WorkScheduler scheduler = fleet(5);
+        wave(5, 5);
+        long late = 38_000;
+        for (HostEntry host : hosts) {
+            WorkFixtures.answer(scheduler, host.identifier(), late, List.of(), List.of());
+        }
+        assertEquals(
+                5,
+                planner.decide(scheduler.machineView(), WorkFixtures.at(late), true)
+                        .size(),
+                "42 of 60 s are planned with, and one turn takes 5 s");
+    }
+
     @Test
     void machinesThatAnEarlierTermSentDownCountAgainstTheLimit() {
         WorkScheduler scheduler = fleet(4);
--- a/src/test/java/org/cicadalead/logic/work/WorkSchedulerTest.java
+++ b/src/test/java/org/cicadalead/logic/work/WorkSchedulerTest.java
@@ -10,14 +10,17 @@
 import java.util.Set;
 import java.util.stream.Collectors;
 import org.cicadalead.model.work.ActiveRun;
+import org.cicadalead.model.work.AdvisorTerms;
 import org.cicadalead.model.work.EndedRun;
 import org.cicadalead.model.work.HostEntry;
 import org.cicadalead.model.work.HostListing;
+import org.cicadalead.model.work.QueueTerms;
 import org.cicadalead.model.work.RunEnding;
 import org.cicadalead.model.work.RunKey;
 import org.cicadalead.model.work.StartOutcome;
 import org.cicadalead.model.work.WorkPhase;
 import org.cicadalead.model.work.WorkProgress;
+import org.cicadalead.model.work.WorkSubmission;
 import org.junit.jupiter.api.Test;
 
 class WorkSchedulerTest {
@@ -217,6 +220,40 @@
                         .toList());
     }
 
+    @Test
+    void aStepThatNeedsAdviceStartsOnlyWhereThePolicyAllowsItAndWithItsTicket() {
+        WorkScheduler scheduler = WorkFixtures.scheduler(FIRST, SECOND);
+        QueueTerms advised = new QueueTerms(0, 3, 1.6, 600, Optional.of(new AdvisorTerms(50, 1, 10_000)));
+        scheduler.submitted(
+                new WorkSubmission(
+                        "job",
+                        "queue",
+                        WorkFixtures.BUSY,
+                        advised,
+                        "run",
+                        List.of(WorkFixtures.step(2, 1_000, 500)),
+                        0,
+                        0,
+                        0,
+                        1),
+                at(1));
+        List<WorkOrder> orders = WorkFixtures.decide(scheduler, at(2), true);
+        assertEquals(List.of(), WorkFixtures.starts(orders));
+        WorkOrder.AskAdvisor question = orders.stream()
+                .filter(WorkOrder.AskAdvisor.class::isInstance)
+                .map(WorkOrder.AskAdvisor.class::cast)
+                .findFirst()
+                .orElseThrow();
+        assertEquals("job.0.0", question.name());
+        assertEquals(List.of("first", "second"), question.hosts());
+        scheduler.advised(question, Optional.of(Map.of("second", "ticket")), 2, at(60));
+        List<WorkOrder.Start> starts = WorkFixtures.starts(WorkFixtures.decide(scheduler, at(61), true));
+        assertEquals(
+                List.of("second", "second"),
+                starts.stream().map(start -> start.target().host()).toList());
+        assertEquals(Optional.of("ticket"), starts.get(0).ticket());
+    }
+
     @Test
     void anAdoptedRunHasALeaseInTheBooks() {
         EarlierHosts earlier =
