--- a/src/main/java/org/cicadalead/adapters/work/JobsFeed.java
+++ b/src/main/java/org/cicadalead/adapters/work/JobsFeed.java
@@ -25,7 +25,7 @@
     private static final long NEVER = Long.MIN_VALUE / 2;
 
     private final List<TopicFollower> followers = new ArrayList<>();
-    private final Map<Topic, List<KeyedRecord>> snapshots = new EnumMap<>(Topic.class);
+    private final Map<Topic, List<KeyedRecord>> unloaded = new EnumMap<>(Topic.class);
     private final AtomicLongArray readAt = new AtomicLongArray(TOPICS.size());
     private final TimerService timers;
     private final Listener listener;
@@ -58,22 +58,19 @@
         return oldest;
     }
 
-    private void take(Topic topic, List<KeyedRecord> records) {
-        List<KeyedRecord> all = new ArrayList<>();
-        synchronized (snapshots) {
-            if (loaded) {
-                listener.records(records);
-                return;
-            }
-            snapshots.put(topic, records);
-            if (snapshots.size() < TOPICS.size()) {
-                return;
-            }
-            loaded = true;
-            snapshots.values().forEach(all::addAll);
-            snapshots.clear();
+    /** The listener is called in the order of reading, so that nothing overtakes what was loaded. */
+    private synchronized void take(Topic topic, List<KeyedRecord> records) {
+        if (loaded) {
+            listener.records(records);
+            return;
         }
-        listener.loaded(all);
+        unloaded.computeIfAbsent(topic, unseen -> new ArrayList<>()).addAll(records);
+        if (unloaded.size() < TOPICS.size()) {
+            return;
+        }
+        loaded = true;
+        listener.loaded(unloaded.values().stream().flatMap(List::stream).toList());
+        unloaded.clear();
     }
 
     /** Takes what is read. */
@@ -106,7 +103,7 @@
 
         @Override
         public void records(List<KeyedRecord> records) {
-            listener.records(records);
+            take(TOPICS.get(index), records);
         }
     }
 }
