Log what a new term waits for, and which services stay closed until when

Change: TERM_LOADED (8007) once a term: duration of loading, hosts that may have runs of an earlier term, split into answering claims, expiring claims and unclaimed hosts of the registry, and the longest wait. SERVICE_CLOSED (8008) once a service that is still closed 1 s after loading: number of hosts, eight of them by name, time until it opens. SERVICE_OPENED (8009) once for each of these. No decision changed.

Run: SchedulingTermTest, WorkSchedulerTest, LeaderElectionTest.

--- a/src/main/java/org/cicadalead/adapters/work/SchedulingTerm.java
+++ b/src/main/java/org/cicadalead/adapters/work/SchedulingTerm.java
@@ -76,6 +76,8 @@
     private Optional<OrderDispatcher> dispatcher = Optional.empty();
     private Optional<MachineController> machineController = Optional.empty();
     private Optional<ScheduledFuture<?>> cycleTimer = Optional.empty();
+    private Optional<TakeoverReport> takeoverReport = Optional.empty();
+    private long startedAt;
     private boolean cycleScheduled;
     private volatile boolean closed;
 
@@ -107,6 +109,7 @@
 
     /** Fences earlier terms, then starts to read jobs, progress and the registry. */
     void start() {
+        startedAt = now().monotonic();
         // Jobs that are read after the fence include every job of which an earlier term can have stored progress.
         progressAppender.fence().thenRun(() -> {
             jobsFeed.start();
@@ -229,6 +232,7 @@
         List<WorkOrder> orders = scheduler.get().decide(now, canStart);
         dispatcher.ifPresent(orderDispatcher -> orders.forEach(orderDispatcher::execute));
         machineController.ifPresent(machineController -> machineController.runCycle(now, canStart));
+        takeoverReport.ifPresent(report -> report.logChanges(now));
         boolean waitsForAnnouncement = scheduler.get().hasPendingStartIntents();
         hostsInUseListener.accept(scheduler.get().announceHostsInUse(now));
         if (waitsForAnnouncement) {
@@ -249,6 +253,13 @@
         loadJobs(newScheduler, loadedJobs.get(), loadedProgress.get(), now);
         newScheduler.updateHosts(List.copyOf(hostEntries.values()), now);
         scheduler = Optional.of(newScheduler);
+        TakeoverReport report = new TakeoverReport(ports.log(), newScheduler, now);
+        report.logLoaded(
+                epoch,
+                startedAt,
+                earlierHosts,
+                previousLeader.map(leader -> leader.hosts().values()).orElse(List.of()));
+        takeoverReport = Optional.of(report);
         dispatcher = Optional.of(new OrderDispatcher(this, ports, newScheduler, jobRecords, progressAppender, epoch));
         machineController = Optional.of(new MachineController(
                 this, ports, newScheduler, terms, jobRecords, progressAppender, decodeWaveProgress(), epoch));
--- a/src/main/java/org/cicadalead/logic/work/TakeoverGate.java
+++ b/src/main/java/org/cicadalead/logic/work/TakeoverGate.java
@@ -4,6 +4,8 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
 
 /**
  * Prevents a new term from starting tasks that may still run for an earlier term. A service opens once each of its
@@ -63,6 +65,23 @@
         return hosts;
     }
 
+    /** Returns the closed services with the hosts for which each of them waits. */
+    Map<String, ClosedService> findClosedServices(long now) {
+        Map<String, Set<String>> hosts = new HashMap<>();
+        Map<String, Long> opensAt = new HashMap<>();
+        unresolved.forEach((host, unresolvedHost) -> {
+            if (now < unresolvedHost.leaseExpiresAt()) {
+                hosts.computeIfAbsent(unresolvedHost.service(), service -> new TreeSet<>())
+                        .add(host);
+                opensAt.merge(unresolvedHost.service(), unresolvedHost.leaseExpiresAt(), Math::max);
+            }
+        });
+        Map<String, ClosedService> services = new TreeMap<>();
+        hosts.forEach((service, blockingHosts) ->
+                services.put(service, new ClosedService(blockingHosts, opensAt.get(service))));
+        return services;
+    }
+
     /** Returns the hosts that may still have runs of an earlier term, with their services and lease expiry. */
     Map<String, UnresolvedHost> unresolved() {
         return Map.copyOf(unresolved);
--- a/src/main/java/org/cicadalead/logic/work/WorkScheduler.java
+++ b/src/main/java/org/cicadalead/logic/work/WorkScheduler.java
@@ -334,6 +334,11 @@
         return takeoverGate.findBlockingHosts(now.monotonic());
     }
 
+    /** Returns the services that are closed because of hosts that may still have runs of an earlier term. */
+    public Map<String, ClosedService> findClosedServices(WorkTime now) {
+        return takeoverGate.findClosedServices(now.monotonic());
+    }
+
     /** Creates a view of the demand and capacity of every pool. */
     public PoolView createPoolView(FleetPlan plan, WorkTime now) {
         return new PoolView(state, plan, now);
--- a/src/main/java/org/cicadalead/model/event/EventKind.java
+++ b/src/main/java/org/cicadalead/model/event/EventKind.java
@@ -178,6 +178,17 @@
     DEPENDENCY_REGAINED(8005, EventSeverity.INFORMATION, "A dependency responds again"),
     /** This process applied a version of the operator's configuration. */
     PLAN_APPLIED(8006, EventSeverity.INFORMATION, "This process applied a version of the operator's configuration"),
+    /** The leader has read jobs, progress and hosts, and starts to give orders. */
+    TERM_LOADED(
+            8007, EventSeverity.INFORMATION, "The leader has read jobs, progress and hosts, and starts to give orders"),
+    /** A service waits for hosts that may still have runs of an earlier leader. */
+    SERVICE_CLOSED(
+            8008, EventSeverity.WARNING, "A service waits for hosts that may still have runs of an earlier leader"),
+    /** A service no longer waits for hosts that may have runs of an earlier leader. */
+    SERVICE_OPENED(
+            8009,
+            EventSeverity.INFORMATION,
+            "A service no longer waits for hosts that may have runs of an earlier leader"),
     /** A job was accepted and is stored. */
     JOB_STORED(8010, EventSeverity.INFORMATION, "A job was accepted and is stored"),
     /** A job was rejected and will not run. */
