Let the work of a scheduling cycle follow what changed, not the backlog

Cause of the leader's load: every cycle sorted all waiting jobs with sums over their steps, and compared each with every host of its pool, though nothing had room; capacities, sums and hosts' free capacity were computed anew from all runs, and ended jobs were visited until their removal. The cost of a cycle so grew with the backlog, and a leader that falls behind gets a longer one.

Change: a cycle first compares a requirement with the largest free capacities of the pool and with requirements that found no host in this cycle, and sorts only jobs for which a host may have room, or which need more than room. Free capacity, waiting tasks, remaining work and duration are kept up to date; ended jobs and unsaved progress have collections of their own.

--- a/src/main/java/org/cicadalead/logic/work/HostChoice.java
+++ b/src/main/java/org/cicadalead/logic/work/HostChoice.java
@@ -29,12 +29,55 @@
 
     private final Map<WorkHost, HostCapacity> freeCapacities = new HashMap<>();
 
+    /** Free capacities at the start of the cycle, without those that another one exceeds in every dimension. */
+    private final List<HostCapacity> largestFreeCapacities = new ArrayList<>();
+
+    /** Requirements for which no host was found since capacity was last released. */
+    private final List<HostCapacity> unplaceable = new ArrayList<>();
+
+    private long evaluatedHosts;
+
     HostChoice(Collection<WorkHost> hosts, long now) {
         for (WorkHost host : hosts) {
             if (host.canAcceptWork(now)) {
-                freeCapacities.put(host, host.freeCapacity());
+                HostCapacity free = host.freeCapacity();
+                freeCapacities.put(host, free);
+                addIfLargest(free);
+            }
+        }
+    }
+
+    private void addIfLargest(HostCapacity free) {
+        for (HostCapacity other : largestFreeCapacities) {
+            if (free.isAtMost(other)) {
+                return;
+            }
+        }
+        largestFreeCapacities.removeIf(other -> other.isAtMost(free));
+        largestFreeCapacities.add(free);
+    }
+
+    /**
+     * Returns whether a host may have room for a task that requires the given capacity. Independent of the number of
+     * hosts for most requirements, so that a long queue of a full pool costs little.
+     */
+    boolean mayHaveRoom(HostCapacity required) {
+        for (HostCapacity smaller : unplaceable) {
+            if (smaller.fitsInto(required)) {
+                return false;
+            }
+        }
+        for (HostCapacity free : largestFreeCapacities) {
+            if (required.fitsInto(free)) {
+                return true;
             }
         }
+        return false;
+    }
+
+    /** Returns how many times a host was compared with the requirements of a task. */
+    long evaluatedHosts() {
+        return evaluatedHosts;
     }
 
     boolean isEmpty() {
@@ -49,8 +92,18 @@
      * Finds a host for a task among the given ones, and uses a host where it has failed only when there is no other.
      */
     @Nullable WorkHost findHost(WorkTask task, Collection<WorkHost> candidates) {
-        WorkHost preferred = findBest(task, candidates, false);
-        return preferred == null && !task.avoidedHosts.isEmpty() ? findBest(task, candidates, true) : preferred;
+        if (!mayHaveRoom(task.step.requiredCapacity)) {
+            return null;
+        }
+        WorkHost best = findBest(task, candidates, false);
+        if (best == null && !task.avoidedHosts.isEmpty()) {
+            best = findBest(task, candidates, true);
+        }
+        boolean mayUseAnyHost = candidates.size() == freeCapacities.size() && !task.step.specification.restrictsHosts();
+        if (best == null && mayUseAnyHost) {
+            unplaceable.add(task.step.requiredCapacity);
+        }
+        return best;
     }
 
     private @Nullable WorkHost findBest(WorkTask task, Collection<WorkHost> candidates, boolean allowsAvoided) {
@@ -60,6 +113,7 @@
             if (!allowsAvoided && task.avoidedHosts.contains(host.identifier)) {
                 continue;
             }
+            evaluatedHosts++;
             if (!canRun(task.step, host)) {
                 continue;
             }
@@ -80,7 +134,7 @@
         StepSpecification specification = step.specification;
         HostCapacity capacity = freeCapacities.get(host);
         return capacity != null
-                && specification.requiredCapacity().fitsInto(capacity)
+                && step.requiredCapacity.fitsInto(capacity)
                 && specification
                         .requiredLabel()
                         .map(host.entry.labels()::contains)
@@ -110,15 +164,7 @@
         if (step.countTasksOn(host) >= MAX_TASKS_OF_STEP_PER_HOST) {
             return CROWDED_PENALTY;
         }
-        return countLongRunningTasks(host) > 0 ? 0 : EMPTY_HOST_PENALTY;
-    }
-
-    private static int countLongRunningTasks(WorkHost host) {
-        int count = 0;
-        for (WorkRun run : host.runs.values()) {
-            count += run.task.step.specification.longRunning() ? 1 : 0;
-        }
-        return count;
+        return host.hasLongRunningRun() ? 0 : EMPTY_HOST_PENALTY;
     }
 
     /** Reserves capacity for a task. */
@@ -129,6 +175,7 @@
     /** Releases the capacity that was reserved for a task that was not started. */
     void release(WorkHost host, StepSpecification specification) {
         freeCapacities.computeIfPresent(host, (key, capacity) -> capacity.plus(specification.requiredCapacity()));
+        unplaceable.clear();
     }
 
     /** Groups the hosts by their racks. */
--- a/src/main/java/org/cicadalead/logic/work/PoolView.java
+++ b/src/main/java/org/cicadalead/logic/work/PoolView.java
@@ -37,7 +37,7 @@
                 disposable.put(host.identifier, host.canReceiveLease(now) && runsNothingInTime(host, time.wall()));
             }
         }
-        for (WorkJob job : state.jobs.values()) {
+        for (WorkJob job : state.liveJobs) {
             if (!job.phase.isTerminal() && WorkOrdering.canMeetObjective(job, time.wall())) {
                 tallies.computeIfAbsent(job.submission.service(), key -> new Tally())
                         .add(job, time.wall());
@@ -128,9 +128,7 @@
                         / MILLICORES_PER_CORE;
             }
             for (WorkStep step : job.openSteps()) {
-                for (WorkTask task : step.tasks) {
-                    waitingTasks += task.isWaiting() ? 1 : 0;
-                }
+                waitingTasks += step.waitingTasks;
             }
         }
 
--- a/src/main/java/org/cicadalead/logic/work/Preemption.java
+++ b/src/main/java/org/cicadalead/logic/work/Preemption.java
@@ -48,7 +48,7 @@
     }
 
     private static List<WorkRun> selectVictims(WorkTask task, WorkHost host, WorkTime now) {
-        HostCapacity needed = task.step.specification.requiredCapacity();
+        HostCapacity needed = task.step.requiredCapacity;
         HostCapacity free = host.freeCapacity();
         List<WorkRun> candidates = new ArrayList<>();
         for (WorkRun run : host.runs.values()) {
@@ -63,7 +63,7 @@
                 break;
             }
             victims.add(run);
-            free = free.plus(run.task.step.specification.requiredCapacity());
+            free = free.plus(run.task.step.requiredCapacity);
         }
         return needed.fitsInto(free) ? victims : List.of();
     }
--- a/src/main/java/org/cicadalead/logic/work/ProgressBatches.java
+++ b/src/main/java/org/cicadalead/logic/work/ProgressBatches.java
@@ -54,13 +54,11 @@
         }
         long version = state.epoch * MAX_BATCHES_PER_TERM + lastBatch;
         List<WorkProgress> records = new ArrayList<>();
-        for (WorkJob job : state.jobs.values()) {
-            if (job.hasUnsavedProgress) {
-                job.hasUnsavedProgress = false;
-                writtenPhases.put(job, job.phase);
-                records.add(job.createProgress(version));
-            }
+        for (WorkJob job : state.unsavedJobs) {
+            writtenPhases.put(job, job.phase);
+            records.add(job.createProgress(version));
         }
+        state.unsavedJobs.clear();
         if (records.isEmpty()) {
             confirmBatch();
             return Optional.empty();
@@ -82,7 +80,7 @@
             return;
         }
         failed = true;
-        writtenPhases.keySet().forEach(job -> job.hasUnsavedProgress = true);
+        state.unsavedJobs.addAll(writtenPhases.keySet());
         writtenPhases.clear();
         coveredEnds.clear();
     }
--- a/src/main/java/org/cicadalead/logic/work/RunLedger.java
+++ b/src/main/java/org/cicadalead/logic/work/RunLedger.java
@@ -92,9 +92,9 @@
 
     /** Records that a run was ordered. */
     void attach(WorkRun run) {
-        run.task.run = run;
+        run.task.attach(run);
         run.task.lastAttempt = Math.max(run.task.lastAttempt, run.key.attempt());
-        run.host.runs.put(run.key, run);
+        run.host.addRun(run);
         WorkJob job = run.task.step.job;
         if (job.phase == WorkPhase.QUEUED) {
             job.phase = WorkPhase.RUNNING;
@@ -103,10 +103,10 @@
 
     private void applyEnd(WorkHost host, EndedRun end, long now) {
         host.orphanedRuns.remove(end.run());
-        WorkRun run = host.runs.remove(end.run());
+        WorkRun run = host.removeRun(end.run());
         WorkTask task = state.findTask(end.run().task());
-        if (run != null && run.task.run == run) {
-            run.task.run = null;
+        if (run != null) {
+            run.task.detach(run);
         }
         if (task == null || task.done) {
             return;
@@ -117,7 +117,7 @@
         if (!end.checkpoint().isEmpty()) {
             task.checkpoint = end.checkpoint();
         }
-        job.hasUnsavedProgress = true;
+        state.unsavedJobs.add(job);
         if (end.ending() == RunEnding.DONE) {
             host.countSuccess();
             finishTask(task);
@@ -236,9 +236,7 @@
     }
 
     private static void drop(WorkRun run) {
-        run.host.runs.remove(run.key);
-        if (run.task.run == run) {
-            run.task.run = null;
-        }
+        run.host.removeRun(run.key);
+        run.task.detach(run);
     }
 }
--- a/src/main/java/org/cicadalead/logic/work/TaskPlacement.java
+++ b/src/main/java/org/cicadalead/logic/work/TaskPlacement.java
@@ -22,6 +22,7 @@
     private final WorkState state;
     private final RunLedger ledger;
     private final TakeoverGate takeoverGate;
+    private long evaluatedHosts;
 
     TaskPlacement(WorkState state, RunLedger ledger, TakeoverGate takeoverGate) {
         this.state = state;
@@ -31,13 +32,13 @@
 
     /** Starts the waiting tasks for which a host has enough free capacity. */
     void place(List<WorkOrder> orders, WorkTime now) {
-        findWaitingJobs(now.monotonic()).forEach((service, jobs) -> placeService(service, jobs, orders, now));
+        findWaitingJobs().forEach((service, jobs) -> placeService(service, jobs, orders, now));
     }
 
-    private Map<String, List<WorkJob>> findWaitingJobs(long now) {
+    private Map<String, List<WorkJob>> findWaitingJobs() {
         Map<String, List<WorkJob>> waiting = new HashMap<>();
-        for (WorkJob job : state.jobs.values()) {
-            if (!job.phase.isTerminal() && hasWaitingTask(job) && takeoverGate.canStart(job, now)) {
+        for (WorkJob job : state.liveJobs) {
+            if (job.hasWaitingTask()) {
                 waiting.computeIfAbsent(job.submission.service(), key -> new ArrayList<>())
                         .add(job);
             }
@@ -45,12 +46,12 @@
         return waiting;
     }
 
-    private static boolean hasWaitingTask(WorkJob job) {
+    /** Returns whether placing a job can have any effect: a host may have room, or the job needs more than room. */
+    private static boolean isPlaceable(WorkJob job, HostChoice choice) {
         for (WorkStep step : job.openSteps()) {
-            for (WorkTask task : step.tasks) {
-                if (task.isWaiting()) {
-                    return true;
-                }
+            boolean needsMoreThanRoom = step.tickets != null || step.specification.longRunning();
+            if (step.waitingTasks > 0 && (needsMoreThanRoom || choice.mayHaveRoom(step.requiredCapacity))) {
+                return true;
             }
         }
         return false;
@@ -61,7 +62,13 @@
         if (choice.isEmpty()) {
             return;
         }
-        for (WorkJob job : WorkOrdering.sort(jobs, now.wall())) {
+        List<WorkJob> placeableJobs = new ArrayList<>();
+        for (WorkJob job : jobs) {
+            if (isPlaceable(job, choice) && takeoverGate.canStart(job, now.monotonic())) {
+                placeableJobs.add(job);
+            }
+        }
+        for (WorkJob job : WorkOrdering.sort(placeableJobs, now.wall())) {
             for (WorkStep step : job.openSteps()) {
                 requestTickets(step, choice, orders, now.monotonic());
                 if (step.specification.gang()) {
@@ -71,9 +78,18 @@
                 }
             }
         }
+        evaluatedHosts += choice.evaluatedHosts();
+    }
+
+    /** Returns how many times a host was compared with the requirements of a task so far. */
+    long evaluatedHosts() {
+        return evaluatedHosts;
     }
 
     private void placeTasks(WorkStep step, HostChoice choice, List<WorkOrder> orders, WorkTime now) {
+        if (step.waitingTasks == 0) {
+            return;
+        }
         for (WorkTask task : step.tasks) {
             if (!task.isWaiting()) {
                 continue;
@@ -107,7 +123,7 @@
     private void requestTickets(WorkStep step, HostChoice choice, List<WorkOrder> orders, long now) {
         if (step.tickets == null
                 || state.pendingAdvisorRequests >= MAX_PENDING_ADVISOR_REQUESTS
-                || step.tasks.stream().noneMatch(WorkTask::isWaiting)) {
+                || step.waitingTasks == 0) {
             return;
         }
         List<String> hosts = step.tickets.createRequest(choice.hosts(), now);
@@ -145,10 +161,8 @@
     }
 
     private void placeGang(WorkStep step, HostChoice choice, List<WorkOrder> orders, long now) {
-        for (WorkTask task : step.tasks) {
-            if (!task.isWaiting()) {
-                return;
-            }
+        if (step.waitingTasks < step.tasks.size()) {
+            return;
         }
         Map<WorkTask, WorkHost> assignments = null;
         if (step.specification.sameRack()) {
--- a/src/main/java/org/cicadalead/logic/work/WorkHost.java
+++ b/src/main/java/org/cicadalead/logic/work/WorkHost.java
@@ -8,6 +8,7 @@
 import org.cicadalead.model.work.HostEntry;
 import org.cicadalead.model.work.HostListing;
 import org.cicadalead.model.work.RunKey;
+import org.jspecify.annotations.Nullable;
 
 /**
  * A host and its runs. The expiry of its lease is computed for the slowest clock that the platform allows, so a lease
@@ -30,7 +31,9 @@
     boolean incarnationUnknown;
     boolean cordoned;
     boolean leaving;
+    /** The runs; changed only by {@link #addRun} and {@link #removeRun}. */
     final Map<RunKey, WorkRun> runs = new LinkedHashMap<>();
+
     final Set<RunKey> orphanedRuns = new LinkedHashSet<>();
     long processStartMilliseconds;
     long clockReading;
@@ -40,6 +43,8 @@
     long highestEndNumber;
     long acknowledgedEndNumber;
     long announcedUnreachableIn = NOT_ANNOUNCED_UNREACHABLE;
+    private HostCapacity takenCapacity = HostCapacity.NONE;
+    private int longRunningRuns;
     private int consecutiveFailures;
     private long excludedUntil = Long.MIN_VALUE;
 
@@ -96,13 +101,32 @@
         return acknowledgedEndNumber >= highestEndNumber;
     }
 
+    /** Adds a run that takes capacity from now on. */
+    void addRun(WorkRun run) {
+        WorkRun previous = runs.put(run.key, run);
+        if (previous == null) {
+            takenCapacity = takenCapacity.plus(run.task.step.requiredCapacity);
+            longRunningRuns += run.task.step.specification.longRunning() ? 1 : 0;
+        }
+    }
+
+    /** Removes a run that takes no capacity any more; returns null when there is no such run. */
+    @Nullable WorkRun removeRun(RunKey key) {
+        WorkRun run = runs.remove(key);
+        if (run != null) {
+            takenCapacity = takenCapacity.minus(run.task.step.requiredCapacity);
+            longRunningRuns -= run.task.step.specification.longRunning() ? 1 : 0;
+        }
+        return run;
+    }
+
+    boolean hasLongRunningRun() {
+        return longRunningRuns > 0;
+    }
+
     /** Returns the capacity that no run takes. */
     HostCapacity freeCapacity() {
-        HostCapacity remaining = entry.capacity();
-        for (WorkRun run : runs.values()) {
-            remaining = remaining.minus(run.task.step.specification.requiredCapacity());
-        }
-        return remaining;
+        return entry.capacity().minus(takenCapacity);
     }
 
     void countFailure(long now) {
--- a/src/main/java/org/cicadalead/logic/work/WorkJob.java
+++ b/src/main/java/org/cicadalead/logic/work/WorkJob.java
@@ -32,8 +32,10 @@
      */
     long announcedIn = NOT_ANNOUNCED;
 
-    boolean hasUnsavedProgress;
     long endedAt;
+    private boolean hasCurrentEstimates;
+    private double remainingWork;
+    private long remainingCriticalPath;
 
     WorkJob(WorkSubmission submission, long now) {
         this.receivedAt = now;
@@ -65,6 +67,7 @@
             steps.add(new WorkStep(this, submission.steps().get(number), occurrence, number));
         }
         occurrences.put(occurrence, steps);
+        invalidateEstimates();
         refreshOpenSteps();
     }
 
@@ -116,8 +119,36 @@
         return all;
     }
 
+    /** Returns whether a task of an open step has no run. */
+    boolean hasWaitingTask() {
+        for (WorkStep step : openSteps) {
+            if (step.waitingTasks > 0) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** Makes the remaining work and duration be computed again, as a task has finished or an occurrence is due. */
+    void invalidateEstimates() {
+        hasCurrentEstimates = false;
+    }
+
+    private void refreshEstimates() {
+        if (!hasCurrentEstimates) {
+            remainingWork = computeRemainingWork();
+            remainingCriticalPath = computeRemainingCriticalPath();
+            hasCurrentEstimates = true;
+        }
+    }
+
     /** Returns the remaining work of the occurrences that are due, in core-milliseconds. */
     double remainingWork() {
+        refreshEstimates();
+        return remainingWork;
+    }
+
+    private double computeRemainingWork() {
         double sum = 0;
         for (List<WorkStep> steps : occurrences.values()) {
             for (WorkStep step : steps) {
@@ -129,6 +160,11 @@
 
     /** Returns the duration of the longest chain of unfinished steps, in milliseconds. */
     long remainingCriticalPath() {
+        refreshEstimates();
+        return remainingCriticalPath;
+    }
+
+    private long computeRemainingCriticalPath() {
         long longest = 0;
         for (List<WorkStep> steps : occurrences.values()) {
             long[] ends = new long[steps.size()];
--- a/src/main/java/org/cicadalead/logic/work/WorkScheduler.java
+++ b/src/main/java/org/cicadalead/logic/work/WorkScheduler.java
@@ -72,7 +72,7 @@
             job.announcedIn = 0;
         }
         job.openDueOccurrences(now.wall());
-        state.jobs.put(submission.job(), job);
+        state.addJob(job);
         if (!job.longRunning && WorkOrdering.canMeetObjective(job, now.wall())) {
             state.arrivals.add(submission.service(), job.remainingWork(), now.monotonic());
         }
@@ -339,6 +339,11 @@
         return takeoverGate.findClosedServices(now.monotonic());
     }
 
+    /** Returns how many times a host was compared with the requirements of a task so far. */
+    long evaluatedHosts() {
+        return placement.evaluatedHosts();
+    }
+
     /** Creates a view of the demand and capacity of every pool. */
     public PoolView createPoolView(FleetPlan plan, WorkTime now) {
         return new PoolView(state, plan, now);
@@ -361,6 +366,7 @@
             return orders;
         }
         expireLeases(now.monotonic());
+        state.retireEndedJobs(now.monotonic());
         openDueOccurrences(now);
         stopUnwantedRuns(orders, now.monotonic());
         if (mayStart) {
@@ -383,8 +389,8 @@
     }
 
     private void openDueOccurrences(WorkTime now) {
-        for (WorkJob job : state.jobs.values()) {
-            if (job.submission.isScheduled() && !job.phase.isTerminal()) {
+        for (WorkJob job : state.liveJobs) {
+            if (job.submission.isScheduled()) {
                 job.openDueOccurrences(now.wall());
             }
         }
@@ -392,7 +398,7 @@
 
     private void stopUnwantedRuns(List<WorkOrder> orders, long now) {
         for (WorkHost host : state.hosts.values()) {
-            for (WorkRun run : List.copyOf(host.runs.values())) {
+            for (WorkRun run : host.runs.values()) {
                 if (shouldStop(run, now) && run.state == WorkRun.State.RUNNING) {
                     run.transitionTo(WorkRun.State.STOPPING, now);
                 }
@@ -425,23 +431,22 @@
     }
 
     private void removeOldJobs(List<WorkOrder> orders, long now) {
-        List<String> expiredJobs = new ArrayList<>();
-        for (WorkJob job : state.jobs.values()) {
-            if (!job.phase.isTerminal()) {
-                continue;
-            }
-            if (job.endedAt == 0) {
-                job.endedAt = now;
+        List<WorkJob> expiredJobs = new ArrayList<>();
+        for (WorkJob job : state.endedJobs) {
+            if (now - job.endedAt <= RETENTION_MILLISECONDS) {
+                break;
             }
-            if (job.phase == job.durablePhase && now - job.endedAt > RETENTION_MILLISECONDS) {
-                expiredJobs.add(job.identifier());
+            if (job.phase == job.durablePhase) {
+                expiredJobs.add(job);
             }
         }
         if (!expiredJobs.isEmpty()) {
-            expiredJobs.forEach(state.jobs::remove);
+            expiredJobs.forEach(state::removeJob);
+            List<String> identifiers =
+                    expiredJobs.stream().map(WorkJob::identifier).toList();
             lastRemovedJobs.clear();
-            lastRemovedJobs.addAll(expiredJobs);
-            orders.add(new WorkOrder.RemoveJobs(expiredJobs));
+            lastRemovedJobs.addAll(identifiers);
+            orders.add(new WorkOrder.RemoveJobs(identifiers));
         }
     }
 }
--- a/src/main/java/org/cicadalead/logic/work/WorkState.java
+++ b/src/main/java/org/cicadalead/logic/work/WorkState.java
@@ -2,9 +2,12 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.cicadalead.model.work.HostEntry;
 import org.cicadalead.model.work.TaskKey;
 import org.jspecify.annotations.Nullable;
@@ -17,6 +20,15 @@
     final SchedulingTerms terms;
     final long epoch;
     final Map<String, WorkJob> jobs = new LinkedHashMap<>();
+    /** Jobs that may have tasks to run, in the order of their arrival; see {@link #retireEndedJobs}. */
+    final Set<WorkJob> liveJobs = new LinkedHashSet<>();
+
+    /** Jobs that have ended, in the order in which that was noticed. */
+    final Set<WorkJob> endedJobs = new LinkedHashSet<>();
+
+    /** Jobs with progress that no batch contains yet. */
+    final Set<WorkJob> unsavedJobs = new LinkedHashSet<>();
+
     final Map<String, WorkHost> hosts = new HashMap<>();
     final ArrivalRates arrivals = new ArrivalRates();
     /** Number of requests to the external policy that are in flight. */
@@ -30,6 +42,30 @@
         this.epoch = epoch;
     }
 
+    void addJob(WorkJob job) {
+        jobs.put(job.identifier(), job);
+        liveJobs.add(job);
+    }
+
+    /** Moves the jobs that have ended out of those that every cycle considers. */
+    void retireEndedJobs(long now) {
+        for (Iterator<WorkJob> iterator = liveJobs.iterator(); iterator.hasNext(); ) {
+            WorkJob job = iterator.next();
+            if (job.phase.isTerminal()) {
+                job.endedAt = job.endedAt == 0 ? now : job.endedAt;
+                endedJobs.add(job);
+                iterator.remove();
+            }
+        }
+    }
+
+    void removeJob(WorkJob job) {
+        jobs.remove(job.identifier());
+        liveJobs.remove(job);
+        endedJobs.remove(job);
+        unsavedJobs.remove(job);
+    }
+
     @Nullable WorkTask findTask(TaskKey key) {
         WorkJob job = jobs.get(key.job());
         return job == null ? null : job.findTask(key.occurrence(), key.step(), key.index());
--- a/src/main/java/org/cicadalead/logic/work/WorkStep.java
+++ b/src/main/java/org/cicadalead/logic/work/WorkStep.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import org.cicadalead.model.work.HostCapacity;
 import org.cicadalead.model.work.StepSpecification;
 import org.cicadalead.model.work.TaskKey;
 import org.jspecify.annotations.Nullable;
@@ -16,6 +17,12 @@
     /** Permissions of the external policy; null when the queue has no such policy. */
     final @Nullable StepTickets tickets;
 
+    /** Capacity that one task takes on a host. */
+    final HostCapacity requiredCapacity;
+
+    /** Number of tasks that are neither done nor have a run. */
+    int waitingTasks;
+
     private int done;
 
     WorkStep(WorkJob job, StepSpecification specification, int occurrence, int number) {
@@ -24,6 +31,8 @@
         this.occurrence = occurrence;
         this.number = number;
         this.tickets = job.submission.terms().advisor().map(StepTickets::new).orElse(null);
+        this.requiredCapacity = specification.requiredCapacity();
+        this.waitingTasks = specification.taskCount();
         for (int index = 0; index < specification.taskCount(); index++) {
             tasks.add(new WorkTask(new TaskKey(job.identifier(), occurrence, number, index), this));
         }
@@ -42,11 +51,14 @@
         boolean changed = false;
         for (WorkTask member : specification.gang() ? tasks : List.of(task)) {
             if (!member.done) {
-                member.done = true;
+                member.finish();
                 done++;
                 changed = true;
             }
         }
+        if (changed) {
+            job.invalidateEstimates();
+        }
         return changed;
     }
 
--- a/src/main/java/org/cicadalead/logic/work/WorkTask.java
+++ b/src/main/java/org/cicadalead/logic/work/WorkTask.java
@@ -20,6 +20,7 @@
     String checkpoint = "";
     int slowRestarts;
 
+    /** The present run; changed only by {@link #attach} and {@link #detach}. */
     @Nullable WorkRun run;
 
     final Set<String> avoidedHosts = new HashSet<>();
@@ -32,4 +33,22 @@
     boolean isWaiting() {
         return !done && run == null;
     }
+
+    void attach(WorkRun newRun) {
+        step.waitingTasks -= isWaiting() ? 1 : 0;
+        run = newRun;
+    }
+
+    /** Removes a run that has ended, unless it is not the present one. */
+    void detach(WorkRun endedRun) {
+        if (run == endedRun) {
+            run = null;
+            step.waitingTasks += isWaiting() ? 1 : 0;
+        }
+    }
+
+    void finish() {
+        step.waitingTasks -= isWaiting() ? 1 : 0;
+        done = true;
+    }
 }
--- a/src/main/java/org/cicadalead/model/work/HostCapacity.java
+++ b/src/main/java/org/cicadalead/model/work/HostCapacity.java
@@ -34,6 +34,13 @@
                 && fits(accelerators, available.accelerators);
     }
 
+    /** Returns whether this exceeds the given capacity in no dimension. */
+    public boolean isAtMost(HostCapacity other) {
+        return milliCores <= other.milliCores
+                && memoryMegabytes <= other.memoryMegabytes
+                && accelerators <= other.accelerators;
+    }
+
     private static boolean fits(long needed, long free) {
         return needed <= 0 || needed <= free;
     }
--- a/src/main/java/org/cicadalead/model/work/StepSpecification.java
+++ b/src/main/java/org/cicadalead/model/work/StepSpecification.java
@@ -54,6 +54,11 @@
         return new HostCapacity(usesSpareCapacity ? 0 : milliCores, memoryMegabytes, accelerators);
     }
 
+    /** Returns whether its tasks may not run on every host that has the required capacity. */
+    public boolean restrictsHosts() {
+        return requiredLabel.isPresent() || maximumPerHost > 0;
+    }
+
     /** Returns whether its tasks serve requests under a tail latency target. */
     public boolean hasTailTarget() {
         return tailTargetMilliseconds > 0;
--- /dev/null
+++ b/src/test/java/org/cicadalead/logic/work/BacklogCostTest.java
@@ -0,0 +1,55 @@
+package org.cicadalead.logic.work;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.cicadalead.model.work.HostEntry;
+import org.junit.jupiter.api.Test;
+
+/** Guards the scheduling cycle against work that grows with the backlog, by counting it. */
+class BacklogCostTest {
+    private static final int HOSTS = 40;
+    private static final int CYCLES = 10;
+
+    @Test
+    void evaluatesNoMoreHostsForTenTimesTheBacklogOfFullPool() {
+        long smallBacklog = countEvaluatedHosts(50);
+        long largeBacklog = countEvaluatedHosts(500);
+        assertEquals(smallBacklog, largeBacklog);
+        assertTrue(largeBacklog <= (long) HOSTS * CYCLES, () -> largeBacklog + " evaluations");
+    }
+
+    /** Returns how many times hosts are compared with waiting tasks in cycles in which nothing has changed. */
+    private static long countEvaluatedHosts(int backlog) {
+        HostEntry[] hosts = new HostEntry[HOSTS];
+        for (int number = 0; number < HOSTS; number++) {
+            hosts[number] = WorkFixtures.host("host-" + number, WorkFixtures.BUSY, "rack");
+        }
+        WorkScheduler scheduler = WorkFixtures.scheduler(hosts);
+        scheduler.addJob(
+                WorkFixtures.job("filling", WorkFixtures.BUSY, 0, WorkFixtures.step(HOSTS, 7_000, 60_000)),
+                WorkFixtures.at(0));
+        List<WorkOrder.Start> starts = WorkFixtures.startsIn(WorkFixtures.decide(scheduler, WorkFixtures.at(1), true));
+        assertEquals(HOSTS, starts.size());
+        WorkFixtures.confirmStarts(scheduler, starts, 2);
+        for (int number = 0; number < backlog; number++) {
+            // Every job fits the pool, and none the capacity that is left of a host.
+            scheduler.addJob(
+                    WorkFixtures.job(
+                            "waiting-" + number,
+                            WorkFixtures.BUSY,
+                            0,
+                            WorkFixtures.step(4, 1_100 + number, 1_000),
+                            WorkFixtures.step(4, 1_200 + number, 1_000)),
+                    WorkFixtures.at(3));
+        }
+        WorkFixtures.decide(scheduler, WorkFixtures.at(4), true);
+        long evaluatedBefore = scheduler.evaluatedHosts();
+        for (int cycle = 0; cycle < CYCLES; cycle++) {
+            assertTrue(WorkFixtures.startsIn(scheduler.decide(WorkFixtures.at(5 + cycle), true))
+                    .isEmpty());
+        }
+        return scheduler.evaluatedHosts() - evaluatedBefore;
+    }
+}
