Bound the share of a processor that scheduling cycles take

Cause: a cycle ran 4 ms after any event however long the last one took, so a leader that fell behind spent all its time on cycles and none on orders and replies. Each cycle also built a view of all pools for machines that take seconds to move, and copied all started jobs and claims for an announcement that a heartbeat stores every 300 ms.

Change: the pause before a cycle is three times the duration of the last one, between 4 and 40 ms. Machines are decided on every 50 ms; announcements are created every 150 ms, or at once when a start waits for one. An older announcement is as safe as a newer one that the store has not taken yet: the successor counts its remaining leases from the start of its own term, and a host that it names as unreachable gets no lease until a later one is stored.

--- a/src/main/java/org/cicadalead/adapters/work/SchedulingTerm.java
+++ b/src/main/java/org/cicadalead/adapters/work/SchedulingTerm.java
@@ -16,6 +16,7 @@
 import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.stream.Stream;
+import org.cicadalead.logic.work.CyclePacing;
 import org.cicadalead.logic.work.EarlierHosts;
 import org.cicadalead.logic.work.HostsInUse;
 import org.cicadalead.logic.work.SchedulingTerms;
@@ -54,9 +55,6 @@
     /** Delay before a failed read is retried. */
     private static final long RETRY_DELAY_MILLISECONDS = 150;
 
-    /** Events that arrive within this time are handled by one scheduling cycle. */
-    private static final long BATCH_DELAY_MILLISECONDS = 4;
-
     private final SchedulingPorts ports;
     private final ScheduledExecutorService executor;
     private final SchedulingTerms terms;
@@ -69,6 +67,7 @@
     private final TopicFollower registryFollower;
     private final Map<String, HostEntry> hostEntries = new HashMap<>();
     private final Set<String> polledHosts = new HashSet<>();
+    private final CyclePacing pacing = new CyclePacing();
     private Optional<List<KeyedRecord>> loadedJobs = Optional.empty();
     private Optional<List<KeyedRecord>> loadedProgress = Optional.empty();
     private boolean registryLoaded;
@@ -196,7 +195,7 @@
         executor.execute(() -> {
             if (!closed) {
                 runLoggingFailure(action);
-                scheduleCycle(BATCH_DELAY_MILLISECONDS);
+                scheduleCycle(pacing.delayMilliseconds());
             }
         });
     }
@@ -227,17 +226,23 @@
         if (closed || scheduler.isEmpty()) {
             return;
         }
+        long startNanoseconds = ports.timers().nanoTime();
         WorkTime now = now();
         boolean canStart = canStartRuns();
         List<WorkOrder> orders = scheduler.get().decide(now, canStart);
         dispatcher.ifPresent(orderDispatcher -> orders.forEach(orderDispatcher::execute));
-        machineController.ifPresent(machineController -> machineController.runCycle(now, canStart));
+        if (pacing.startMachineDecisions(now.monotonic())) {
+            machineController.ifPresent(machineController -> machineController.runCycle(now, canStart));
+        }
         takeoverReport.ifPresent(report -> report.logChanges(now));
-        boolean waitsForAnnouncement = scheduler.get().hasPendingStartIntents();
-        hostsInUseListener.accept(scheduler.get().announceHostsInUse(now));
-        if (waitsForAnnouncement) {
+        boolean startsWait = scheduler.get().hasPendingStartIntents();
+        if (pacing.startAnnouncement(now.monotonic(), startsWait)) {
+            hostsInUseListener.accept(scheduler.get().announceHostsInUse(now));
+        }
+        if (startsWait) {
             ports.requestHeartbeat().run();
         }
+        pacing.onCycleEnded(ports.timers().nanoTime() - startNanoseconds);
     }
 
     /** Starts scheduling once the jobs, their progress and the registry have been read completely. */
--- a/src/main/java/org/cicadalead/logic/work/SpareCapacityPacing.java
+++ b/src/main/java/org/cicadalead/logic/work/SpareCapacityPacing.java
@@ -22,7 +22,7 @@
     private SpareCapacityPacing() {}
 
     static List<WorkOrder> pace(WorkHost host, long now) {
-        if (!hasSpareCapacityRun(host)) {
+        if (!host.hasSpareCapacityRun()) {
             return List.of();
         }
         double highestTailShare = -1;
@@ -49,15 +49,6 @@
         return orders;
     }
 
-    private static boolean hasSpareCapacityRun(WorkHost host) {
-        for (WorkRun run : host.runs.values()) {
-            if (run.task.step.specification.usesSpareCapacity()) {
-                return true;
-            }
-        }
-        return false;
-    }
-
     private static int targetPercentage(WorkRun run, double highestTailShare, long now) {
         if (highestTailShare > HIGH_SHARE) {
             return 0;
--- a/src/main/java/org/cicadalead/logic/work/WorkHost.java
+++ b/src/main/java/org/cicadalead/logic/work/WorkHost.java
@@ -45,6 +45,7 @@
     long announcedUnreachableIn = NOT_ANNOUNCED_UNREACHABLE;
     private HostCapacity takenCapacity = HostCapacity.NONE;
     private int longRunningRuns;
+    private int spareCapacityRuns;
     private int consecutiveFailures;
     private long excludedUntil = Long.MIN_VALUE;
 
@@ -107,6 +108,7 @@
         if (previous == null) {
             takenCapacity = takenCapacity.plus(run.task.step.requiredCapacity);
             longRunningRuns += run.task.step.specification.longRunning() ? 1 : 0;
+            spareCapacityRuns += run.task.step.specification.usesSpareCapacity() ? 1 : 0;
         }
     }
 
@@ -116,6 +118,7 @@
         if (run != null) {
             takenCapacity = takenCapacity.minus(run.task.step.requiredCapacity);
             longRunningRuns -= run.task.step.specification.longRunning() ? 1 : 0;
+            spareCapacityRuns -= run.task.step.specification.usesSpareCapacity() ? 1 : 0;
         }
         return run;
     }
@@ -124,6 +127,10 @@
         return longRunningRuns > 0;
     }
 
+    boolean hasSpareCapacityRun() {
+        return spareCapacityRuns > 0;
+    }
+
     /** Returns the capacity that no run takes. */
     HostCapacity freeCapacity() {
         return entry.capacity().minus(takenCapacity);
--- a/src/test/java/org/cicadalead/logic/work/SchedulingLoad.java
+++ b/src/test/java/org/cicadalead/logic/work/SchedulingLoad.java
@@ -56,6 +56,7 @@
     private final WorkScheduler scheduler = new WorkScheduler(SimulatedFleet.TERMS, 1, EarlierHosts.NONE, 0);
     private final MachineView view = scheduler.createMachineView();
     private final PoolBalancer balancer = new PoolBalancer();
+    private final CyclePacing pacing = new CyclePacing();
     private final Map<String, Machine> machines = new HashMap<>();
     private final Map<String, Machine> machineByHost = new HashMap<>();
     private final Map<String, WorkSubmission> submissions = new HashMap<>();
@@ -122,7 +123,7 @@
     /** Applies an event at the scheduler and schedules a cycle soon after it. */
     private void apply(String part, Runnable action) {
         measure(part, action);
-        nextCycleAt = Math.min(nextCycleAt, now + 4);
+        nextCycleAt = Math.min(nextCycleAt, now + pacing.delayMilliseconds());
     }
 
     private void measure(String part, Runnable action) {
@@ -245,21 +246,28 @@
 
     private void runCycle() {
         cycles++;
+        long startNanoseconds = System.nanoTime();
         List<WorkOrder> orders = new ArrayList<>();
         measure("decide", () -> orders.addAll(scheduler.decide(time(), true)));
         orders.forEach(this::execute);
-        measure("machines", () -> {
-            PoolView pools = scheduler.createPoolView(PLAN, time());
-            balancer.isMachineListNeeded(pools, now);
-            balancer.decide(pools, view, Set.of(), now).forEach(this::move);
-        });
+        if (pacing.startMachineDecisions(now)) {
+            measure("machines", () -> {
+                PoolView pools = scheduler.createPoolView(PLAN, time());
+                balancer.isMachineListNeeded(pools, now);
+                balancer.decide(pools, view, Set.of(), now).forEach(this::move);
+            });
+        }
         measure("announcements", () -> {
-            boolean pending = scheduler.hasPendingStartIntents();
+            boolean startsWait = scheduler.hasPendingStartIntents();
+            if (!pacing.startAnnouncement(now, startsWait)) {
+                return;
+            }
             HostsInUse announcement = scheduler.announceHostsInUse(time());
-            if (pending) {
+            if (startsWait) {
                 after(8, () -> apply("jobs", () -> scheduler.onAnnouncementStored(announcement.generation())));
             }
         });
+        pacing.onCycleEnded(System.nanoTime() - startNanoseconds);
     }
 
     private void execute(WorkOrder order) {
