Compare hosts without copying their free capacities in each cycle

Cause: after the checks for room, a cycle spent most on copying the free capacities of all hosts of each pool with waiting jobs into a new map, also when no task was placed.

Change: only hosts with a reservation of this cycle have an entry; the others answer from their running value. Decisions are the same.

--- a/src/main/java/org/cicadalead/logic/work/HostChoice.java
+++ b/src/main/java/org/cicadalead/logic/work/HostChoice.java
@@ -27,7 +27,10 @@
     /** Outweighs a difference of a whole host's processors. */
     private static final double EMPTY_HOST_PENALTY = 1.5;
 
-    private final Map<WorkHost, HostCapacity> freeCapacities = new HashMap<>();
+    private final List<WorkHost> hosts = new ArrayList<>();
+
+    /** Free capacities of the hosts for which a task was reserved in this cycle. */
+    private final Map<WorkHost, HostCapacity> reservedFreeCapacities = new HashMap<>();
 
     /** Free capacities at the start of the cycle, without those that another one exceeds in every dimension. */
     private final List<HostCapacity> largestFreeCapacities = new ArrayList<>();
@@ -40,9 +43,8 @@
     HostChoice(Collection<WorkHost> hosts, long now) {
         for (WorkHost host : hosts) {
             if (host.canAcceptWork(now)) {
-                HostCapacity free = host.freeCapacity();
-                freeCapacities.put(host, free);
-                addIfLargest(free);
+                this.hosts.add(host);
+                addIfLargest(host.freeCapacity());
             }
         }
     }
@@ -81,11 +83,16 @@
     }
 
     boolean isEmpty() {
-        return freeCapacities.isEmpty();
+        return hosts.isEmpty();
     }
 
     Collection<WorkHost> hosts() {
-        return freeCapacities.keySet();
+        return hosts;
+    }
+
+    private HostCapacity freeCapacityOf(WorkHost host) {
+        HostCapacity afterReservations = reservedFreeCapacities.get(host);
+        return afterReservations == null ? host.freeCapacity() : afterReservations;
     }
 
     /**
@@ -99,7 +106,7 @@
         if (best == null && !task.avoidedHosts.isEmpty()) {
             best = findBest(task, candidates, true);
         }
-        boolean mayUseAnyHost = candidates.size() == freeCapacities.size() && !task.step.specification.restrictsHosts();
+        boolean mayUseAnyHost = candidates.size() == hosts.size() && !task.step.specification.restrictsHosts();
         if (best == null && mayUseAnyHost) {
             unplaceable.add(task.step.requiredCapacity);
         }
@@ -132,9 +139,7 @@
 
     private boolean canRun(WorkStep step, WorkHost host) {
         StepSpecification specification = step.specification;
-        HostCapacity capacity = freeCapacities.get(host);
-        return capacity != null
-                && step.requiredCapacity.fitsInto(capacity)
+        return step.requiredCapacity.fitsInto(freeCapacityOf(host))
                 && specification
                         .requiredLabel()
                         .map(host.entry.labels()::contains)
@@ -148,7 +153,7 @@
                         && !specification.preferredRack().equals(host.entry.rack())
                 ? AWAY_FROM_DATA_PENALTY
                 : 0;
-        double freeCpuShare = (double) freeCapacities.get(host).milliCores()
+        double freeCpuShare = (double) freeCapacityOf(host).milliCores()
                 / Math.max(1, host.entry.capacity().milliCores());
         if (specification.longRunning()) {
             return dataPenalty + longRunningScore(step, host) - freeCpuShare;
@@ -167,21 +172,21 @@
         return host.hasLongRunningRun() ? 0 : EMPTY_HOST_PENALTY;
     }
 
-    /** Reserves capacity for a task. */
+    /** Reserves capacity for a task, before its run is added to the host. */
     void reserve(WorkHost host, StepSpecification specification) {
-        freeCapacities.computeIfPresent(host, (key, capacity) -> capacity.minus(specification.requiredCapacity()));
+        reservedFreeCapacities.put(host, freeCapacityOf(host).minus(specification.requiredCapacity()));
     }
 
     /** Releases the capacity that was reserved for a task that was not started. */
     void release(WorkHost host, StepSpecification specification) {
-        freeCapacities.computeIfPresent(host, (key, capacity) -> capacity.plus(specification.requiredCapacity()));
+        reservedFreeCapacities.put(host, freeCapacityOf(host).plus(specification.requiredCapacity()));
         unplaceable.clear();
     }
 
     /** Groups the hosts by their racks. */
     Collection<List<WorkHost>> groupByRack() {
         Map<String, List<WorkHost>> racks = new HashMap<>();
-        for (WorkHost host : freeCapacities.keySet()) {
+        for (WorkHost host : hosts) {
             racks.computeIfAbsent(host.entry.rack().orElse(""), key -> new ArrayList<>())
                     .add(host);
         }
