Keep a job of an earlier term for the full time after its end

What callers would see: a job that was running when the leader changed, and ends more than five minutes later, is unknown to its caller as soon as its end is stored; one that ends earlier is kept for less than the retention time.

Cause: restoring the progress of a job recorded the start of the term as the time of its end, whatever its phase.

Change: only a job that has ended gets a time of its end when it is restored.

JobRetentionTest failed before: the job was removed 100 ms after its end.

--- a/src/main/java/org/cicadalead/logic/work/WorkScheduler.java
+++ b/src/main/java/org/cicadalead/logic/work/WorkScheduler.java
@@ -86,7 +86,7 @@
         WorkJob job = state.jobs.get(progress.job());
         if (job != null) {
             job.restore(progress);
-            job.endedAt = now.monotonic();
+            job.endedAt = job.phase.isTerminal() ? now.monotonic() : 0;
         }
     }
 
