Compute once after which time a run is too slow

Change: the limit is computed when a run is attached to its host; what it depends on does not change while the run is active. Decisions are the same.

--- a/src/main/java/org/cicadalead/logic/work/RunLedger.java
+++ b/src/main/java/org/cicadalead/logic/work/RunLedger.java
@@ -93,6 +93,7 @@
     /** Records that a run was ordered. */
     void attach(WorkRun run) {
         run.task.attach(run);
+        run.overdueAfter = SlowRuns.overdueAfter(run, state.terms);
         run.task.lastAttempt = Math.max(run.task.lastAttempt, run.key.attempt());
         run.host.addRun(run);
         WorkJob job = run.task.step.job;
--- a/src/main/java/org/cicadalead/logic/work/SlowRuns.java
+++ b/src/main/java/org/cicadalead/logic/work/SlowRuns.java
@@ -16,19 +16,23 @@
 
     private static final int MAX_SLOW_RESTARTS = 2;
 
+    static final long NEVER = Long.MAX_VALUE;
+
     private SlowRuns() {}
 
-    static boolean isOverdue(WorkRun run, SchedulingTerms terms, long now) {
+    /** Returns the monotonic time after which a run is overdue; {@link #NEVER} for one that is not restarted. */
+    static long overdueAfter(WorkRun run, SchedulingTerms terms) {
         StepSpecification step = run.task.step.specification;
-        if (run.state != WorkRun.State.RUNNING || step.longRunning() || step.gang()) {
-            return false;
+        if (step.longRunning() || step.gang()) {
+            return NEVER;
         }
         if (run.task.slowRestarts >= MAX_SLOW_RESTARTS || step.estimatedMilliseconds() <= 0) {
-            return false;
+            return NEVER;
         }
         boolean remote =
                 step.preferredRack().isPresent() && !step.preferredRack().equals(run.host.entry.rack());
         double expected = step.estimatedMilliseconds() * (remote || step.sameRack() ? terms.remoteFactor() : 1);
-        return now - run.orderedAt > OVERDUE_FACTOR * (1 << run.task.slowRestarts) * expected + OVERHEAD_MILLISECONDS;
+        double allowed = OVERDUE_FACTOR * (1 << run.task.slowRestarts) * expected + OVERHEAD_MILLISECONDS;
+        return run.orderedAt + (long) Math.floor(allowed);
     }
 }
--- a/src/main/java/org/cicadalead/logic/work/WorkRun.java
+++ b/src/main/java/org/cicadalead/logic/work/WorkRun.java
@@ -11,6 +11,9 @@
     final WorkTask task;
     final WorkHost host;
     final long orderedAt;
+    /** Monotonic time after which the run is stopped as too slow; set when it is attached to its host. */
+    long overdueAfter = SlowRuns.NEVER;
+
     State state = State.ORDERED;
     long changedAt;
     int percentage;
--- a/src/main/java/org/cicadalead/logic/work/WorkScheduler.java
+++ b/src/main/java/org/cicadalead/logic/work/WorkScheduler.java
@@ -421,7 +421,7 @@
         if (run.host.entry.draining() && run.task.step.specification.longRunning()) {
             return true;
         }
-        if (SlowRuns.isOverdue(run, state.terms, now)) {
+        if (now > run.overdueAfter && run.state == WorkRun.State.RUNNING) {
             run.task.slowRestarts++;
             run.task.avoidedHosts.add(run.host.identifier);
             run.host.countFailure(now);
