--- a/src/test/java/org/cicadalead/logic/work/SchedulingLoad.java
+++ b/src/test/java/org/cicadalead/logic/work/SchedulingLoad.java
@@ -1,5 +1,7 @@
 package org.cicadalead.logic.work;
 
+import java.lang.management.ManagementFactory;
+import java.lang.management.ThreadMXBean;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -32,7 +34,8 @@
  * Plays a large fleet without faults against the scheduler in virtual time and reports the processor time that its
  * decisions take. The demand of one pool after the other rises to four times its mean, and machines move to the pools
  * that need them. Run it with {@code java -XX:TieredStopAtLevel=1 -cp target/classes:target/test-classes
- * org.cicadalead.logic.work.SchedulingLoad [demand]}, where the demand is a multiple of what the fleet is made for.
+ * org.cicadalead.logic.work.SchedulingLoad [demand [seed]]}, where the demand is a multiple of what the fleet is made
+ * for. The jobs depend on the seed only, and not on the decisions.
  */
 final class SchedulingLoad {
     private static final int HOSTS = 246;
@@ -51,7 +54,9 @@
     private static final FleetPlan PLAN =
             new FleetPlan(1, Map.of(), Set.of("first", "second", "third", "fourth", STANDBY), Set.of(STANDBY), 100_000);
 
-    private final Random random = new Random(1);
+    private final ThreadMXBean threads = ManagementFactory.getThreadMXBean();
+    private final Random arrivals;
+    private final Random durations;
     private final double demand;
     private final WorkScheduler scheduler = new WorkScheduler(SimulatedFleet.TERMS, 1, EarlierHosts.NONE, 0);
     private final MachineView view = scheduler.createMachineView();
@@ -71,14 +76,17 @@
     private long starts;
     private long nextCycleAt = Long.MAX_VALUE;
 
-    private SchedulingLoad(double demand) {
+    private SchedulingLoad(double demand, long seed) {
         this.demand = demand;
+        this.arrivals = new Random(seed);
+        this.durations = new Random(seed);
     }
 
     /** Runs the load and prints the processor time of each part. */
     public static void main(String[] arguments) {
         double demand = arguments.length == 0 ? 1 : Double.parseDouble(arguments[0]);
-        SchedulingLoad load = new SchedulingLoad(demand);
+        long seed = arguments.length < 2 ? 1 : Long.parseLong(arguments[1]);
+        SchedulingLoad load = new SchedulingLoad(demand, seed);
         load.run();
         load.print();
     }
@@ -127,17 +135,17 @@
     }
 
     private void measure(String part, Runnable action) {
-        long start = System.nanoTime();
+        long start = threads.getCurrentThreadCpuTime();
         action.run();
-        nanosecondsByPart.merge(part, System.nanoTime() - start, Long::sum);
+        nanosecondsByPart.merge(part, threads.getCurrentThreadCpuTime() - start, Long::sum);
     }
 
     /** Submits the jobs of a queue at its peak rate during its turn, and at a small share of that otherwise. */
     private void submitNext(Queue queue) {
         double peakPerSecond = queue.jobsPerSecond() * demand * PEAK_FACTOR;
-        after(Math.max(1, Math.round(-Math.log(1 - random.nextDouble()) * 1_000 / peakPerSecond)), () -> {
+        after(Math.max(1, Math.round(-Math.log(1 - arrivals.nextDouble()) * 1_000 / peakPerSecond)), () -> {
             double phase = now * (double) QUEUES.size() / LENGTH_MILLISECONDS - queue.turn();
-            if ((phase >= 0 && phase < 1) || random.nextDouble() < SHARE_OUTSIDE_TURN) {
+            if ((phase >= 0 && phase < 1) || arrivals.nextDouble() < SHARE_OUTSIDE_TURN) {
                 submit(queue);
             }
             submitNext(queue);
@@ -145,13 +153,13 @@
     }
 
     private void submit(Queue queue) {
-        int stepCount = (int) Math.max(1, Math.min(4, Math.round(queue.steps() + random.nextGaussian() * 0.6)));
+        int stepCount = (int) Math.max(1, Math.min(4, Math.round(queue.steps() + arrivals.nextGaussian() * 0.6)));
         List<StepSpecification> steps = new ArrayList<>();
         for (int number = 0; number < stepCount; number++) {
-            int width = (int) Math.max(1, Math.min(32, Math.round(8 * Math.exp(random.nextGaussian() * 0.6 - 0.18))));
-            long milliCores = Math.round(queue.milliCores() * Math.exp(random.nextGaussian() * 0.45 - 0.1));
-            long memory = Math.round(queue.memory() * Math.exp(random.nextGaussian() * 0.6 - 0.18));
-            long estimate = Math.round(queue.milliseconds() * Math.exp(random.nextGaussian() * 0.5 - 0.12));
+            int width = (int) Math.max(1, Math.min(32, Math.round(8 * Math.exp(arrivals.nextGaussian() * 0.6 - 0.18))));
+            long milliCores = Math.round(queue.milliCores() * Math.exp(arrivals.nextGaussian() * 0.45 - 0.1));
+            long memory = Math.round(queue.memory() * Math.exp(arrivals.nextGaussian() * 0.6 - 0.18));
+            long estimate = Math.round(queue.milliseconds() * Math.exp(arrivals.nextGaussian() * 0.5 - 0.12));
             steps.add(step(width, Math.min(60_000, milliCores), Math.min(200_000, memory), estimate, number, false));
         }
         addJob("job-" + sequence++, queue, steps);
@@ -246,7 +254,7 @@
 
     private void runCycle() {
         cycles++;
-        long startNanoseconds = System.nanoTime();
+        long startNanoseconds = threads.getCurrentThreadCpuTime();
         List<WorkOrder> orders = new ArrayList<>();
         measure("decide", () -> orders.addAll(scheduler.decide(time(), true)));
         orders.forEach(this::execute);
@@ -267,7 +275,7 @@
                 after(8, () -> apply("jobs", () -> scheduler.onAnnouncementStored(announcement.generation())));
             }
         });
-        pacing.onCycleEnded(System.nanoTime() - startNanoseconds);
+        pacing.onCycleEnded(threads.getCurrentThreadCpuTime() - startNanoseconds);
     }
 
     private void execute(WorkOrder order) {
@@ -308,7 +316,8 @@
         String host = machine.host;
         apply("starts", () -> scheduler.onStartReply(host, order.run(), StartOutcome.STARTED, time()));
         if (!specification.longRunning()) {
-            long duration = Math.round(specification.estimatedMilliseconds() * Math.exp(random.nextGaussian() * 0.3));
+            long duration =
+                    Math.round(specification.estimatedMilliseconds() * Math.exp(durations.nextGaussian() * 0.3));
             after(duration, () -> end(machine, host, order.run(), RunEnding.DONE));
         }
     }
