Do not drop a run that a restarted host started after it was polled

What callers could see: a task with two runs at the same time on one host (TWICE).

Cause: a reply that reveals a restart of the host dropped every confirmed run that it did not list, although the order may have reached the new incarnation after it had written that reply. The next cycle then started the task once more.

Change: a missing run counts as ended only when the poll was sent after the last change of the run, restarted or not; the next poll decides, about a second later at most.

--- a/src/main/java/org/cicadalead/logic/work/RunLedger.java
+++ b/src/main/java/org/cicadalead/logic/work/RunLedger.java
@@ -15,8 +15,8 @@
 
 /**
  * Tracks the runs on every host. A task may get its next run only when its last one has ended for certain: the host
- * listed its end, or confirmed the stop and does not list the run, or has restarted, or all its leases have expired.
- * Not thread-safe.
+ * listed its end, or does not list the run in reply to a poll that was sent after the start or the stop was confirmed,
+ * or all its leases have expired. Not thread-safe.
  */
 final class RunLedger {
     /** Pause after a host rejected a run for lack of capacity; about the time between two polls. */
@@ -33,7 +33,7 @@
 
     /** Applies the reply of a host to a poll that was sent at the given time. */
     void applyListing(WorkHost host, HostListing listing, long sentAt, long now) {
-        boolean restarted = host.applyListing(listing, now);
+        host.applyListing(listing, now);
         Set<RunKey> listed = new HashSet<>();
         for (ActiveRun active : listing.active()) {
             listed.add(active.run());
@@ -48,7 +48,7 @@
         }
         for (WorkRun run : List.copyOf(host.runs.values())) {
             if (!listed.contains(run.key)) {
-                handleMissingRun(run, restarted, sentAt, now);
+                handleMissingRun(run, sentAt, now);
             }
         }
         host.orphanedRuns.retainAll(listed);
@@ -152,11 +152,11 @@
      * Handles a run that the host does not list. It has ended, unless an order is in flight or the poll was sent before
      * the state of the run last changed.
      */
-    private void handleMissingRun(WorkRun run, boolean restarted, long sentAt, long now) {
+    private void handleMissingRun(WorkRun run, long sentAt, long now) {
         boolean pollIsNewer = sentAt > run.changedAt;
         switch (run.state) {
             case RUNNING -> {
-                if (pollIsNewer || restarted) {
+                if (pollIsNewer) {
                     drop(run);
                 }
             }
--- a/src/main/java/org/cicadalead/logic/work/WorkHost.java
+++ b/src/main/java/org/cicadalead/logic/work/WorkHost.java
@@ -48,8 +48,8 @@
         this.entry = entry;
     }
 
-    /** Records the clock and the incarnation in a reply; returns whether the host has restarted. */
-    boolean applyListing(HostListing listing, long now) {
+    /** Records the clock and the incarnation in a reply. */
+    void applyListing(HostListing listing, long now) {
         boolean restarted = repliedThisTerm && listing.bornMilliseconds() != processStartMilliseconds;
         if (restarted) {
             highestDeadline = 0;
@@ -62,7 +62,6 @@
         clockReading = listing.clockMilliseconds();
         clockReadAt = now;
         lastReplyAt = now;
-        return restarted;
     }
 
     /** Returns the expiry of a new lease in milliseconds of the host's clock, and records the latest expiry given. */
