Keep a run that a restarted host started after its listing was requested

Cause: the first listing after a restart dropped every confirmed run that it did not list, also one that the new process had started after it made the listing. The leader did not know of the restart when it ordered the run. The task was free at once and started again.

Ruled out: an order that arrives late, and two terms: the faults of the kind hosts have neither.

Change: a listing ends a confirmed run only when it was requested after the run's last change, for a restarted host too; its lease counts anew, as the deadline was computed from the clock of the former process. One more poll is needed at most.

Result: RunLedgerTest failed before (a second start was ordered) and passes.

--- a/src/main/java/org/cicadalead/logic/work/RunLedger.java
+++ b/src/main/java/org/cicadalead/logic/work/RunLedger.java
@@ -48,9 +48,13 @@
         }
         for (WorkRun run : List.copyOf(host.runs.values())) {
             if (!listed.contains(run.key)) {
-                handleMissingRun(run, restarted, sentAt, now);
+                handleMissingRun(run, sentAt, now);
             }
         }
+        if (restarted && !host.runs.isEmpty()) {
+            // Runs that were ordered before the restart was known have a lease on the new process.
+            host.extendLease(now, state.terms.leaseMilliseconds());
+        }
         host.orphanedRuns.retainAll(listed);
     }
 
@@ -150,13 +154,14 @@
 
     /**
      * Handles a run that the host does not list. It has ended, unless an order is in flight or the poll was sent before
-     * the state of the run last changed.
+     * the state of the run last changed. That holds for a restarted host too, as its new process may have started the
+     * run after it made the listing.
      */
-    private void handleMissingRun(WorkRun run, boolean restarted, long sentAt, long now) {
+    private void handleMissingRun(WorkRun run, long sentAt, long now) {
         boolean pollIsNewer = sentAt > run.changedAt;
         switch (run.state) {
             case RUNNING -> {
-                if (pollIsNewer || restarted) {
+                if (pollIsNewer) {
                     drop(run);
                 }
             }
--- /dev/null
+++ b/src/test/java/org/cicadalead/logic/work/RunLedgerTest.java
@@ -0,0 +1,49 @@
+package org.cicadalead.logic.work;
+
+import static org.cicadalead.logic.work.WorkFixtures.at;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.cicadalead.model.work.HostEntry;
+import org.cicadalead.model.work.HostListing;
+import org.cicadalead.model.work.StartOutcome;
+import org.junit.jupiter.api.Test;
+
+class RunLedgerTest {
+    private static final HostEntry HOST = WorkFixtures.host("host", WorkFixtures.BUSY, "rack");
+
+    private final WorkScheduler scheduler = WorkFixtures.scheduler(HOST);
+
+    private WorkOrder.Start startTask(long now) {
+        scheduler.addJob(WorkFixtures.job("job", WorkFixtures.BUSY, 0, WorkFixtures.step(1, 1_000, 500)), at(now));
+        WorkOrder.Start start = WorkFixtures.startsIn(WorkFixtures.decide(scheduler, at(now), true))
+                .get(0);
+        scheduler.onStartReply("host", start.run(), StartOutcome.STARTED, at(now + 4));
+        return start;
+    }
+
+    private void listNoRunsAfterRestart(long sentAt, long now) {
+        scheduler.onHostListing("host", new HostListing(2, now, List.of(), List.of()), sentAt, at(now));
+    }
+
+    @Test
+    void keepsRunThatRestartedHostStartedAfterItsListingWasRequested() {
+        startTask(100);
+        listNoRunsAfterRestart(99, 106);
+        assertEquals(List.of(), WorkFixtures.startsIn(WorkFixtures.decide(scheduler, at(107), true)));
+        long remaining =
+                scheduler.announceHostsInUse(at(107)).claims().get("host").remainingLease();
+        assertTrue(remaining >= WorkFixtures.TERMS.leaseMilliseconds() - 1, "remaining lease is " + remaining);
+    }
+
+    @Test
+    void restartsTaskOfRestartedHostOnceItsListingWasRequestedLater() {
+        startTask(100);
+        listNoRunsAfterRestart(105, 106);
+        assertEquals(
+                1,
+                WorkFixtures.startsIn(WorkFixtures.decide(scheduler, at(107), true))
+                        .size());
+    }
+}
