--- a/src/main/java/org/cicadalead/logic/work/RunLedger.java
+++ b/src/main/java/org/cicadalead/logic/work/RunLedger.java
@@ -51,6 +51,10 @@
                 handleMissingRun(run, sentAt, now);
             }
         }
+        if (restarted && !host.runs.isEmpty()) {
+            // Runs that were ordered before the restart was known have a lease on the new process.
+            host.extendLease(now, state.terms.leaseMilliseconds());
+        }
         host.orphanedRuns.retainAll(listed);
     }
 
@@ -150,7 +154,8 @@
 
     /**
      * Handles a run that the host does not list. It has ended, unless an order is in flight or the poll was sent before
-     * the state of the run last changed.
+     * the state of the run last changed. That holds for a restarted host too, as its new process may have started the
+     * run after it made the listing.
      */
     private void handleMissingRun(WorkRun run, long sentAt, long now) {
         boolean pollIsNewer = sentAt > run.changedAt;
--- a/src/test/java/org/cicadalead/logic/work/RunLedgerTest.java
+++ b/src/test/java/org/cicadalead/logic/work/RunLedgerTest.java
@@ -2,6 +2,7 @@
 
 import static org.cicadalead.logic.work.WorkFixtures.at;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
 import org.cicadalead.model.work.HostEntry;
@@ -10,23 +11,39 @@
 import org.junit.jupiter.api.Test;
 
 class RunLedgerTest {
-    private static final HostEntry HOST = WorkFixtures.host("host", WorkFixtures.BUSY, "rack-1");
+    private static final HostEntry HOST = WorkFixtures.host("host", WorkFixtures.BUSY, "rack");
 
-    /** The order reaches the new incarnation after it has answered the poll, and its reply overtakes that answer. */
-    @Test
-    void doesNotStartTaskAgainWhenPollThatRevealsRestartIsOlderThanItsStart() {
-        WorkScheduler scheduler = WorkFixtures.scheduler(HOST);
-        scheduler.addJob(WorkFixtures.job("job", WorkFixtures.BUSY, 0, WorkFixtures.step(1, 1_000, 500)), at(100));
-        long pollSentAt = 100;
-        WorkOrder.Start start = WorkFixtures.startsIn(WorkFixtures.decide(scheduler, at(101), true))
+    private final WorkScheduler scheduler = WorkFixtures.scheduler(HOST);
+
+    private WorkOrder.Start startTask(long now) {
+        scheduler.addJob(WorkFixtures.job("job", WorkFixtures.BUSY, 0, WorkFixtures.step(1, 1_000, 500)), at(now));
+        WorkOrder.Start start = WorkFixtures.startsIn(WorkFixtures.decide(scheduler, at(now), true))
                 .get(0);
-        scheduler.onStartReply("host", start.run(), StartOutcome.STARTED, at(110));
-        scheduler.onHostListing("host", new HostListing(50, 1, List.of(), List.of()), pollSentAt, at(112));
-        assertEquals(List.of(), WorkFixtures.startsIn(WorkFixtures.decide(scheduler, at(113), true)));
-        scheduler.onHostListing("host", new HostListing(50, 1, List.of(), List.of()), 114, at(116));
+        scheduler.onStartReply("host", start.run(), StartOutcome.STARTED, at(now + 4));
+        return start;
+    }
+
+    private void listNoRunsAfterRestart(long sentAt, long now) {
+        scheduler.onHostListing("host", new HostListing(2, now, List.of(), List.of()), sentAt, at(now));
+    }
+
+    @Test
+    void keepsRunThatRestartedHostStartedAfterItsListingWasRequested() {
+        startTask(100);
+        listNoRunsAfterRestart(99, 106);
+        assertEquals(List.of(), WorkFixtures.startsIn(WorkFixtures.decide(scheduler, at(107), true)));
+        long remaining =
+                scheduler.announceHostsInUse(at(107)).claims().get("host").remainingLease();
+        assertTrue(remaining >= WorkFixtures.TERMS.leaseMilliseconds() - 1, "remaining lease is " + remaining);
+    }
+
+    @Test
+    void restartsTaskOfRestartedHostOnceItsListingWasRequestedLater() {
+        startTask(100);
+        listNoRunsAfterRestart(105, 106);
         assertEquals(
                 1,
-                WorkFixtures.startsIn(WorkFixtures.decide(scheduler, at(117), true))
+                WorkFixtures.startsIn(WorkFixtures.decide(scheduler, at(107), true))
                         .size());
     }
 }
