--- a/src/main/java/org/cicadalead/logic/work/HostChoice.java
+++ b/src/main/java/org/cicadalead/logic/work/HostChoice.java
@@ -27,30 +27,90 @@
     /** Outweighs a difference of a whole host's processors. */
     private static final double EMPTY_HOST_PENALTY = 1.5;
 
-    private final Map<WorkHost, HostCapacity> freeCapacities = new HashMap<>();
+    private final List<WorkHost> hosts = new ArrayList<>();
+
+    /** Free capacities of the hosts for which a task was reserved in this cycle. */
+    private final Map<WorkHost, HostCapacity> reservedFreeCapacities = new HashMap<>();
+
+    /** Free capacities at the start of the cycle, without those that another one exceeds in every dimension. */
+    private final List<HostCapacity> largestFreeCapacities = new ArrayList<>();
+
+    /** Requirements for which no host was found since capacity was last released. */
+    private final List<HostCapacity> unplaceable = new ArrayList<>();
+
+    private long evaluatedHosts;
 
     HostChoice(Collection<WorkHost> hosts, long now) {
         for (WorkHost host : hosts) {
             if (host.canAcceptWork(now)) {
-                freeCapacities.put(host, host.freeCapacity());
+                this.hosts.add(host);
+                addIfLargest(host.freeCapacity());
+            }
+        }
+    }
+
+    private void addIfLargest(HostCapacity free) {
+        for (HostCapacity other : largestFreeCapacities) {
+            if (free.isAtMost(other)) {
+                return;
+            }
+        }
+        largestFreeCapacities.removeIf(other -> other.isAtMost(free));
+        largestFreeCapacities.add(free);
+    }
+
+    /**
+     * Returns whether a host may have room for a task that requires the given capacity. Independent of the number of
+     * hosts for most requirements, so that a long queue of a full pool costs little.
+     */
+    boolean mayHaveRoom(HostCapacity required) {
+        for (HostCapacity smaller : unplaceable) {
+            if (smaller.fitsInto(required)) {
+                return false;
             }
         }
+        for (HostCapacity free : largestFreeCapacities) {
+            if (required.fitsInto(free)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** Returns how many times a host was compared with the requirements of a task. */
+    long evaluatedHosts() {
+        return evaluatedHosts;
     }
 
     boolean isEmpty() {
-        return freeCapacities.isEmpty();
+        return hosts.isEmpty();
     }
 
     Collection<WorkHost> hosts() {
-        return freeCapacities.keySet();
+        return hosts;
+    }
+
+    private HostCapacity freeCapacityOf(WorkHost host) {
+        HostCapacity afterReservations = reservedFreeCapacities.get(host);
+        return afterReservations == null ? host.freeCapacity() : afterReservations;
     }
 
     /**
      * Finds a host for a task among the given ones, and uses a host where it has failed only when there is no other.
      */
     @Nullable WorkHost findHost(WorkTask task, Collection<WorkHost> candidates) {
-        WorkHost preferred = findBest(task, candidates, false);
-        return preferred == null && !task.avoidedHosts.isEmpty() ? findBest(task, candidates, true) : preferred;
+        if (!mayHaveRoom(task.step.requiredCapacity)) {
+            return null;
+        }
+        WorkHost best = findBest(task, candidates, false);
+        if (best == null && !task.avoidedHosts.isEmpty()) {
+            best = findBest(task, candidates, true);
+        }
+        boolean mayUseAnyHost = candidates.size() == hosts.size() && !task.step.specification.restrictsHosts();
+        if (best == null && mayUseAnyHost) {
+            unplaceable.add(task.step.requiredCapacity);
+        }
+        return best;
     }
 
     private @Nullable WorkHost findBest(WorkTask task, Collection<WorkHost> candidates, boolean allowsAvoided) {
@@ -60,6 +120,7 @@
             if (!allowsAvoided && task.avoidedHosts.contains(host.identifier)) {
                 continue;
             }
+            evaluatedHosts++;
             if (!canRun(task.step, host)) {
                 continue;
             }
@@ -78,9 +139,7 @@
 
     private boolean canRun(WorkStep step, WorkHost host) {
         StepSpecification specification = step.specification;
-        HostCapacity capacity = freeCapacities.get(host);
-        return capacity != null
-                && specification.requiredCapacity().fitsInto(capacity)
+        return step.requiredCapacity.fitsInto(freeCapacityOf(host))
                 && specification
                         .requiredLabel()
                         .map(host.entry.labels()::contains)
@@ -94,7 +153,7 @@
                         && !specification.preferredRack().equals(host.entry.rack())
                 ? AWAY_FROM_DATA_PENALTY
                 : 0;
-        double freeCpuShare = (double) freeCapacities.get(host).milliCores()
+        double freeCpuShare = (double) freeCapacityOf(host).milliCores()
                 / Math.max(1, host.entry.capacity().milliCores());
         if (specification.longRunning()) {
             return dataPenalty + longRunningScore(step, host) - freeCpuShare;
@@ -110,31 +169,24 @@
         if (step.countTasksOn(host) >= MAX_TASKS_OF_STEP_PER_HOST) {
             return CROWDED_PENALTY;
         }
-        return countLongRunningTasks(host) > 0 ? 0 : EMPTY_HOST_PENALTY;
+        return host.hasLongRunningRun() ? 0 : EMPTY_HOST_PENALTY;
     }
 
-    private static int countLongRunningTasks(WorkHost host) {
-        int count = 0;
-        for (WorkRun run : host.runs.values()) {
-            count += run.task.step.specification.longRunning() ? 1 : 0;
-        }
-        return count;
-    }
-
-    /** Reserves capacity for a task. */
+    /** Reserves capacity for a task, before its run is added to the host. */
     void reserve(WorkHost host, StepSpecification specification) {
-        freeCapacities.computeIfPresent(host, (key, capacity) -> capacity.minus(specification.requiredCapacity()));
+        reservedFreeCapacities.put(host, freeCapacityOf(host).minus(specification.requiredCapacity()));
     }
 
     /** Releases the capacity that was reserved for a task that was not started. */
     void release(WorkHost host, StepSpecification specification) {
-        freeCapacities.computeIfPresent(host, (key, capacity) -> capacity.plus(specification.requiredCapacity()));
+        reservedFreeCapacities.put(host, freeCapacityOf(host).plus(specification.requiredCapacity()));
+        unplaceable.clear();
     }
 
     /** Groups the hosts by their racks. */
     Collection<List<WorkHost>> groupByRack() {
         Map<String, List<WorkHost>> racks = new HashMap<>();
-        for (WorkHost host : freeCapacities.keySet()) {
+        for (WorkHost host : hosts) {
             racks.computeIfAbsent(host.entry.rack().orElse(""), key -> new ArrayList<>())
                     .add(host);
         }
--- a/src/main/java/org/cicadalead/logic/work/SpareCapacityPacing.java
+++ b/src/main/java/org/cicadalead/logic/work/SpareCapacityPacing.java
@@ -22,6 +22,9 @@
     private SpareCapacityPacing() {}
 
     static List<WorkOrder> pace(WorkHost host, long now) {
+        if (!host.hasSpareCapacityRun()) {
+            return List.of();
+        }
         double highestTailShare = -1;
         for (WorkRun run : host.runs.values()) {
             if (run.task.step.specification.hasTailTarget() && run.state == WorkRun.State.RUNNING) {
