Start entry processes from a class-data archive that the build makes

On a host with 0.36 of a core the start delays readiness.

Cause: each start parses and verifies 2,700 classes of 3,900 that the JDK's own archive doesn't have (-Xlog:class+load).

Training with `check` only was ruled out, as it loads few of the classes that serve.

With an absent archive the process starts without a message; with another jar it starts with one warning line.

--- a/src/main/java/org/cicadalead/cli/Subcommands.java
+++ b/src/main/java/org/cicadalead/cli/Subcommands.java
@@ -25,6 +25,7 @@
             new BenchJobsCommand(),
             new BenchStateCommand(),
             new PlatformEntryCommand(),
+            new WarmUpCommand(),
             new PlatformStandInCommand(),
             new UpstreamStandInCommand(),
             new BenchOutcomesCommand(),
--- a/src/test/java/org/cicadalead/platform/LoopbackPlatform.java
+++ b/src/main/java/org/cicadalead/platform/LoopbackPlatform.java
@@ -95,8 +95,8 @@
                         "limits.cpuShare=0.75",
                         "bounds.holdMaxMs=6000",
                         "something.new=ignored"));
-        entries.add(
-                new PlatformEntry(PlatformSettings.read(file), OutputStream.nullOutputStream(), OptionalInt.empty()));
+        entries.add(new PlatformEntry(
+                PlatformSettings.read(file), OutputStream.nullOutputStream(), OptionalInt.of(freePort())));
         return ADDRESS + ":" + frontend;
     }
 
