Release machines of a wave after their maintenance

Cause: a machine stayed in the set of cordoned ones after its maintenance had begun, so it stayed reserved until the completion of the whole wave was reported, and could neither move nor be switched off.

Ruled out: the leader (44 cycles in 250 ms, longest gap 10 to 20 ms), closed services (none), the limit of orders a cycle.

Change: a machine whose maintenance has begun, or is impossible, is no longer cordoned; it is reserved while it is or may be down. Both new tests failed before.

--- a/src/main/java/org/cicadalead/logic/work/MachineMaintenancePlanner.java
+++ b/src/main/java/org/cicadalead/logic/work/MachineMaintenancePlanner.java
@@ -238,11 +238,11 @@
         wave.orderedAt.remove(order.machine());
         switch (outcome) {
             case BEGUN -> {
-                wave.finished.add(order.machine());
+                wave.finish(order.machine());
                 wave.downSince.put(order.machine(), now);
             }
             case IMPOSSIBLE -> {
-                wave.finished.add(order.machine());
+                wave.finish(order.machine());
                 view.setCordoned(order.host(), false);
                 view.setLeaving(order.host(), false);
             }
@@ -327,10 +327,16 @@
             this.startedMilliseconds = startedMilliseconds;
         }
 
+        /** Records that a machine needs no more maintenance, so that it is reserved only while it is down. */
+        void finish(String machine) {
+            finished.add(machine);
+            cordonedAt.remove(machine);
+        }
+
         void finishMissing(Map<String, MachineEntry> machines) {
             for (String machine : definition.machines()) {
                 if (!machines.containsKey(machine)) {
-                    finished.add(machine);
+                    finish(machine);
                 }
             }
         }
--- a/src/test/java/org/cicadalead/logic/work/MachineMaintenancePlannerTest.java
+++ b/src/test/java/org/cicadalead/logic/work/MachineMaintenancePlannerTest.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
+import java.util.stream.Collectors;
 import org.cicadalead.model.work.HostEntry;
 import org.cicadalead.model.work.MachineCondition;
 import org.cicadalead.model.work.MachineEntry;
@@ -176,4 +177,38 @@
         planner.onOrderReply(order, MachineOutcome.BEGUN, scheduler.createMachineView(), 20);
         assertEquals(List.of(1L), planner.findCompletedWaves());
     }
+
+    @Test
+    void doesNotReserveMachinesAfterTheirMaintenance() {
+        WorkScheduler scheduler = createFleet(3);
+        addWave(2, 3);
+        List<MachineMaintenancePlanner.Order> orders = decide(scheduler, 10);
+        for (MachineMaintenancePlanner.Order order : orders) {
+            planner.onOrderReply(order, MachineOutcome.BEGUN, scheduler.createMachineView(), 20);
+        }
+        listConditions(orders, MachineCondition.UPKEEP, 100);
+        Set<String> orderedMachines =
+                orders.stream().map(MachineMaintenancePlanner.Order::machine).collect(Collectors.toSet());
+        assertEquals(orderedMachines, planner.findReservedMachines());
+        listConditions(orders, MachineCondition.UP, 2_100);
+        assertEquals(List.of(1L), planner.findRunningWaves());
+        assertEquals(Set.of(), planner.findReservedMachines());
+    }
+
+    @Test
+    void doesNotReserveMachineWhoseMaintenanceIsImpossible() {
+        WorkScheduler scheduler = createFleet(2);
+        addWave(1, 2);
+        MachineMaintenancePlanner.Order order = decide(scheduler, 10).get(0);
+        planner.onOrderReply(order, MachineOutcome.IMPOSSIBLE, scheduler.createMachineView(), 20);
+        assertEquals(Set.of(), planner.findReservedMachines());
+    }
+
+    private void listConditions(List<MachineMaintenancePlanner.Order> orders, MachineCondition condition, long now) {
+        for (MachineMaintenancePlanner.Order order : orders) {
+            machines.removeIf(machine -> machine.machine().equals(order.machine()));
+            machines.add(new MachineEntry(order.machine(), WorkFixtures.BUSY, condition, order.host() + "-restarted"));
+        }
+        planner.updateMachines(machines, now);
+    }
 }
