--- a/src/main/java/org/cicadalead/logic/work/WorkScheduler.java
+++ b/src/main/java/org/cicadalead/logic/work/WorkScheduler.java
@@ -87,7 +87,7 @@
         WorkJob job = state.jobs.get(progress.job());
         if (job != null) {
             job.restore(progress);
-            job.endedAt = now.monotonic();
+            job.endedAt = job.phase.isTerminal() ? now.monotonic() : 0;
         }
     }
 
@@ -450,7 +450,7 @@
         if (run.host.entry.draining() && run.task.step.specification.longRunning()) {
             return true;
         }
-        if (SlowRuns.isOverdue(run, state.terms, now)) {
+        if (now > run.overdueAfter && run.state == WorkRun.State.RUNNING) {
             run.task.slowRestarts++;
             run.task.avoidedHosts.add(run.host.identifier);
             run.host.countFailure(now);
