Order no run on a host that may have restarted until it replies

Cause, traced in the simulation: the host restarted under its identifier at 8.861 s, and its clock began anew. At 10.191 s the scheduler, whose last poll had failed, ordered a run with a deadline of 15.764 s by the clock of the former process. It started the task elsewhere when that lease had expired here; the order was carried out late, at 7.4 s of the new clock, before its deadline.

Change: a host whose last poll failed, or that registers again, gets no run until it replies.

Result: RunLedgerTest.ordersNothingOnHostThatMayHaveRestartedUntilItReplies failed before (a start was ordered) and passes.

--- a/src/main/java/org/cicadalead/logic/work/WorkHost.java
+++ b/src/main/java/org/cicadalead/logic/work/WorkHost.java
@@ -119,8 +119,19 @@
         return repliedThisTerm && !isUnreachable(now) && announcedUnreachableIn != NOT_ANNOUNCED_UNREACHABLE;
     }
 
+    /**
+     * Returns whether runs may be ordered. A host that may have restarted must reply first: a deadline by the clock of
+     * its former process could lie far ahead on the new one, where a delayed order would start a run after its lease
+     * has expired here.
+     */
     boolean canAcceptWork(long now) {
-        return registered && canReceiveLease(now) && !entry.draining() && !cordoned && !leaving && now >= excludedUntil;
+        return registered
+                && !incarnationUnknown
+                && canReceiveLease(now)
+                && !entry.draining()
+                && !cordoned
+                && !leaving
+                && now >= excludedUntil;
     }
 
     /** Returns whether all ends that the host has listed are in the store; otherwise they are lost when it leaves. */
--- a/src/test/java/org/cicadalead/logic/work/RunLedgerTest.java
+++ b/src/test/java/org/cicadalead/logic/work/RunLedgerTest.java
@@ -46,4 +46,16 @@
                 WorkFixtures.startsIn(WorkFixtures.decide(scheduler, at(107), true))
                         .size());
     }
+
+    @Test
+    void ordersNothingOnHostThatMayHaveRestartedUntilItReplies() {
+        scheduler.onPollFailed("host");
+        scheduler.addJob(WorkFixtures.job("job", WorkFixtures.BUSY, 0, WorkFixtures.step(1, 1_000, 500)), at(100));
+        assertEquals(List.of(), WorkFixtures.startsIn(WorkFixtures.decide(scheduler, at(100), true)));
+        WorkFixtures.replyToPoll(scheduler, "host", 200, List.of(), List.of());
+        assertEquals(
+                1,
+                WorkFixtures.startsIn(WorkFixtures.decide(scheduler, at(201), true))
+                        .size());
+    }
 }
