Keep the runs of a host that replied after its machine list was requested

Cause: a machine list that shows a machine as moving or in maintenance ended the host on it whenever the list arrived. While the list was on its way the machine may have come up again, under the same identifier, have replied and been given runs; these were dropped here and started anew elsewhere.

A machine that carries another host still ends its previous host at once, as that cannot return.

Result: RunLedgerTest.keepsRunOfHostThatRepliedAfterTheListOfItsMachineWasRequested failed before (the host was dropped) and passes.

--- a/src/main/java/org/cicadalead/adapters/work/MachineController.java
+++ b/src/main/java/org/cicadalead/adapters/work/MachineController.java
@@ -155,11 +155,11 @@
         for (MachineEntry machine : machines) {
             boolean hostEnded = machine.condition().endsHost();
             String previousHost = hostByMachine.getOrDefault(machine.machine(), machine.host());
-            if (hostEnded || !previousHost.equals(machine.host())) {
-                view.onHostDown(previousHost);
+            if (!previousHost.equals(machine.host())) {
+                view.onHostReplaced(previousHost);
             }
             if (hostEnded) {
-                view.onHostDown(machine.host());
+                view.onHostDown(machine.host(), requestedAtMilliseconds);
             }
             hostByMachine.put(machine.machine(), machine.host());
             boolean remainsInService = machine.condition() == MachineCondition.UP
--- a/src/main/java/org/cicadalead/logic/work/MachineView.java
+++ b/src/main/java/org/cicadalead/logic/work/MachineView.java
@@ -144,8 +144,21 @@
         return count;
     }
 
-    /** Drops all runs of a host that has ended for certain with its machine, and unregisters the host. */
-    public void onHostDown(String identifier) {
+    /**
+     * Drops all runs of a host whose machine was listed as down by order, and unregisters the host. A host that has
+     * replied since the list was requested may be a new process under the same identifier, and is left to a later list.
+     *
+     * @param requestedAt monotonic time in milliseconds when the list was requested
+     */
+    public void onHostDown(String identifier, long requestedAt) {
+        WorkHost host = state.hosts.get(identifier);
+        if (host == null || !host.hasRepliedSince(requestedAt)) {
+            onHostEnded.accept(identifier);
+        }
+    }
+
+    /** Drops all runs of a host whose machine carries another host, and unregisters the host. */
+    public void onHostReplaced(String identifier) {
         onHostEnded.accept(identifier);
     }
 
--- a/src/main/java/org/cicadalead/logic/work/WorkHost.java
+++ b/src/main/java/org/cicadalead/logic/work/WorkHost.java
@@ -109,6 +109,10 @@
         return now - lastReplyAt >= UNREACHABLE_AFTER_MILLISECONDS;
     }
 
+    boolean hasRepliedSince(long time) {
+        return repliedThisTerm && lastReplyAt >= time;
+    }
+
     /** Returns whether the host may get leases: it replies, and no stored announcement tells a successor otherwise. */
     boolean canReceiveLease(long now) {
         return repliedThisTerm && !isUnreachable(now) && announcedUnreachableIn == NOT_ANNOUNCED_UNREACHABLE;
--- a/src/test/java/org/cicadalead/logic/work/RunLedgerTest.java
+++ b/src/test/java/org/cicadalead/logic/work/RunLedgerTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
+import java.util.Optional;
 import org.cicadalead.model.work.HostEntry;
 import org.cicadalead.model.work.HostListing;
 import org.cicadalead.model.work.StartOutcome;
@@ -58,4 +59,18 @@
                 WorkFixtures.startsIn(WorkFixtures.decide(scheduler, at(201), true))
                         .size());
     }
+
+    @Test
+    void keepsRunOfHostThatRepliedAfterTheListOfItsMachineWasRequested() {
+        startTask(100);
+        scheduler.createMachineView().onHostDown("host", -1);
+        assertTrue(scheduler.createPoll("host", at(107), true).isPresent());
+    }
+
+    @Test
+    void dropsRunOfHostThatHasNotRepliedSinceTheListOfItsMachineWasRequested() {
+        startTask(100);
+        scheduler.createMachineView().onHostDown("host", 101);
+        assertEquals(Optional.empty(), scheduler.createPoll("host", at(107), true));
+    }
 }
--- a/src/test/java/org/cicadalead/logic/work/SuccessiveTermsTest.java
+++ b/src/test/java/org/cicadalead/logic/work/SuccessiveTermsTest.java
@@ -63,7 +63,7 @@
     @Test
     void restartsLastingTaskPromptlyAlthoughMachineWentDownBeforeSuccession() {
         WorkScheduler first = beginFirstTerm();
-        first.createMachineView().onHostDown("third");
+        first.createMachineView().onHostDown("third", 1_100);
         terms.announce(first, 1_200);
         long lastRunEndedAt = 1_200;
         terms.claim(1_200 + CLAIM_DELAY);
@@ -75,7 +75,7 @@
     @Test
     void restartsLastingTaskPromptlyAlthoughUnregisteredMachineWentDownBeforeSuccession() {
         WorkScheduler first = beginFirstTerm();
-        first.createMachineView().onHostDown("third");
+        first.createMachineView().onHostDown("third", 1_100);
         terms.unregister("third");
         first.updateHosts(List.of(FIRST, SECOND), at(1_150));
         terms.announce(first, 1_200);
@@ -90,7 +90,7 @@
         terms.unregister("third");
         terms.claim(1_000 + CLAIM_DELAY);
         WorkScheduler successor = terms.load(1_000 + CLAIM_DELAY + LOAD_DELAY);
-        successor.createMachineView().onHostDown("third");
+        successor.createMachineView().onHostDown("third", 2_500);
         assertEquals(TASKS_OF_TWO_HOSTS, countStarts(successor, 1_000 + LONGEST_STANDSTILL - 2, "first", "second"));
     }
 
