--- a/src/main/java/org/cicadalead/logic/work/WorkHost.java
+++ b/src/main/java/org/cicadalead/logic/work/WorkHost.java
@@ -115,6 +115,10 @@
         return now - lastReplyAt >= UNREACHABLE_AFTER_MILLISECONDS;
     }
 
+    boolean hasRepliedSince(long time) {
+        return repliedThisTerm && lastReplyAt >= time;
+    }
+
     /** Returns whether the host may get leases: it replies, and no stored announcement tells a successor otherwise. */
     boolean canReceiveLease(long now) {
         return repliedThisTerm && !isUnreachable(now) && announcedUnreachableIn == NOT_ANNOUNCED_UNREACHABLE;
@@ -125,8 +129,19 @@
         return repliedThisTerm && !isUnreachable(now) && announcedUnreachableIn != NOT_ANNOUNCED_UNREACHABLE;
     }
 
+    /**
+     * Returns whether runs may be ordered. A host that may have restarted must reply first: a deadline by the clock of
+     * its former process could lie far ahead on the new one, where a delayed order would start a run after its lease
+     * has expired here.
+     */
     boolean canAcceptWork(long now) {
-        return registered && canReceiveLease(now) && !entry.draining() && !cordoned && !leaving && now >= excludedUntil;
+        return registered
+                && !incarnationUnknown
+                && canReceiveLease(now)
+                && !entry.draining()
+                && !cordoned
+                && !leaving
+                && now >= excludedUntil;
     }
 
     /** Returns whether all ends that the host has listed are in the store; otherwise they are lost when it leaves. */
