Don't load trusted certificates and unused mappers at the start of an entry process

What callers saw: late readiness after a restart on small hosts, and processor time of each start.

Cause, from -Xlog:class+load of a start with the class-data archive: the JDK's HTTP client creates the default TLS context with all trusted certificates (165 ms of 650 ms between the first and the last line on a busy machine), although nothing on the platform uses TLS; and the formatter of the JDK's log creates the mapper of all domain records for plain text too (100 ms). Ruled out: creating all commands of the command line (2 ms).

Change: a client without TLS and without the lookup of a proxy for entry processes; the formatter creates JSON nodes without the mapper, which it did not use otherwise.

--- a/src/main/java/org/cicadalead/adapters/event/EventLogFormatter.java
+++ b/src/main/java/org/cicadalead/adapters/event/EventLogFormatter.java
@@ -1,6 +1,6 @@
 package org.cicadalead.adapters.event;
 
-import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.google.common.flogger.MetadataKey;
 import com.google.common.flogger.backend.system.AbstractLogRecord;
@@ -8,7 +8,6 @@
 import java.util.Optional;
 import java.util.logging.Formatter;
 import java.util.logging.LogRecord;
-import org.cicadalead.adapters.codec.DomainMappers;
 import org.cicadalead.model.event.Event;
 import org.cicadalead.model.event.EventDetail;
 
@@ -17,7 +16,6 @@
     /** Key under which a log record carries its event. */
     static final MetadataKey<Event> EVENT_KEY = MetadataKey.single("event", Event.class);
 
-    private final ObjectMapper mapper = DomainMappers.json();
     private final LogFormat format;
 
     /** Creates a formatter for one log format. */
@@ -41,7 +39,7 @@
     }
 
     private String formatJson(LogRecord logRecord) {
-        ObjectNode line = mapper.createObjectNode();
+        ObjectNode line = JsonNodeFactory.instance.objectNode();
         Instant time = logRecord.getInstant();
         line.put("time", time.toString());
         line.put("level", logRecord.getLevel().getName());
--- a/src/main/java/org/cicadalead/platform/LoopbackPlatform.java
+++ b/src/main/java/org/cicadalead/platform/LoopbackPlatform.java
@@ -21,6 +21,7 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import org.cicadalead.adapters.http.HttpServers;
+import org.cicadalead.adapters.http.PlaintextHttpClients;
 
 /**
  * A platform on the loopback interface: a store, workers, and entry processes that use them. Not safe for use by
@@ -34,7 +35,7 @@
     private final List<HttpServer> servers = new ArrayList<>();
     private final List<PlatformEntry> entries = new ArrayList<>();
     private final Path folder;
-    private final HttpClient client = HttpClient.newHttpClient();
+    private final HttpClient client = PlaintextHttpClients.newBuilder().build();
     private final int storePort;
 
     LoopbackPlatform(Path folder, int workerCount) {
--- a/src/main/java/org/cicadalead/platform/PlatformEntry.java
+++ b/src/main/java/org/cicadalead/platform/PlatformEntry.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ThreadLocalRandom;
 import org.cicadalead.adapters.http.HttpServers;
+import org.cicadalead.adapters.http.PlaintextHttpClients;
 import org.cicadalead.adapters.time.SystemTimerService;
 import org.cicadalead.adapters.work.DecisionLog;
 import org.cicadalead.adapters.work.JobRequestService;
@@ -100,8 +101,7 @@
         log.emit(EventKind.PROCESS_STARTED, EventDetail.of("zone", settings.zone()));
         this.timers = new SystemTimerService(
                 failure -> log.emit(EventKind.INTERNAL_FAILURE, EventDetail.of("failure", failure.toString())));
-        HttpClient httpClient = HttpClient.newBuilder()
-                .version(HttpClient.Version.HTTP_1_1)
+        HttpClient httpClient = PlaintextHttpClients.newBuilder()
                 .connectTimeout(CONNECT_TIMEOUT)
                 .executor(Executors.newFixedThreadPool(CLIENT_THREADS, PlatformEntry::createClientThread))
                 .build();
