Count a machine that has arrived in its pool once

Cause: a machine counted as on its way for 4 s after the order, also after it had arrived, about 1.8 s after the order, and its host counted as capacity; so for about two seconds every arrived machine counted twice.

Ruled out: rejected orders (no shortage was computed, so none was given).

Change: a move is pending until the list of machines shows the machine up in its new pool. The list is read at most 800 ms later than the machine is up, so an arrived machine may still count twice for that long. The new test failed before.

--- a/src/main/java/org/cicadalead/logic/work/PoolBalancer.java
+++ b/src/main/java/org/cicadalead/logic/work/PoolBalancer.java
@@ -29,7 +29,7 @@
      */
     private static final long IDLE_SWITCH_OFF_MILLISECONDS = 2_500;
 
-    /** Time after the move order for which a machine counts towards its new pool before its host is listed there. */
+    /** Maximum time after the move order for which a machine counts towards its new pool before it is listed there. */
     private static final long ARRIVAL_MILLISECONDS = 4_000;
 
     /** Pause before the order for a machine is retried after a failure. */
@@ -49,6 +49,15 @@
         hasMachineList = true;
         machines.clear();
         entries.forEach(entry -> machines.put(entry.machine(), entry));
+        pendingMoves.entrySet().removeIf(pendingMove -> hasArrived(pendingMove.getKey(), pendingMove.getValue()));
+    }
+
+    /** Returns whether a machine is up in its new pool, where its host counts as capacity and not as arriving. */
+    private boolean hasArrived(String machine, PendingMove pendingMove) {
+        MachineEntry entry = machines.get(machine);
+        return entry != null
+                && entry.condition() == MachineCondition.UP
+                && entry.pool().equals(pendingMove.pool());
     }
 
     /** Returns whether an up-to-date list of machines is needed soon. */
--- a/src/test/java/org/cicadalead/logic/work/PoolBalancerTest.java
+++ b/src/test/java/org/cicadalead/logic/work/PoolBalancerTest.java
@@ -16,6 +16,8 @@
 
 /** Simulates demand peaks, in which one pool needs several times its capacity while the others are idle. */
 class PoolBalancerTest {
+    private static final long MOVE_MILLISECONDS = 1_500;
+
     private final PoolBalancer balancer = new PoolBalancer();
     private final List<MachineEntry> machines = new ArrayList<>();
     private final List<HostEntry> hosts = new ArrayList<>();
@@ -50,11 +52,11 @@
     }
 
     private List<PoolBalancer.Move> decide(WorkScheduler scheduler, long now) {
-        return balancer.decide(
-                scheduler.createPoolView(WorkFixtures.PLAN, WorkFixtures.at(now)),
-                scheduler.createMachineView(),
-                Set.of(),
-                now);
+        return balancer.decide(viewPools(scheduler, now), scheduler.createMachineView(), Set.of(), now);
+    }
+
+    private static PoolView viewPools(WorkScheduler scheduler, long now) {
+        return scheduler.createPoolView(WorkFixtures.PLAN, WorkFixtures.at(now));
     }
 
     @Test
@@ -196,4 +198,42 @@
         assertEquals(
                 6, moves.size(), "the arriving work needs 320 cores after 300 ms of the peak, and the pool has 16");
     }
+
+    /** Lists the machines of executed moves in their new pools, with hosts that have replied. */
+    private void completeMoves(WorkScheduler scheduler, List<PoolBalancer.Move> moves, long now) {
+        for (PoolBalancer.Move move : moves) {
+            String host = move.machine() + "-moved";
+            machines.removeIf(machine -> machine.machine().equals(move.machine()));
+            machines.add(new MachineEntry(move.machine(), move.pool(), MachineCondition.UP, host));
+            hosts.add(WorkFixtures.host(host, move.pool(), "rack"));
+        }
+        balancer.updateMachines(machines);
+        scheduler.updateHosts(hosts, WorkFixtures.at(now));
+        hosts.forEach(host -> WorkFixtures.replyToPoll(scheduler, host.identifier(), now, List.of(), List.of()));
+    }
+
+    @Test
+    void countsArrivedMachineOnce() {
+        addPool(WorkFixtures.BUSY, 20);
+        addStandbyMachines(167);
+        WorkScheduler scheduler = createScheduler();
+        submitPeak(scheduler, WorkFixtures.BUSY, 30, 100);
+        List<PoolBalancer.Move> moves = decide(scheduler, 102);
+        assertEquals(8, moves.size(), "the limit of a cycle");
+        long arrivedAt = 102 + MOVE_MILLISECONDS;
+        completeMoves(scheduler, moves, arrivedAt);
+        PoolBalancer withoutMoves = new PoolBalancer();
+        long now = arrivedAt;
+        while (!withoutMoves.isWaitingForMachines(viewPools(scheduler, now))) {
+            now++;
+            submitPeak(scheduler, WorkFixtures.BUSY, 1, now);
+        }
+        assertEquals(
+                28,
+                viewPools(scheduler, now)
+                        .findDemand(WorkFixtures.BUSY)
+                        .orElseThrow()
+                        .hosts());
+        assertTrue(!decide(scheduler, now).isEmpty(), "28 hosts are too few, and no machine is on its way");
+    }
 }
