--- a/src/main/java/org/cicadalead/adapters/work/SchedulingTerm.java
+++ b/src/main/java/org/cicadalead/adapters/work/SchedulingTerm.java
@@ -18,6 +18,7 @@
 import java.util.stream.Stream;
 import org.cicadalead.logic.work.CyclePacing;
 import org.cicadalead.logic.work.EarlierHosts;
+import org.cicadalead.logic.work.EarlierTerm;
 import org.cicadalead.logic.work.HostsInUse;
 import org.cicadalead.logic.work.SchedulingTerms;
 import org.cicadalead.logic.work.WorkOrder;
@@ -26,7 +27,6 @@
 import org.cicadalead.model.event.EventDetail;
 import org.cicadalead.model.event.EventKind;
 import org.cicadalead.model.work.HostEntry;
-import org.cicadalead.model.work.LeaderRecord;
 import org.cicadalead.model.work.WaveProgress;
 import org.cicadalead.model.work.WorkProgress;
 import org.cicadalead.ports.RecordStore.KeyedRecord;
@@ -59,7 +59,7 @@
     private final ScheduledExecutorService executor;
     private final SchedulingTerms terms;
     private final long epoch;
-    private final Optional<LeaderRecord> previousLeader;
+    private final Optional<EarlierTerm> earlierTerm;
     private final Consumer<HostsInUse> hostsInUseListener;
     private final JobRecords jobRecords;
     private final TermAppender progressAppender;
@@ -85,13 +85,13 @@
             ScheduledExecutorService executor,
             SchedulingTerms terms,
             long epoch,
-            Optional<LeaderRecord> previousLeader,
+            Optional<EarlierTerm> earlierTerm,
             Consumer<HostsInUse> hostsInUseListener) {
         this.ports = ports;
         this.executor = executor;
         this.terms = terms;
         this.epoch = epoch;
-        this.previousLeader = previousLeader;
+        this.earlierTerm = earlierTerm;
         this.hostsInUseListener = hostsInUseListener;
         this.jobRecords = new JobRecords(ports.codec());
         this.progressAppender =
@@ -148,7 +148,8 @@
     /** Ends the term and returns the hosts that may still have runs. */
     HostsInUse resign() {
         HostsInUse hostsInUse = scheduler
-                .map(loadedScheduler -> loadedScheduler.announceHostsInUse(now()))
+                .map(loadedScheduler ->
+                        loadedScheduler.announceHostsInUse(now()).afterResignation())
                 .orElse(HostsInUse.NONE);
         close();
         return hostsInUse;
@@ -235,11 +236,11 @@
             machineController.ifPresent(machineController -> machineController.runCycle(now, canStart));
         }
         takeoverReport.ifPresent(report -> report.logChanges(now));
-        boolean startsWait = scheduler.get().hasPendingStartIntents();
-        if (pacing.startAnnouncement(now.monotonic(), startsWait)) {
+        boolean waitsForAnnouncement = scheduler.get().isWaitingForAnnouncement(now);
+        if (pacing.startAnnouncement(now.monotonic(), waitsForAnnouncement)) {
             hostsInUseListener.accept(scheduler.get().announceHostsInUse(now));
         }
-        if (startsWait) {
+        if (waitsForAnnouncement) {
             ports.requestHeartbeat().run();
         }
         pacing.onCycleEnded(ports.timers().nanoTime() - startNanoseconds);
@@ -251,8 +252,8 @@
             return;
         }
         WorkTime now = now();
-        EarlierHosts earlierHosts = previousLeader
-                .map(leader -> EarlierHosts.from(leader, hostEntries.values(), terms))
+        EarlierHosts earlierHosts = earlierTerm
+                .map(earlier -> EarlierHosts.from(earlier, hostEntries.values(), terms, now.monotonic()))
                 .orElse(EarlierHosts.NONE);
         WorkScheduler newScheduler = new WorkScheduler(terms, epoch, earlierHosts, now.monotonic());
         loadJobs(newScheduler, loadedJobs.get(), loadedProgress.get(), now);
@@ -263,7 +264,9 @@
                 epoch,
                 startedAt,
                 earlierHosts,
-                previousLeader.map(leader -> leader.hosts().values()).orElse(List.of()));
+                earlierTerm
+                        .map(earlier -> earlier.lastRecord().hosts().values())
+                        .orElse(List.of()));
         takeoverReport = Optional.of(report);
         dispatcher = Optional.of(new OrderDispatcher(this, ports, newScheduler, jobRecords, progressAppender, epoch));
         machineController = Optional.of(new MachineController(
--- a/src/main/java/org/cicadalead/logic/work/RunLedger.java
+++ b/src/main/java/org/cicadalead/logic/work/RunLedger.java
@@ -15,8 +15,8 @@
 
 /**
  * Tracks the runs on every host. A task may get its next run only when its last one has ended for certain: the host
- * listed its end, or confirmed the stop and does not list the run, or has restarted, or all its leases have expired.
- * Not thread-safe.
+ * listed its end, or does not list the run in reply to a poll that was sent after the start or the stop was confirmed,
+ * or all its leases have expired. Not thread-safe.
  */
 final class RunLedger {
     /** Pause after a host rejected a run for lack of capacity; about the time between two polls. */
@@ -48,9 +48,13 @@
         }
         for (WorkRun run : List.copyOf(host.runs.values())) {
             if (!listed.contains(run.key)) {
-                handleMissingRun(run, restarted, sentAt, now);
+                handleMissingRun(run, sentAt, now);
             }
         }
+        if (restarted && !host.runs.isEmpty()) {
+            // Runs that were ordered before the restart was known have a lease on the new process.
+            host.extendLease(now, state.terms.leaseMilliseconds());
+        }
         host.orphanedRuns.retainAll(listed);
     }
 
@@ -151,13 +155,14 @@
 
     /**
      * Handles a run that the host does not list. It has ended, unless an order is in flight or the poll was sent before
-     * the state of the run last changed.
+     * the state of the run last changed. That holds for a restarted host too, as its new process may have started the
+     * run after it made the listing.
      */
-    private void handleMissingRun(WorkRun run, boolean restarted, long sentAt, long now) {
+    private void handleMissingRun(WorkRun run, long sentAt, long now) {
         boolean pollIsNewer = sentAt > run.changedAt;
         switch (run.state) {
             case RUNNING -> {
-                if (pollIsNewer || restarted) {
+                if (pollIsNewer) {
                     drop(run);
                 }
             }
--- a/src/main/java/org/cicadalead/logic/work/WorkState.java
+++ b/src/main/java/org/cicadalead/logic/work/WorkState.java
@@ -34,7 +34,7 @@
     /** Number of requests to the external policy that are in flight. */
     int pendingAdvisorRequests;
 
-    /** Generation of the newest announcement of started jobs that is in the store. */
+    /** Generation of the newest announcement that is in the store; 0 before the first one. */
     long storedGeneration;
 
     WorkState(SchedulingTerms terms, long epoch) {
@@ -42,6 +42,14 @@
         this.epoch = epoch;
     }
 
+    /**
+     * Returns whether a stored announcement tells a successor that this term schedules. Until then a successor counts
+     * on the bounds of the earlier terms only, so no lease may be given.
+     */
+    boolean isAnnounced() {
+        return storedGeneration > 0;
+    }
+
     void addJob(WorkJob job) {
         jobs.put(job.identifier(), job);
         liveJobs.add(job);
@@ -76,8 +84,8 @@
         return Math.max(task.lastAttempt, (epoch - 1) * MAX_ATTEMPTS_PER_TERM) + 1;
     }
 
-    WorkHost findOrCreateHost(HostEntry entry) {
-        return hosts.computeIfAbsent(entry.identifier(), identifier -> new WorkHost(entry));
+    WorkHost findOrCreateHost(HostEntry entry, long silentSince) {
+        return hosts.computeIfAbsent(entry.identifier(), identifier -> new WorkHost(entry, silentSince));
     }
 
     List<WorkHost> findHosts(String service) {
