--- a/src/test/java/org/cicadalead/logic/work/SchedulingLoad.java
+++ b/src/test/java/org/cicadalead/logic/work/SchedulingLoad.java
@@ -334,7 +334,7 @@
         view.setLeaving(move.host(), true);
         after(10, () -> {
             balancer.onMoveReply(move, MachineOutcome.BEGUN, now);
-            apply("registry", () -> view.onHostDown(machine.host));
+            apply("registry", () -> view.onHostDown(machine.host, now));
             machineByHost.remove(machine.host);
             machine.host = "";
             machine.condition = MachineCondition.MOVING;
