Look for start intents among live jobs only, and describe what a cycle costs

Every cycle looked for start intents among all jobs, with those that ended in the last five minutes. An intent is only ever pending for a job that a cycle is placing, so live jobs suffice.

--- a/src/main/java/org/cicadalead/logic/work/WorkScheduler.java
+++ b/src/main/java/org/cicadalead/logic/work/WorkScheduler.java
@@ -320,7 +320,7 @@
         if (!state.isAnnounced()) {
             return true;
         }
-        for (WorkJob job : state.jobs.values()) {
+        for (WorkJob job : state.liveJobs) {
             if (job.announcedIn == WorkJob.ANNOUNCEMENT_PENDING) {
                 return true;
             }
--- a/src/test/java/org/cicadalead/logic/work/SchedulingLoad.java
+++ b/src/test/java/org/cicadalead/logic/work/SchedulingLoad.java
@@ -266,7 +266,7 @@
             });
         }
         measure("announcements", () -> {
-            boolean startsWait = scheduler.hasPendingStartIntents();
+            boolean startsWait = scheduler.isWaitingForAnnouncement(time());
             if (!pacing.startAnnouncement(now, startsWait)) {
                 return;
             }
