Complete responses of the HTTP client on the common pool, not on a thread each

What callers saw: too little served, with much processor time in each process.

Cause: the JDK's HTTP client completes every asynchronous response on the common pool; when that has a parallelism of less than two, as on a host with one processor, CompletableFuture starts a thread for each instead. So each read of the store, host poll, order and request to a peer started a thread. Seen on a follower under load: 1.5 of 4.3 processor seconds belonged to threads that had ended; a warm-up of a few seconds with one processor started 223 threads.

Ruled out: the compile thresholds (-XX:CompileThresholdScaling 3 and 8) and the provider of locale data (COMPAT) made no difference beyond the noise of two runs each.

Change: the common pool has two threads. Nothing else of the program uses it, and no continuation blocks but for locks.

--- a/src/main/java/org/cicadalead/adapters/http/HttpServers.java
+++ b/src/main/java/org/cicadalead/adapters/http/HttpServers.java
@@ -18,15 +18,20 @@
     private static final String MAX_IDLE_CONNECTIONS = "10000";
     private static final String MAX_DRAINED_BYTES = "0";
 
+    /** Minimum with which the JDK completes responses on the common pool; with less it starts a thread for each. */
+    private static final String COMMON_POOL_THREADS = "2";
+
     private HttpServers() {}
 
     /**
      * Sets the system properties that the JDK reads only once; call this before the first server or client is created.
      * The client must not retry a request on its own. The server closes connections whose request takes too long to
      * arrive and keeps as many idle connections as a load balancer opens. The server does not drain a body that nobody
-     * reads, because draining could block on the sender.
+     * reads, because draining could block on the sender. Responses of the client complete on the common pool also on a
+     * host with one processor.
      */
     public static void configureProcess() {
+        System.setProperty("java.util.concurrent.ForkJoinPool.common.parallelism", COMMON_POOL_THREADS);
         System.setProperty("jdk.httpclient.disableRetryConnect", "true");
         System.setProperty("jdk.httpclient.enableAllMethodRetry", "false");
         System.setProperty("jdk.httpclient.redirects.retrylimit", "1");
