Let the simulated fleet lose terms, machines, racks and zones

Now: machines that a term empties, moves between services and maintains through MachineView, with the machine list as the evidence that a host has ended, as MachineController does it; hosts that come back under another identifier, at the same address or another; racks that go dark; a cut of the availability zone of the leader with its hosts; terms as LeaderElection writes them, that is with claims, heartbeats, the announcement of the term before until the data are read, resignations and crashes before that; 3 to 6 terms within seconds; suspended processes; lasting tasks beside short ones, over two or three services. The class is split: store, election, term, scheduling of a term, machines, network, faults and oracle.

An overdue claim is early, as it was: a new term may begin the moment that the earlier leader is cut off.

--- a/src/test/java/org/cicadalead/logic/work/SimulatedFleet.java
+++ b/src/test/java/org/cicadalead/logic/work/SimulatedFleet.java
@@ -1,7 +1,5 @@
 package org.cicadalead.logic.work;
 
-import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -11,15 +9,11 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.TreeSet;
-import org.cicadalead.model.work.EndedRun;
 import org.cicadalead.model.work.HostCapacity;
 import org.cicadalead.model.work.HostEntry;
-import org.cicadalead.model.work.HostListing;
-import org.cicadalead.model.work.LeaderRecord;
+import org.cicadalead.model.work.MachineCondition;
+import org.cicadalead.model.work.MachineEntry;
 import org.cicadalead.model.work.QueueTerms;
-import org.cicadalead.model.work.RunEnding;
-import org.cicadalead.model.work.RunKey;
-import org.cicadalead.model.work.StartOutcome;
 import org.cicadalead.model.work.StepSpecification;
 import org.cicadalead.model.work.TaskKey;
 import org.cicadalead.model.work.WorkPhase;
@@ -27,413 +21,213 @@
 import org.cicadalead.model.work.WorkSubmission;
 
 /**
- * Simulates terms of the scheduler, hosts and the store in virtual time. Orders are lost, delayed or carried out twice,
- * hosts crash or are partitioned, and a term may end at any time, also while its leader still considers itself the
- * leader. An oracle checks every start against the true state of the hosts.
+ * Simulates terms of the scheduler, machines with their hosts, and the store in virtual time. Orders are lost, delayed
+ * or carried out twice, hosts crash, are partitioned, moved or maintained, and a term may end at any time, also while
+ * its leader still considers itself the leader, or before it has read its data. A {@link FleetOracle} checks every
+ * start and all waiting work against the true state of the hosts.
  */
 final class SimulatedFleet {
     static final SchedulingTerms TERMS = new SchedulingTerms(5_700, 2_500, 6_000, 200, 2_000, 3);
-    private static final String SERVICE = "service";
+    private static final HostCapacity CAPACITY = new HostCapacity(4_000, 8_000, 0);
     private static final int TICK_MILLISECONDS = 10;
-
-    final List<String> violations = new ArrayList<>();
+    private static final long FAULT_INTERVAL_MILLISECONDS = 400;
+    private static final long MOVE_MILLISECONDS = 1_500;
+
+    final Random random;
+    final SimulatedStore store = new SimulatedStore();
+    final SimulatedNetwork network;
+    final FleetOracle oracle = new FleetOracle(this);
+    final Map<String, WorkSubmission> submissions = new LinkedHashMap<>();
+    final Set<String> cancelled = new HashSet<>();
     final Set<String> completed = new TreeSet<>();
-    private final Random random;
-    private final Faults faults;
+    private final List<String> services;
+    private final FleetFaults faults;
+    private final FaultInjector injector;
+    private final SimulatedElection election = new SimulatedElection(this);
+    private final Map<String, SimulatedMachine> machines = new LinkedHashMap<>();
     private final Map<String, SimulatedHost> hosts = new LinkedHashMap<>();
-    private final Map<String, WorkSubmission> submissions = new LinkedHashMap<>();
-    private final Map<String, WorkProgress> progress = new HashMap<>();
-    private final Set<String> cancelled = new HashSet<>();
-    private final List<Term> terms = new ArrayList<>();
     private final PriorityQueue<Event> events = new PriorityQueue<>();
-    private final Set<TaskKey> acknowledgedDone = new HashSet<>();
-    private final Map<TaskKey, Set<RunKey>> finishedRuns = new HashMap<>();
-    private final Map<TaskKey, Integer> acknowledgedFailures = new HashMap<>();
-    private HostsInUse hostsInUse = HostsInUse.NONE;
-    private long storeDownUntil;
     private long now = 1;
     private long sequence;
+    private long nextFaultsAt = 1;
+    private boolean hasFaults;
 
-    SimulatedFleet(long seed, Faults faults, int hostCount) {
+    SimulatedFleet(long seed, FleetFaults faults, List<String> services, int machineCount) {
         this.random = new Random(seed);
+        this.network = new SimulatedNetwork(random);
         this.faults = faults;
-        for (int number = 0; number < hostCount; number++) {
-            String name = "host-" + number;
-            hosts.put(name, new SimulatedHost(name, SERVICE, new HostCapacity(4_000, 8_000, 0), now));
+        this.injector = new FaultInjector(this, election);
+        this.services = List.copyOf(services);
+        for (int number = 0; number < machineCount; number++) {
+            String zone = SimulatedNetwork.ZONES.get(number % SimulatedNetwork.ZONES.size());
+            String rack = zone + "-" + (number / SimulatedNetwork.ZONES.size()) % 2;
+            String name = "machine-" + number;
+            SimulatedHost host = createHost(services.get(number % services.size()), name + ":1", zone, rack);
+            machines.put(name, new SimulatedMachine(name, zone, rack, host));
         }
     }
 
-    /** Probability per second of each fault, and per message of lost replies and late orders (ratios). */
-    record Faults(
-            double lostReply,
-            double lateOrder,
-            double crash,
-            double partition,
-            double takeover,
-            double storeOutage,
-            double failingHost,
-            double slowHost) {
-        static final Faults NONE = new Faults(0, 0, 0, 0, 0, 0, 0, 0);
-        static final Faults ALL = new Faults(0.03, 0.02, 0.08, 0.08, 0.12, 0.08, 0.05, 0.05);
+    private SimulatedHost createHost(String service, String address, String zone, String rack) {
+        String identifier = "host-" + hosts.size();
+        SimulatedHost host = new SimulatedHost(identifier, service, address, zone, rack, CAPACITY, now);
+        hosts.put(identifier, host);
+        return host;
+    }
+
+    long now() {
+        return now;
     }
 
     WorkTime time() {
         return new WorkTime(now, now);
     }
 
-    void submit(String job, List<StepSpecification> steps) {
+    List<String> services() {
+        return services;
+    }
+
+    void submit(String job, String service, List<StepSpecification> steps) {
         WorkSubmission submission = new WorkSubmission(
-                job, "queue", SERVICE, new QueueTerms(0, 3, 1.6, 600, Optional.empty()), "run", steps, 0, 0, 0, now);
+                job, "queue", service, new QueueTerms(0, 3, 1.6, 600, Optional.empty()), "run", steps, 0, 0, 0, now);
         submissions.put(job, submission);
-        for (Term term : terms) {
-            term.scheduler.addJob(submission, time());
-        }
+        election.terms()
+                .forEach(term -> term.whenRead(randomDelay(), scheduler -> scheduler.addJob(submission, time())));
     }
 
     void cancel(String job) {
         cancelled.add(job);
-        for (Term term : terms) {
-            term.scheduler.cancelJob(job, time());
-        }
+        election.terms().forEach(term -> term.whenRead(randomDelay(), scheduler -> scheduler.cancelJob(job, time())));
     }
 
     /**
-     * Begins a term. The leader of an earlier one continues for a part of the time that it may without a confirmed
-     * heartbeat.
+     * Begins a term that has read its data. The leader of an earlier one resigns, or is cut off and continues for the
+     * time that it may without a confirmed heartbeat.
      */
     void beginTerm() {
-        long epoch = terms.size() + 1L;
-        boolean resigns = !terms.isEmpty() && random.nextBoolean();
-        if (resigns) {
-            hostsInUse = newestTerm().scheduler.announceHostsInUse(time());
-        }
-        for (Term earlierTerm : terms) {
-            long startMilliseconds = resigns ? 0 : random.nextInt((int) TERMS.startLimitMilliseconds());
-            long renewalMilliseconds = resigns
-                    ? 0
-                    : startMilliseconds
-                            + random.nextInt((int) (TERMS.renewalLimitMilliseconds() - TERMS.startLimitMilliseconds()));
-            earlierTerm.mayStartUntil = Math.min(earlierTerm.mayStartUntil, now + startMilliseconds);
-            earlierTerm.abandonedAt = Math.min(earlierTerm.abandonedAt, now + renewalMilliseconds);
-        }
-        EarlierHosts earlier = epoch == 1
-                ? EarlierHosts.NONE
-                : EarlierHosts.from(
-                        new LeaderRecord(
-                                epoch - 1,
-                                "process",
-                                "address",
-                                resigns,
-                                hostsInUse.claims(),
-                                hostsInUse.startedJobs()),
-                        registry(),
-                        TERMS);
-        hostsInUse = HostsInUse.fromEarlierTerm(Optional.of(
-                new LeaderRecord(epoch, "process", "address", false, hostsInUse.claims(), hostsInUse.startedJobs())));
-        WorkScheduler scheduler = new WorkScheduler(TERMS, epoch, earlier, now);
-        submissions.values().forEach(submission -> scheduler.addJob(submission, time()));
-        progress.values().forEach(storedProgress -> scheduler.restoreProgress(storedProgress, time()));
-        cancelled.forEach(job -> scheduler.cancelJob(job, time()));
-        Term term = new Term(epoch, scheduler);
-        terms.add(term);
-        updateHosts(term);
+        election.beginLoadedTerm();
     }
 
-    private List<HostEntry> registry() {
-        return hosts.values().stream()
-                .filter(host -> host.up)
-                .map(SimulatedHost::entry)
-                .toList();
+    /** Advances the simulation by a time in milliseconds, with faults. */
+    void runFor(long milliseconds) {
+        advance(milliseconds, true);
     }
 
-    private void updateHosts(Term term) {
-        term.scheduler.updateHosts(registry(), time());
-        for (String host : term.scheduler.findHostsToPoll()) {
-            if (term.polledHosts.add(host)) {
-                poll(term, host);
-            }
-        }
+    /** Advances the simulation by a time in milliseconds; no new fault begins but planned work on machines. */
+    void runCalmly(long milliseconds) {
+        advance(milliseconds, false);
     }
 
-    /** Advances the simulation by a time in milliseconds. */
-    void runFor(long milliseconds) {
+    private void advance(long milliseconds, boolean withFaults) {
+        hasFaults = withFaults;
         long end = now + milliseconds;
-        long nextRegistry = now;
-        long nextHeartbeat = now;
         while (now < end) {
             now += TICK_MILLISECONDS;
             while (!events.isEmpty() && events.peek().at <= now) {
                 events.poll().action.run();
             }
-            hosts.values().forEach(this::advance);
-            if (now >= nextRegistry) {
-                nextRegistry = now + 400;
-                terms.forEach(this::updateHosts);
-                injectFaults();
+            for (SimulatedHost host : hosts.values()) {
+                host.advance(now).forEach(oracle::onFinished);
             }
-            for (Term term : terms) {
-                if (now < term.abandonedAt) {
-                    execute(term, term.scheduler.decide(time(), now < term.mayStartUntil));
+            if (now >= nextFaultsAt) {
+                nextFaultsAt = now + FAULT_INTERVAL_MILLISECONDS;
+                injector.orderMachines(faults);
+                if (hasFaults) {
+                    injector.inject(faults);
                 }
             }
-            if (now >= nextHeartbeat || newestTerm().scheduler.hasPendingStartIntents()) {
-                nextHeartbeat = now + 600;
-                heartbeat();
-            }
-        }
-    }
-
-    /** Stores the announcement of the hosts in use after a network delay, unless the store is down. */
-    private void heartbeat() {
-        Term term = newestTerm();
-        HostsInUse announcement = term.scheduler.announceHostsInUse(time());
-        after(randomDelay(), () -> {
-            if (now >= storeDownUntil && term == newestTerm()) {
-                hostsInUse = announcement;
-                after(randomDelay(), () -> term.scheduler.onAnnouncementStored(announcement.generation()));
-            }
-        });
-    }
-
-    private Term newestTerm() {
-        return terms.get(terms.size() - 1);
-    }
-
-    private boolean occurs(double probabilityPerSecond) {
-        return random.nextDouble() < probabilityPerSecond * 0.4;
-    }
-
-    private void injectFaults() {
-        for (SimulatedHost host : hosts.values()) {
-            if (host.up && occurs(faults.crash / hosts.size() * 2)) {
-                crash(host);
-            }
-            if (host.reachable && occurs(faults.partition / hosts.size() * 2)) {
-                host.reachable = false;
-                after(500L + random.nextInt(9_000), () -> host.reachable = true);
-            }
-            if (occurs(faults.failingHost / hosts.size())) {
-                host.failing = true;
-                after(3_000, () -> host.failing = false);
-            }
-            if (occurs(faults.slowHost / hosts.size())) {
-                host.slowness = 6;
-                after(5_000, () -> host.slowness = 1);
-            }
-        }
-        if (occurs(faults.takeover)) {
-            beginTerm();
+            election.advance();
         }
-        if (occurs(faults.storeOutage)) {
-            storeDownUntil = now + 500L + random.nextInt(5_000);
-        }
-    }
-
-    private void crash(SimulatedHost host) {
-        host.crash(now);
-        host.up = false;
-        after(1_000L + random.nextInt(4_000), () -> {
-            host.crash(now);
-            host.up = true;
-        });
     }
 
     void after(long delay, Runnable action) {
         events.add(new Event(now + delay, sequence++, action));
     }
 
-    private long randomDelay() {
+    long randomDelay() {
         return 1L + random.nextInt(8);
     }
 
-    private void poll(Term term, String identifier) {
-        if (now >= term.abandonedAt) {
-            return;
-        }
-        Optional<HostPollRequest> request = term.scheduler.createPoll(identifier, time(), true);
-        if (request.isEmpty()) {
-            term.polledHosts.remove(identifier);
-            return;
-        }
-        long sentAt = now;
-        SimulatedHost host = hosts.get(identifier);
-        after(randomDelay() + (request.get().waitMilliseconds() == 0 ? 0 : 40L + random.nextInt(200)), () -> {
-            boolean replies = host.up && host.reachable && random.nextDouble() >= faults.lostReply;
-            if (!replies) {
-                after(500, () -> {
-                    term.scheduler.onPollFailed(identifier);
-                    poll(term, identifier);
-                });
-                return;
-            }
-            if (host.isFenced(term.epoch)) {
-                term.scheduler.onFenced();
-                return;
-            }
-            List<EndedRun> unacknowledged = host.unacknowledged();
-            HostListing listing = host.poll(request.get(), term.epoch, now);
-            unacknowledged.stream().filter(host::isAcknowledged).forEach(this::recordAcknowledged);
-            after(randomDelay(), () -> {
-                term.scheduler.onHostListing(identifier, listing, sentAt, time());
-                after(20, () -> poll(term, identifier));
-            });
-        });
+    boolean isReplyLost() {
+        return injector.loses(hasFaults ? faults.lostReply() : 0);
     }
 
-    /** Records an acknowledged end, which is final from now on. */
-    private void recordAcknowledged(EndedRun end) {
-        TaskKey task = end.run().task();
-        if (end.ending() == RunEnding.DONE) {
-            acknowledgedDone.add(task);
-        } else if (end.ending() == RunEnding.FAILED) {
-            acknowledgedFailures.merge(task, 1, Integer::sum);
-        }
+    boolean isOrderLate() {
+        return injector.loses(hasFaults ? faults.lateOrder() : 0);
     }
 
-    private void advance(SimulatedHost host) {
-        for (RunKey done : host.advance(now)) {
-            finishedRuns.computeIfAbsent(done.task(), key -> new HashSet<>()).add(done);
-        }
+    List<HostEntry> registry() {
+        return hosts.values().stream()
+                .filter(host -> host.registered)
+                .map(SimulatedHost::entry)
+                .toList();
     }
 
-    private void execute(Term term, List<WorkOrder> orders) {
-        for (WorkOrder order : orders) {
-            if (order instanceof WorkOrder.Start start) {
-                start(term, start);
-            } else if (order instanceof WorkOrder.Stop stop) {
-                stop(term, stop);
-            } else if (order instanceof WorkOrder.Persist persist) {
-                persist(term, persist);
-            } else if (order instanceof WorkOrder.StepDown) {
-                term.mayStartUntil = Math.min(term.mayStartUntil, now);
-                term.abandonedAt = Math.min(term.abandonedAt, now);
-            }
-        }
+    List<MachineEntry> machineList() {
+        return machines.values().stream().map(SimulatedMachine::entry).toList();
     }
 
-    private void start(Term term, WorkOrder.Start order) {
-        SimulatedHost host = hosts.get(order.target().host());
-        boolean isLate = random.nextDouble() < faults.lateOrder;
-        long processStart = host.processStart;
-        after(isLate ? 2_000L + random.nextInt(8_000) : randomDelay(), () -> {
-            if (isLate && host.processStart != processStart) {
-                // The host delayed the order, and lost it when it crashed.
-                return;
-            }
-            if (host.up && (host.reachable || isLate)) {
-                deliverStart(term, order, host, isLate);
-            } else {
-                after(600, () -> replyToStart(term, order, StartOutcome.UNKNOWN));
-            }
-        });
-        if (isLate) {
-            after(600, () -> replyToStart(term, order, StartOutcome.UNKNOWN));
-        }
+    List<SimulatedMachine> machines() {
+        return List.copyOf(machines.values());
     }
 
-    private void deliverStart(Term term, WorkOrder.Start order, SimulatedHost host, boolean isLate) {
-        boolean wasRunning = host.running().contains(order.run());
-        StartOutcome outcome = host.start(order, term.epoch, 500L + random.nextInt(1_000), now);
-        if (outcome == StartOutcome.STARTED && !wasRunning) {
-            checkStart(order.run(), host);
-        }
-        boolean isLost = random.nextDouble() < faults.lostReply;
-        if (!isLate) {
-            after(
-                    isLost ? 600 : randomDelay(),
-                    () -> replyToStart(term, order, isLost ? StartOutcome.UNKNOWN : outcome));
-        }
+    SimulatedMachine machine(String name) {
+        return machines.get(name);
     }
 
-    private void replyToStart(Term term, WorkOrder.Start order, StartOutcome outcome) {
-        term.scheduler.onStartReply(order.target().host(), order.run(), outcome, time());
+    Iterable<SimulatedHost> hosts() {
+        return hosts.values();
     }
 
-    private void checkStart(RunKey run, SimulatedHost startHost) {
-        TaskKey task = run.task();
-        for (SimulatedHost host : hosts.values()) {
-            for (RunKey other : host.running()) {
-                if (other.task().equals(task) && !other.equals(run)) {
-                    violations.add(now + ": " + run + " starts on " + startHost.identifier + " while " + other
-                            + " runs on " + host.identifier);
-                }
-            }
-        }
-        if (acknowledgedDone.contains(task)) {
-            violations.add(now + ": " + run + " starts although the end of its task is acknowledged");
-        }
-        for (int requiredStep :
-                submissions.get(task.job()).steps().get(task.step()).dependsOn()) {
-            int count = submissions.get(task.job()).steps().get(requiredStep).taskCount();
-            for (int index = 0; index < count; index++) {
-                TaskKey dependency = new TaskKey(task.job(), 0, requiredStep, index);
-                if (!acknowledgedDone.contains(dependency) && !finishedRuns.containsKey(dependency)) {
-                    violations.add(now + ": " + run + " starts before its dependency " + dependency + " is done");
-                }
-            }
-        }
-        if (acknowledgedFailures.getOrDefault(task, 0) >= 3) {
-            violations.add(now + ": " + run + " starts although its task has used up its attempts");
-        }
+    SimulatedHost host(String identifier) {
+        return hosts.get(identifier);
     }
 
-    private void stop(Term term, WorkOrder.Stop order) {
-        SimulatedHost host = hosts.get(order.target().host());
-        after(randomDelay(), () -> {
-            boolean replies = host.up && host.reachable && random.nextDouble() >= faults.lostReply;
-            if (replies && host.stop(order.run(), term.epoch)) {
-                after(randomDelay(), () -> term.scheduler.onStopConfirmed(host.identifier, order.run(), time()));
-            }
-        });
+    /** Returns the host that replies at the address of a host that has ended. */
+    Optional<SimulatedHost> findReplacement(SimulatedHost host) {
+        return !host.gone
+                ? Optional.empty()
+                : hosts.values().stream()
+                        .filter(other -> other != host && other.up && other.address.equals(host.address))
+                        .findFirst();
     }
 
-    private void persist(Term term, WorkOrder.Persist order) {
-        after(8, () -> {
-            boolean stored = now >= storeDownUntil && term == newestTerm();
-            if (stored) {
-                for (WorkProgress storedProgress : order.records()) {
-                    progress.put(storedProgress.job(), storedProgress);
-                    if (storedProgress.phase() == WorkPhase.COMPLETED) {
-                        checkCompletion(storedProgress.job());
-                    }
-                }
-            }
-            after(randomDelay(), () -> term.scheduler.onBatchResult(order.batch(), stored));
-        });
+    /** Takes a machine down for maintenance, or for a move to another pool; a new host then joins. */
+    void takeDown(SimulatedMachine machine, Optional<String> targetPool) {
+        machine.condition = targetPool.isEmpty() ? MachineCondition.UPKEEP : MachineCondition.MOVING;
+        endHost(machine.host);
+        targetPool.ifPresent(pool -> machine.pool = pool);
+        after(targetPool.isEmpty() ? TERMS.maintenanceMilliseconds() : MOVE_MILLISECONDS, () -> replaceHost(machine));
     }
 
-    private void checkCompletion(String job) {
-        completed.add(job);
-        WorkSubmission submission = submissions.get(job);
-        for (int step = 0; step < submission.steps().size(); step++) {
-            for (int index = 0; index < submission.steps().get(step).taskCount(); index++) {
-                TaskKey task = new TaskKey(job, 0, step, index);
-                if (!acknowledgedDone.contains(task) && !finishedRuns.containsKey(task)) {
-                    violations.add(now + ": " + job + " is completed without " + task);
-                }
-            }
-        }
+    private void endHost(SimulatedHost host) {
+        host.leave();
+        after(random.nextInt(3_000), () -> host.registered = false);
     }
 
-    Optional<WorkPhase> phaseOf(String job) {
-        return newestTerm().scheduler.findPhase(job);
+    /** Starts a new host on a machine, with a new identifier and at the same address or another one. */
+    void replaceHost(SimulatedMachine machine) {
+        if (!machine.host.gone) {
+            endHost(machine.host);
+        }
+        String address = random.nextBoolean() ? machine.host.address : machine.name + ":" + hosts.size();
+        machine.host = createHost(machine.pool, address, machine.zone, machine.rack);
+        machine.condition = MachineCondition.UP;
     }
 
-    SimulatedHost host(String name) {
-        return hosts.get(name);
+    void storeProgress(WorkProgress stored) {
+        store.progress.put(stored.job(), stored);
+        if (stored.phase() == WorkPhase.COMPLETED) {
+            completed.add(stored.job());
+            oracle.checkCompletion(stored.job());
+        }
     }
 
-    private static final class Term {
-        private final long epoch;
-        private final WorkScheduler scheduler;
-        private final Set<String> polledHosts = new HashSet<>();
-        private long mayStartUntil = Long.MAX_VALUE;
-        private long abandonedAt = Long.MAX_VALUE;
+    StepSpecification specificationOf(TaskKey task) {
+        return submissions.get(task.job()).steps().get(task.step());
+    }
 
-        Term(long epoch, WorkScheduler scheduler) {
-            this.epoch = epoch;
-            this.scheduler = scheduler;
-        }
+    Optional<WorkPhase> phaseOf(String job) {
+        return election.leader().flatMap(SimulatedTerm::scheduling).flatMap(loaded -> loaded.scheduler.findPhase(job));
     }
 
     private record Event(long at, long sequence, Runnable action) implements Comparable<Event> {
--- a/src/test/java/org/cicadalead/logic/work/SimulatedFleetTest.java
+++ b/src/test/java/org/cicadalead/logic/work/SimulatedFleetTest.java
@@ -6,23 +6,35 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
+import java.util.function.Function;
 import org.cicadalead.model.work.StepSpecification;
 import org.cicadalead.model.work.WorkPhase;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
-import org.junit.jupiter.params.provider.ValueSource;
+import org.junit.jupiter.params.provider.MethodSource;
 
 class SimulatedFleetTest {
     private static final long FIRST_SEED = Long.getLong("cicadalead.work.seed", 1);
     private static final int RUNS = Integer.getInteger("cicadalead.work.runs", 60);
+    private static final int BURST_RUNS = Integer.getInteger("cicadalead.work.runs", 15);
+    private static final List<String> SERVICE = List.of("service");
 
     static StepSpecification step(int tasks, List<Integer> dependsOn) {
+        return stepOf(tasks, 1_000, dependsOn, false);
+    }
+
+    private static StepSpecification lastingStep(int tasks) {
+        return stepOf(tasks, 0, List.of(), true);
+    }
+
+    private static StepSpecification stepOf(
+            int tasks, long estimatedMilliseconds, List<Integer> dependsOn, boolean longRunning) {
         return new StepSpecification(
                 tasks,
                 SimulatedHost.TASK_MILLICORES,
                 100,
                 0,
-                1_000,
+                estimatedMilliseconds,
                 dependsOn,
                 false,
                 false,
@@ -31,7 +43,7 @@
                 Optional.empty(),
                 0,
                 false,
-                false,
+                longRunning,
                 Optional.empty(),
                 0,
                 false,
@@ -40,21 +52,21 @@
 
     @Test
     void completesAllJobsWithoutFaults() {
-        SimulatedFleet fleet = new SimulatedFleet(1, SimulatedFleet.Faults.NONE, 4);
+        SimulatedFleet fleet = new SimulatedFleet(1, FleetFaults.NONE, SERVICE, 4);
         fleet.beginTerm();
         for (int number = 0; number < 10; number++) {
-            fleet.submit("job-" + number, List.of(step(3, List.of()), step(2, List.of(0))));
+            fleet.submit("job-" + number, "service", List.of(step(3, List.of()), step(2, List.of(0))));
         }
         fleet.runFor(30_000);
-        assertEquals(List.of(), fleet.violations);
+        assertEquals(List.of(), fleet.oracle.violations);
         assertEquals(10, fleet.completed.size());
     }
 
     @Test
     void stopsTasksOfCancelledJob() {
-        SimulatedFleet fleet = new SimulatedFleet(2, SimulatedFleet.Faults.NONE, 2);
+        SimulatedFleet fleet = new SimulatedFleet(2, FleetFaults.NONE, SERVICE, 2);
         fleet.beginTerm();
-        fleet.submit("job", List.of(step(4, List.of())));
+        fleet.submit("job", "service", List.of(step(4, List.of())));
         fleet.runFor(300);
         fleet.cancel("job");
         fleet.runFor(3_000);
@@ -67,55 +79,93 @@
 
     @Test
     void adoptsActiveRunsAfterTakeover() {
-        SimulatedFleet fleet = new SimulatedFleet(3, SimulatedFleet.Faults.NONE, 2);
+        SimulatedFleet fleet = new SimulatedFleet(3, FleetFaults.NONE, SERVICE, 2);
         fleet.beginTerm();
-        fleet.submit("job", List.of(step(4, List.of())));
+        fleet.submit("job", "service", List.of(step(4, List.of())));
         fleet.runFor(300);
         fleet.beginTerm();
         fleet.runFor(5_000);
-        assertEquals(List.of(), fleet.violations);
+        assertEquals(List.of(), fleet.oracle.violations);
         assertEquals(Optional.of(WorkPhase.COMPLETED), fleet.phaseOf("job"));
     }
 
+    static List<String> kinds() {
+        return List.of(
+                "takeovers",
+                "hosts",
+                "orders",
+                "store",
+                "all",
+                "successions",
+                "machines",
+                "racks",
+                "zones",
+                "pauses",
+                "mixed");
+    }
+
     @ParameterizedTest
-    @ValueSource(strings = {"takeovers", "hosts", "orders", "store", "all"})
+    @MethodSource("kinds")
     void keepsInvariantsUnderFaults(String kind) {
-        List<String> found = new ArrayList<>();
-        for (long seed = FIRST_SEED; seed < FIRST_SEED + RUNS; seed++) {
-            found.addAll(simulate(seed, faults(kind)));
-        }
-        assertEquals(List.of(), found);
+        assertEquals(List.of(), simulateSeeds(kind, fleet -> fleet.oracle.violations));
     }
 
-    private static SimulatedFleet.Faults faults(String kind) {
-        return switch (kind) {
-            case "takeovers" -> new SimulatedFleet.Faults(0, 0, 0, 0.1, 0.2, 0, 0, 0);
-            case "hosts" -> new SimulatedFleet.Faults(0, 0, 0.2, 0.2, 0, 0, 0.1, 0.1);
-            case "orders" -> new SimulatedFleet.Faults(0.1, 0.1, 0, 0, 0, 0, 0, 0);
-            case "store" -> new SimulatedFleet.Faults(0, 0, 0.1, 0, 0.1, 0.3, 0, 0);
-            default -> SimulatedFleet.Faults.ALL;
-        };
+    private static List<String> simulateSeeds(String kind, Function<SimulatedFleet, List<String>> findings) {
+        List<String> found = new ArrayList<>();
+        int runs = FleetFaults.isBurst(kind) ? BURST_RUNS : RUNS;
+        for (long seed = FIRST_SEED; seed < FIRST_SEED + runs; seed++) {
+            SimulatedFleet fleet = FleetFaults.isBurst(kind)
+                    ? simulateBursts(seed, FleetFaults.of(kind))
+                    : simulate(seed, FleetFaults.of(kind));
+            for (String finding : findings.apply(fleet)) {
+                found.add("seed " + seed + ", " + finding);
+            }
+        }
+        return found;
     }
 
-    private static List<String> simulate(long seed, SimulatedFleet.Faults faults) {
+    private static SimulatedFleet simulate(long seed, FleetFaults faults) {
         Random random = new Random(seed);
-        SimulatedFleet fleet = new SimulatedFleet(seed, faults, 3 + random.nextInt(4));
+        SimulatedFleet fleet = new SimulatedFleet(seed, faults, SERVICE, 3 + random.nextInt(4));
         fleet.beginTerm();
         for (int number = 0; number < 30; number++) {
-            List<StepSpecification> steps = new ArrayList<>();
-            steps.add(step(1 + random.nextInt(5), List.of()));
-            if (random.nextBoolean()) {
-                steps.add(step(1 + random.nextInt(4), List.of(0)));
-            }
-            fleet.submit("job-" + number, steps);
+            submitShortJob(fleet, random, number);
             if (random.nextInt(12) == 0) {
                 fleet.cancel("job-" + random.nextInt(number + 1));
             }
             fleet.runFor(random.nextInt(1_500));
         }
         fleet.runFor(20_000);
-        return fleet.violations.stream()
-                .map(violation -> "seed " + seed + ", " + violation)
-                .toList();
+        return fleet;
+    }
+
+    private static SimulatedFleet simulateBursts(long seed, FleetFaults faults) {
+        Random random = new Random(seed);
+        List<String> services = List.of("service-a", "service-b", "service-c").subList(0, 2 + random.nextInt(2));
+        SimulatedFleet fleet = new SimulatedFleet(seed, faults, services, 4 * services.size() + random.nextInt(4));
+        fleet.beginTerm();
+        for (String service : services) {
+            fleet.submit("lasting-" + service, service, List.of(lastingStep(2 + random.nextInt(4))));
+        }
+        int number = 0;
+        for (int burst = 0; burst < 3; burst++) {
+            for (int part = 0; part < 10; part++) {
+                submitShortJob(fleet, random, number++);
+                fleet.runFor(random.nextInt(1_500));
+            }
+            submitShortJob(fleet, random, number++);
+            fleet.runCalmly(12_000L + random.nextInt(8_000));
+        }
+        return fleet;
+    }
+
+    private static void submitShortJob(SimulatedFleet fleet, Random random, int number) {
+        List<StepSpecification> steps = new ArrayList<>();
+        steps.add(step(1 + random.nextInt(5), List.of()));
+        if (random.nextBoolean()) {
+            steps.add(step(1 + random.nextInt(4), List.of(0)));
+        }
+        List<String> services = fleet.services();
+        fleet.submit("job-" + number, services.get(random.nextInt(services.size())), steps);
     }
 }
--- a/src/test/java/org/cicadalead/logic/work/SimulatedHost.java
+++ b/src/test/java/org/cicadalead/logic/work/SimulatedHost.java
@@ -28,9 +28,16 @@
 
     final String identifier;
     final String service;
+    final String address;
+    final String zone;
+    final String rack;
     final HostCapacity capacity;
     boolean up = true;
     boolean reachable = true;
+    boolean registered = true;
+    /** Whether the host has ended for good; its machine then has another host. */
+    boolean gone;
+
     boolean failing;
     double slowness = 1;
     long processStart;
@@ -42,33 +49,35 @@
     private long deadline;
     private long acknowledgedNumber;
 
-    SimulatedHost(String identifier, String service, HostCapacity capacity, long now) {
+    SimulatedHost(
+            String identifier,
+            String service,
+            String address,
+            String zone,
+            String rack,
+            HostCapacity capacity,
+            long now) {
         this.identifier = identifier;
         this.service = service;
+        this.address = address;
+        this.zone = zone;
+        this.rack = rack;
         this.capacity = capacity;
         this.processStart = now;
     }
 
     HostEntry entry() {
         return new HostEntry(
-                identifier,
-                service,
-                identifier + ":1",
-                "zone",
-                false,
-                processStart,
-                0,
-                capacity,
-                List.of("kind", "rack"));
+                identifier, service, address, zone, false, processStart, 0, capacity, List.of("kind", rack));
     }
 
     long clock(long now) {
         return Math.round((now - processStart) * CLOCK_RATE);
     }
 
-    /** Restarts the host and loses all its runs and ends; returns the lost runs. */
-    List<RunKey> crash(long now) {
-        List<RunKey> lost = new ArrayList<>(active.keySet());
+    /** Ends the process with all its runs and ends; its entry stays in the registry for a while. */
+    void crash() {
+        up = false;
         active.clear();
         ended.clear();
         highestEndedAttempts.clear();
@@ -76,8 +85,13 @@
         nextEnd = 1;
         deadline = 0;
         acknowledgedNumber = 0;
+    }
+
+    /** Starts a new process under the same identifier. */
+    void restart(long now) {
+        up = true;
+        registered = true;
         processStart = now;
-        return lost;
     }
 
     StartOutcome start(WorkOrder.Start order, long epoch, long duration, long now) {
@@ -96,9 +110,7 @@
         if (order.deadline() <= clock(now)) {
             return StartOutcome.EXPIRED;
         }
-        long usedMilliCores =
-                active.values().stream().mapToLong(run -> run.milliCores).sum();
-        if (usedMilliCores + TASK_MILLICORES > capacity.milliCores()) {
+        if (freeMilliCores() < TASK_MILLICORES) {
             return StartOutcome.NO_ROOM;
         }
         active.put(order.run(), new Run(now + Math.round(duration * slowness), TASK_MILLICORES));
@@ -160,6 +172,18 @@
         ended.add(new EndedRun(nextEnd++, run, ending, ""));
     }
 
+    /** Returns the processor capacity that no run takes. */
+    long freeMilliCores() {
+        return capacity.milliCores()
+                - active.values().stream().mapToLong(run -> run.milliCores).sum();
+    }
+
+    /** Ends the host for good, with all its runs. */
+    void leave() {
+        crash();
+        gone = true;
+    }
+
     List<RunKey> running() {
         return List.copyOf(active.keySet());
     }
@@ -172,5 +196,11 @@
         return List.copyOf(ended);
     }
 
+    @Override
+    public String toString() {
+        return identifier + " (" + service + ", " + zone + (gone ? ", gone" : up ? "" : ", down")
+                + (reachable ? "" : ", cut off") + (registered ? "" : ", not registered") + ")";
+    }
+
     private record Run(long endsAt, long milliCores) {}
 }
--- /dev/null
+++ b/src/test/java/org/cicadalead/logic/work/SimulatedScheduling.java
@@ -0,0 +1,176 @@
+package org.cicadalead.logic.work;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
+import org.cicadalead.model.work.EndedRun;
+import org.cicadalead.model.work.HostListing;
+import org.cicadalead.model.work.StartOutcome;
+
+/** The scheduling of a term that has read its data: polls, orders to hosts, progress and machines. */
+final class SimulatedScheduling {
+    private static final long REGISTRY_MILLISECONDS = 250;
+    private static final long LASTING_MILLISECONDS = 1_000_000_000;
+
+    final WorkScheduler scheduler;
+    final SimulatedMachineControl machines;
+    private final SimulatedFleet fleet;
+    private final SimulatedTerm term;
+    private final EarlierHosts earlier;
+    private final long loadedAt;
+    private final Set<String> polledHosts = new HashSet<>();
+    private long nextRegistryAt;
+
+    SimulatedScheduling(SimulatedFleet fleet, SimulatedTerm term, EarlierHosts earlier) {
+        this.fleet = fleet;
+        this.term = term;
+        this.earlier = earlier;
+        this.loadedAt = fleet.now();
+        this.scheduler = new WorkScheduler(SimulatedFleet.TERMS, term.epoch, earlier, loadedAt);
+        fleet.submissions.values().forEach(submission -> scheduler.addJob(submission, fleet.time()));
+        fleet.store.progress.values().forEach(stored -> scheduler.restoreProgress(stored, fleet.time()));
+        fleet.cancelled.forEach(job -> scheduler.cancelJob(job, fleet.time()));
+        this.machines = new SimulatedMachineControl(fleet, term, scheduler);
+    }
+
+    void advance() {
+        if (fleet.now() >= nextRegistryAt && term.reachesStore()) {
+            nextRegistryAt = fleet.now() + REGISTRY_MILLISECONDS;
+            scheduler.updateHosts(fleet.registry(), fleet.time());
+            for (String host : scheduler.findHostsToPoll()) {
+                if (polledHosts.add(host)) {
+                    poll(host);
+                }
+            }
+        }
+        execute(scheduler.decide(fleet.time(), term.canStart()));
+        if (term.canStart() && !term.hasEnded()) {
+            machines.advance();
+        }
+    }
+
+    private void execute(List<WorkOrder> orders) {
+        for (WorkOrder order : orders) {
+            if (order instanceof WorkOrder.Start start) {
+                start(start);
+            } else if (order instanceof WorkOrder.Stop stop) {
+                stop(stop);
+            } else if (order instanceof WorkOrder.Persist persist) {
+                persist(persist);
+            } else if (order instanceof WorkOrder.StepDown) {
+                term.end("superseded");
+            }
+        }
+    }
+
+    private void poll(String identifier) {
+        Optional<HostPollRequest> request = scheduler.createPoll(identifier, fleet.time(), term.canRenew());
+        if (request.isEmpty()) {
+            polledHosts.remove(identifier);
+            return;
+        }
+        long sentAt = fleet.now();
+        SimulatedHost host = fleet.host(identifier);
+        long wait = request.get().waitMilliseconds() == 0 ? 0 : 40L + fleet.random.nextInt(200);
+        fleet.after(fleet.randomDelay() + wait, () -> {
+            if (fleet.findReplacement(host).filter(term::reaches).isPresent()) {
+                term.after(fleet.randomDelay(), () -> {
+                    scheduler.onHostReplaced(identifier);
+                    term.after(200, () -> poll(identifier));
+                });
+            } else if (!term.reaches(host) || fleet.isReplyLost()) {
+                term.after(500, () -> {
+                    scheduler.onPollFailed(identifier);
+                    poll(identifier);
+                });
+            } else if (host.isFenced(term.epoch)) {
+                term.after(fleet.randomDelay(), scheduler::onFenced);
+            } else {
+                List<EndedRun> unacknowledged = host.unacknowledged();
+                HostListing listing = host.poll(request.get(), term.epoch, fleet.now());
+                unacknowledged.stream().filter(host::isAcknowledged).forEach(fleet.oracle::onAcknowledged);
+                term.after(fleet.randomDelay(), () -> {
+                    scheduler.onHostListing(identifier, listing, sentAt, fleet.time());
+                    term.after(20, () -> poll(identifier));
+                });
+            }
+        });
+    }
+
+    private void start(WorkOrder.Start order) {
+        SimulatedHost host = fleet.host(order.target().host());
+        boolean isLate = fleet.isOrderLate();
+        long processStart = host.processStart;
+        fleet.after(isLate ? 2_000L + fleet.random.nextInt(8_000) : fleet.randomDelay(), () -> {
+            if (isLate && host.processStart != processStart) {
+                // The host delayed the order, and lost it when it crashed.
+                return;
+            }
+            if (host.up && (term.reaches(host) || isLate)) {
+                deliverStart(order, host, isLate);
+            } else {
+                term.after(600, () -> replyToStart(order, StartOutcome.UNKNOWN));
+            }
+        });
+        if (isLate) {
+            term.after(600, () -> replyToStart(order, StartOutcome.UNKNOWN));
+        }
+    }
+
+    private void deliverStart(WorkOrder.Start order, SimulatedHost host, boolean isLate) {
+        boolean wasRunning = host.running().contains(order.run());
+        long duration = fleet.specificationOf(order.run().task()).longRunning()
+                ? LASTING_MILLISECONDS
+                : 500L + fleet.random.nextInt(1_000);
+        StartOutcome outcome = host.start(order, term.epoch, duration, fleet.now());
+        if (outcome == StartOutcome.STARTED && !wasRunning) {
+            fleet.oracle.checkStart(order.run(), host);
+        }
+        boolean isLost = fleet.isReplyLost();
+        if (!isLate) {
+            term.after(
+                    isLost ? 600 : fleet.randomDelay(),
+                    () -> replyToStart(order, isLost ? StartOutcome.UNKNOWN : outcome));
+        }
+    }
+
+    private void replyToStart(WorkOrder.Start order, StartOutcome outcome) {
+        scheduler.onStartReply(order.target().host(), order.run(), outcome, fleet.time());
+    }
+
+    private void stop(WorkOrder.Stop order) {
+        SimulatedHost host = fleet.host(order.target().host());
+        fleet.after(fleet.randomDelay(), () -> {
+            if (term.reaches(host) && !fleet.isReplyLost() && host.stop(order.run(), term.epoch)) {
+                term.after(
+                        fleet.randomDelay(),
+                        () -> scheduler.onStopConfirmed(host.identifier, order.run(), fleet.time()));
+            }
+        });
+    }
+
+    private void persist(WorkOrder.Persist order) {
+        fleet.after(8, () -> {
+            boolean stored = term.reachesStore() && fleet.store.acceptsProgress(term.epoch);
+            if (stored) {
+                order.records().forEach(fleet::storeProgress);
+            }
+            term.after(fleet.randomDelay(), () -> scheduler.onBatchResult(order.batch(), stored));
+        });
+    }
+
+    @Override
+    public String toString() {
+        StringBuilder text = new StringBuilder(", loaded at ").append(loadedAt);
+        for (String identifier : new TreeSet<>(scheduler.findBlockingHosts(fleet.time()))) {
+            long until = loadedAt + earlier.leaseExpiresAfter().getOrDefault(identifier, 0L);
+            text.append(", blocked by ")
+                    .append(fleet.host(identifier))
+                    .append(" until ")
+                    .append(until);
+        }
+        return text.toString();
+    }
+}
