Check in the simulation that waiting work runs when it can

The oracle of SimulatedFleetTest judged safety only, so that a service that stayed closed for no reason was not seen.

FleetOracle now also collects lost work: a lasting task that does not run 6 s after its last run has ended, or a job of short tasks of which nothing has run for 3 s although a task's turn has come, when the last 7 s were calm and a sound, reachable host of the service had room for the task twice over for 3 s. The doc comment gives the reading of the rule LOST: what is calm, and what disrupts only at the moment when it goes and comes back. Each finding has its time and what the newest terms knew: when they began, loaded and ended, and the hosts that block, until when.

An order sent, or a lease renewed, after a host was cut off stands for up to 2.5 s + 5.7 s / 0.98 = 8.3 s, so that a term may not start the task anew before; 7 s after the moment of the loss such a task was reported, with no host that blocked. The rule asks for 3 s of waiting from 6 s after a lasting task's last run, so 9 s after the loss of its host; for jobs of short tasks it asks only after the end of the traffic.

--- a/src/test/java/org/cicadalead/logic/work/FaultInjector.java
+++ b/src/test/java/org/cicadalead/logic/work/FaultInjector.java
@@ -4,7 +4,7 @@
 import java.util.Random;
 import org.cicadalead.model.work.MachineCondition;
 
-/** Injects the faults of a simulated fleet at random. */
+/** Injects the faults of a simulated fleet at random, and reports each to the oracle as a disruption. */
 final class FaultInjector {
     private static final double SECONDS_PER_CALL = 0.4;
     private static final int MIN_TERMS_OF_SUCCESSION = 3;
@@ -26,7 +26,11 @@
 
     /** Decides whether a message is lost or late. */
     boolean loses(double ratio) {
-        return random.nextDouble() < ratio;
+        boolean lost = random.nextDouble() < ratio;
+        if (lost) {
+            fleet.oracle.onDisruption();
+        }
+        return lost;
     }
 
     /** Lets the leader move or maintain a machine, which is planned work. */
@@ -59,10 +63,12 @@
             }
             if (occurs(faults.failingHost() / count)) {
                 host.failing = true;
+                fleet.oracle.onDisruptionFor(3_000);
                 fleet.after(3_000, () -> host.failing = false);
             }
             if (occurs(faults.slowHost() / count)) {
                 host.slowness = 6;
+                fleet.oracle.onDisruptionFor(5_000);
                 fleet.after(5_000, () -> host.slowness = 1);
             }
         }
@@ -73,6 +79,7 @@
             cutZoneOfLeader();
         }
         if (occurs(faults.takeover())) {
+            fleet.oracle.onDisruption();
             election.takeOver();
         }
         if (occurs(faults.succession())) {
@@ -84,6 +91,7 @@
         if (occurs(faults.storeOutage())) {
             long milliseconds = 500L + random.nextInt(5_000);
             fleet.store.downUntil = fleet.now() + milliseconds;
+            fleet.oracle.onDisruptionFor(milliseconds);
         }
     }
 
@@ -94,9 +102,11 @@
         }
         host.crash();
         machine.condition = MachineCondition.DOWN;
+        fleet.oracle.onHostLost();
         long crashedLife = host.processStart;
         fleet.after(random.nextInt(3_000), () -> host.registered = host.registered && host.processStart != crashedLife);
         fleet.after(milliseconds, () -> {
+            fleet.oracle.onDisruption();
             if (random.nextInt(3) == 0) {
                 fleet.replaceHost(machine);
             } else {
@@ -111,8 +121,10 @@
             return;
         }
         host.reachable = false;
+        fleet.oracle.onHostLost();
         fleet.after(milliseconds, () -> {
             host.reachable = true;
+            fleet.oracle.onDisruption();
         });
     }
 
@@ -140,6 +152,7 @@
         String zone = leader.get().zone;
         long milliseconds = 1_000L + random.nextInt(9_000);
         fleet.network.cutOff(zone);
+        fleet.oracle.onDisruptionFor(milliseconds);
         fleet.after(1_500L + random.nextInt(1_500), () -> {
             if (fleet.network.isCutOff(zone)) {
                 fleet.hosts().forEach(host -> host.registered &= !host.zone.equals(zone));
@@ -162,6 +175,7 @@
     }
 
     private void endLeader() {
+        fleet.oracle.onDisruption();
         Optional<SimulatedTerm> leader = election.leader();
         if (leader.isEmpty()) {
             return;
@@ -190,6 +204,7 @@
     private void pauseLeader(long milliseconds) {
         election.leader().ifPresent(leader -> {
             leader.pause(milliseconds);
+            fleet.oracle.onDisruptionFor(milliseconds);
         });
     }
 }
--- a/src/test/java/org/cicadalead/logic/work/FleetFaults.java
+++ b/src/test/java/org/cicadalead/logic/work/FleetFaults.java
@@ -36,7 +36,8 @@
         double pause) {
     static final FleetFaults NONE = new FleetFaults(0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0);
 
-    private static final Set<String> BURSTS = Set.of("successions", "machines", "racks", "zones", "pauses", "mixed");
+    private static final Set<String> BURSTS =
+            Set.of("planned", "successions", "machines", "racks", "zones", "pauses", "mixed");
 
     /** Returns whether the faults of a kind act in bursts between calm periods, beside moves and maintenance. */
     static boolean isBurst(String kind) {
@@ -51,6 +52,7 @@
             case "orders" -> basic(0.1, 0.1, 0, 0, 0, 0, 0, 0);
             case "store" -> basic(0, 0, 0.1, 0, 0.1, 0.3, 0, 0);
             case "all" -> basic(0.03, 0.02, 0.08, 0.08, 0.12, 0.08, 0.05, 0.05);
+            case "planned" -> new FleetFaults(0, 0, 0, 0, 0, 0, 0, 0, 0.8, 0, 0, 0, 0);
             case "successions" -> new FleetFaults(0, 0, 0, 0, 0, 0, 0, 0, 0.4, 0, 0, 0.3, 0);
             case "machines" -> new FleetFaults(0, 0, 0.05, 0, 0.2, 0, 0, 0, 0.8, 0, 0, 0, 0);
             case "racks" -> new FleetFaults(0, 0, 0, 0, 0.1, 0, 0, 0, 0.2, 0.2, 0, 0.1, 0);
--- a/src/test/java/org/cicadalead/logic/work/FleetOracle.java
+++ b/src/test/java/org/cicadalead/logic/work/FleetOracle.java
@@ -9,7 +9,10 @@
 import org.cicadalead.model.work.EndedRun;
 import org.cicadalead.model.work.RunEnding;
 import org.cicadalead.model.work.RunKey;
+import org.cicadalead.model.work.StepSpecification;
 import org.cicadalead.model.work.TaskKey;
+import org.cicadalead.model.work.WorkPhase;
+import org.cicadalead.model.work.WorkProgress;
 import org.cicadalead.model.work.WorkSubmission;
 
 /**
@@ -17,23 +20,67 @@
  *
  * <p>Safety: a task has one run at a time, starts after its dependencies and not after its end is acknowledged or its
  * attempts are used up, and a job is completed only with all its tasks.
+ *
+ * <p>Liveness: waiting work runs when it can. A task that lasts runs from 6 s after its last run has ended, for
+ * whatever reason, or after its job was accepted; a job of short tasks has something running whenever a task's turn has
+ * come. Both are checked only when the last 7 s (3 s of waiting and the 4 s before them) were calm, and when for the 3
+ * s a sound host of the service, reachable and not about to leave, had room for the task twice over, however full the
+ * others were.
+ *
+ * <p>Calm is a time in which no disruption began, ended or was in effect. Disruptions in effect are an outage of the
+ * store, an availability zone that is cut off with processes of the system, a suspended process, and hosts that fail or
+ * slow down tasks. A host, or the path of one process to the store, disrupts only at the moment when it goes and when
+ * it comes back: a fleet with a host that stays down has to be calm again. The leader's absence after a disruption is
+ * no disruption of its own, nor are moves and maintenance, which the leader orders.
  */
 final class FleetOracle {
+    private static final long CHECK_MILLISECONDS = 50;
+    private static final long CALM_MILLISECONDS = 7_000;
+    private static final long WAITING_MILLISECONDS = 3_000;
+    private static final long LASTING_MILLISECONDS = 6_000;
 
+    /** Time for which the loss of a host is in effect: until the leader knows of it and renews its leases no more. */
+    private static final long HOST_LOSS_MILLISECONDS = 2_000;
+
+    private static final long REQUIRED_MILLICORES = 2 * SimulatedHost.TASK_MILLICORES;
     private static final int MAXIMUM_ATTEMPTS = 3;
 
     /** Broken promises of safety. */
     final List<String> violations = new ArrayList<>();
 
+    /** Work that waited although it could run. */
+    final List<String> lostWork = new ArrayList<>();
+
     private final SimulatedFleet fleet;
     private final Set<TaskKey> acknowledgedDone = new HashSet<>();
     private final Map<TaskKey, Set<RunKey>> finishedRuns = new HashMap<>();
     private final Map<TaskKey, Integer> acknowledgedFailures = new HashMap<>();
+    private final Map<TaskKey, Long> lastRunAt = new HashMap<>();
+    private final Map<String, Long> lastActiveAt = new HashMap<>();
+    private final Map<String, Long> roomSince = new HashMap<>();
+    private final Set<Object> reported = new HashSet<>();
+    private long disruptedUntil;
+    private long nextCheckAt;
 
     FleetOracle(SimulatedFleet fleet) {
         this.fleet = fleet;
     }
 
+    /** Records a disruption at this moment. */
+    void onDisruption() {
+        onDisruptionFor(0);
+    }
+
+    /** Records that a host has crashed or is cut off, whether it comes back or not. */
+    void onHostLost() {
+        onDisruptionFor(HOST_LOSS_MILLISECONDS);
+    }
+
+    /** Records a disruption that is in effect for a time. */
+    void onDisruptionFor(long milliseconds) {
+        disruptedUntil = Math.max(disruptedUntil, fleet.now() + milliseconds);
+    }
+
     /** Records an acknowledged end, which is final from now on. */
     void onAcknowledged(EndedRun end) {
         TaskKey task = end.run().task();
@@ -91,6 +138,142 @@
         }
     }
 
+    /** Checks that no work waits that could run. */
+    void checkWaitingWork() {
+        if (fleet.now() < nextCheckAt) {
+            return;
+        }
+        nextCheckAt = fleet.now() + CHECK_MILLISECONDS;
+        Set<TaskKey> active = findActiveTasks();
+        updateRoom();
+        for (WorkSubmission submission : fleet.submissions.values()) {
+            if (!hasEnded(submission.job())) {
+                if (submission.steps().get(0).longRunning()) {
+                    checkLastingTasks(submission, active);
+                } else {
+                    checkShortTasks(submission, active);
+                }
+            }
+        }
+    }
+
+    private boolean hasEnded(String job) {
+        WorkProgress stored = fleet.store.progress.get(job);
+        return fleet.cancelled.contains(job)
+                || (stored != null && stored.phase().isTerminal());
+    }
+
+    private boolean isCalm() {
+        return fleet.now() - disruptedUntil >= CALM_MILLISECONDS;
+    }
+
+    /** Returns the tasks that run, and those whose end a host still lists. */
+    private Set<TaskKey> findActiveTasks() {
+        Set<TaskKey> active = new HashSet<>();
+        for (SimulatedHost host : fleet.hosts()) {
+            host.running().forEach(run -> active.add(run.task()));
+            for (EndedRun end : host.unacknowledged()) {
+                if (end.ending() == RunEnding.DONE) {
+                    active.add(end.run().task());
+                }
+            }
+        }
+        return active;
+    }
+
+    private void updateRoom() {
+        for (SimulatedHost host : fleet.hosts()) {
+            if (isSound(host) && host.freeMilliCores() >= REQUIRED_MILLICORES) {
+                roomSince.putIfAbsent(host.identifier, fleet.now());
+            } else {
+                roomSince.remove(host.identifier);
+            }
+        }
+    }
+
+    private boolean isSound(SimulatedHost host) {
+        return host.up
+                && host.registered
+                && host.reachable
+                && !host.failing
+                && host.slowness == 1
+                && !fleet.network.isCutOff(host.zone)
+                && !fleet.isEmptying(host);
+    }
+
+    private boolean hasRoom(String service) {
+        for (SimulatedHost host : fleet.hosts()) {
+            long since = roomSince.getOrDefault(host.identifier, Long.MAX_VALUE);
+            if (host.service.equals(service) && since <= fleet.now() - WAITING_MILLISECONDS) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private void checkLastingTasks(WorkSubmission submission, Set<TaskKey> active) {
+        for (int index = 0; index < submission.steps().get(0).taskCount(); index++) {
+            TaskKey task = new TaskKey(submission.job(), 0, 0, index);
+            if (active.contains(task)) {
+                lastRunAt.put(task, fleet.now());
+                reported.remove(task);
+            }
+            long lastRun = lastRunAt.getOrDefault(task, submission.acceptedMilliseconds());
+            boolean isLost = fleet.now() - lastRun >= LASTING_MILLISECONDS && isCalm();
+            if (isLost && hasRoom(submission.service()) && reported.add(task)) {
+                reportLost("LOST " + task + " of " + submission.service() + ", whose last run ended at " + lastRun);
+            }
+        }
+    }
+
+    private void checkShortTasks(WorkSubmission submission, Set<TaskKey> active) {
+        String job = submission.job();
+        boolean waits = false;
+        boolean runs = false;
+        for (int step = 0; step < submission.steps().size(); step++) {
+            StepSpecification specification = submission.steps().get(step);
+            boolean isOpen = specification.dependsOn().stream().allMatch(required -> isDone(submission, required));
+            for (int index = 0; index < specification.taskCount(); index++) {
+                TaskKey task = new TaskKey(job, 0, step, index);
+                runs |= active.contains(task);
+                waits |= isOpen && !isDone(task);
+            }
+        }
+        if (runs || !waits) {
+            lastActiveAt.put(job, fleet.now());
+            reported.remove(job);
+        }
+        long lastActive = lastActiveAt.getOrDefault(job, submission.acceptedMilliseconds());
+        boolean isLost = fleet.now() - lastActive >= WAITING_MILLISECONDS && isCalm();
+        if (isLost && hasRoom(submission.service()) && reported.add(job)) {
+            reportLost(
+                    "LOST " + job + " of " + submission.service() + ", of which nothing has run since " + lastActive);
+        }
+    }
+
+    private boolean isDone(WorkSubmission submission, int step) {
+        for (int index = 0; index < submission.steps().get(step).taskCount(); index++) {
+            if (!isDone(new TaskKey(submission.job(), 0, step, index))) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private boolean isDone(TaskKey task) {
+        WorkProgress stored = fleet.store.progress.get(task.job());
+        boolean isStored = stored != null
+                && (stored.phase() == WorkPhase.COMPLETED
+                        || stored.done()
+                                .getOrDefault(task.occurrence() + "." + task.step(), List.of())
+                                .contains(task.index()));
+        return isStored || acknowledgedDone.contains(task);
+    }
+
+    private void reportLost(String lost) {
+        lostWork.add(fleet.now() + ": " + lost + ", calm since " + disruptedUntil + ": " + fleet.describeTerms());
+    }
+
     private void report(String violation) {
         violations.add(fleet.now() + ": " + violation);
     }
--- a/src/test/java/org/cicadalead/logic/work/SimulatedFleet.java
+++ b/src/test/java/org/cicadalead/logic/work/SimulatedFleet.java
@@ -1,5 +1,6 @@
 package org.cicadalead.logic.work;
 
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -136,6 +137,7 @@
                 }
             }
             election.advance();
+            oracle.checkWaitingWork();
         }
     }
 
@@ -230,6 +232,24 @@
         return election.leader().flatMap(SimulatedTerm::scheduling).flatMap(loaded -> loaded.scheduler.findPhase(job));
     }
 
+    /** Returns whether the leader has decided that a host gets no work, as its machine is to go. */
+    boolean isEmptying(SimulatedHost host) {
+        return election.leader()
+                .flatMap(SimulatedTerm::scheduling)
+                .map(loaded -> loaded.machines.isEmptying(host.identifier))
+                .orElse(false);
+    }
+
+    /** Describes what the newest terms know. */
+    String describeTerms() {
+        List<String> lines = new ArrayList<>();
+        List<SimulatedTerm> terms = election.terms();
+        for (SimulatedTerm term : terms.subList(Math.max(0, terms.size() - 6), terms.size())) {
+            lines.add(term.toString());
+        }
+        return String.join("; ", lines);
+    }
+
     private record Event(long at, long sequence, Runnable action) implements Comparable<Event> {
         @Override
         public int compareTo(Event other) {
--- a/src/test/java/org/cicadalead/logic/work/SimulatedFleetTest.java
+++ b/src/test/java/org/cicadalead/logic/work/SimulatedFleetTest.java
@@ -89,6 +89,11 @@
         assertEquals(Optional.of(WorkPhase.COMPLETED), fleet.phaseOf("job"));
     }
 
+    @Test
+    void runsWaitingWorkWhileMachinesAreMovedAndMaintained() {
+        assertEquals(List.of(), simulateSeeds("planned", fleet -> fleet.oracle.lostWork));
+    }
+
     static List<String> kinds() {
         return List.of(
                 "takeovers",
