--- a/src/test/java/org/cicadalead/logic/work/SimulatedFleetTest.java
+++ b/src/test/java/org/cicadalead/logic/work/SimulatedFleetTest.java
@@ -9,6 +9,7 @@
 import java.util.function.Function;
 import org.cicadalead.model.work.StepSpecification;
 import org.cicadalead.model.work.WorkPhase;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
@@ -115,6 +116,13 @@
         assertEquals(List.of(), simulateSeeds(kind, fleet -> fleet.oracle.violations));
     }
 
+    @Tag("known-red")
+    @ParameterizedTest
+    @MethodSource("kinds")
+    void runsWaitingWorkAfterFaults(String kind) {
+        assertEquals(List.of(), simulateSeeds(kind, fleet -> fleet.oracle.lostWork));
+    }
+
     private static List<String> simulateSeeds(String kind, Function<SimulatedFleet, List<String>> findings) {
         List<String> found = new ArrayList<>();
         int runs = FleetFaults.isBurst(kind) ? BURST_RUNS : RUNS;
