Let one host of a simulated fleet be lost for good, and the registry forget silent hosts as the platform does

A crashed host always came back within 5 s, so that no term had to begin without it. Now one of a large fleet may stay away. The registry forgets a silent host after 3 to 4.5 s, three intervals of 1.5 s after its last entry; it was 0 to 3 s.

--- a/src/test/java/org/cicadalead/logic/work/FaultInjector.java
+++ b/src/test/java/org/cicadalead/logic/work/FaultInjector.java
@@ -7,12 +7,16 @@
 /** Injects the faults of a simulated fleet at random, and reports each to the oracle as a disruption. */
 final class FaultInjector {
     private static final double SECONDS_PER_CALL = 0.4;
+    private static final int REGISTRY_INTERVAL_MILLISECONDS = 1_500;
+    private static final int MACHINES_OF_LARGE_FLEET = 8;
+    private static final long FOREVER_MILLISECONDS = 1_000_000;
     private static final int MIN_TERMS_OF_SUCCESSION = 3;
     private static final int MAX_TERMS_OF_SUCCESSION = 6;
 
     private final SimulatedFleet fleet;
     private final SimulatedElection election;
     private final Random random;
+    private int lostForGood;
 
     FaultInjector(SimulatedFleet fleet, SimulatedElection election) {
         this.fleet = fleet;
@@ -56,7 +60,7 @@
         for (SimulatedMachine machine : fleet.machines()) {
             SimulatedHost host = machine.host;
             if (occurs(faults.crash() / count * 2)) {
-                crash(machine, 1_000L + random.nextInt(4_000));
+                crash(machine, downtime());
             }
             if (occurs(faults.partition() / count * 2)) {
                 cutOff(host, 500L + random.nextInt(9_000));
@@ -104,7 +108,7 @@
         machine.condition = MachineCondition.DOWN;
         fleet.oracle.onHostLost();
         long crashedLife = host.processStart;
-        fleet.after(random.nextInt(3_000), () -> host.registered = host.registered && host.processStart != crashedLife);
+        fleet.after(registryExpiry(), () -> host.registered = host.registered && host.processStart != crashedLife);
         fleet.after(milliseconds, () -> {
             fleet.oracle.onDisruption();
             if (random.nextInt(3) == 0) {
@@ -116,6 +120,18 @@
         });
     }
 
+    /** Returns the time until the registry forgets a silent host: three intervals after it wrote its entry. */
+    private long registryExpiry() {
+        return 2L * REGISTRY_INTERVAL_MILLISECONDS + random.nextInt(REGISTRY_INTERVAL_MILLISECONDS);
+    }
+
+    /** Returns the time for which a host stays down; one of a large fleet may never come back. */
+    private long downtime() {
+        boolean isLarge = fleet.machines().size() >= MACHINES_OF_LARGE_FLEET;
+        boolean isLostForGood = isLarge && random.nextInt(4) == 0 && lostForGood++ == 0;
+        return isLostForGood ? FOREVER_MILLISECONDS : 1_000L + random.nextInt(4_000);
+    }
+
     private void cutOff(SimulatedHost host, long milliseconds) {
         if (!host.up || !host.reachable) {
             return;
@@ -153,7 +169,7 @@
         long milliseconds = 1_000L + random.nextInt(9_000);
         fleet.network.cutOff(zone);
         fleet.oracle.onDisruptionFor(milliseconds);
-        fleet.after(1_500L + random.nextInt(1_500), () -> {
+        fleet.after(registryExpiry(), () -> {
             if (fleet.network.isCutOff(zone)) {
                 fleet.hosts().forEach(host -> host.registered &= !host.zone.equals(zone));
             }
