--- a/src/test/java/org/cicadalead/logic/work/SimulatedElection.java
+++ b/src/test/java/org/cicadalead/logic/work/SimulatedElection.java
@@ -82,10 +82,11 @@
 
     private void claim(long loadMilliseconds) {
         claimsWithoutTimeout = false;
-        Optional<LeaderRecord> previousLeader = fleet.store.leader;
-        long epoch = previousLeader.map(LeaderRecord::epoch).orElse(0L) + 1;
+        Optional<EarlierTerm> earlierTerm =
+                fleet.store.leader.map(leader -> new EarlierTerm(leader, fleet.store.leaderStoredAt));
+        long epoch = fleet.store.leader.map(LeaderRecord::epoch).orElse(0L) + 1;
         SimulatedTerm term = new SimulatedTerm(
-                fleet, epoch, fleet.network.chooseConnectedZone(), previousLeader, fleet.now() + loadMilliseconds);
+                fleet, epoch, fleet.network.chooseConnectedZone(), earlierTerm, fleet.now() + loadMilliseconds);
         terms.add(term);
         fleet.store.appendLeader(term.createRecord(false), fleet.now());
     }
--- a/src/test/java/org/cicadalead/logic/work/SimulatedMachineControl.java
+++ b/src/test/java/org/cicadalead/logic/work/SimulatedMachineControl.java
@@ -22,6 +22,7 @@
 
     private final SimulatedFleet fleet;
     private final SimulatedTerm term;
+    private final WorkScheduler scheduler;
     private final MachineView view;
     private final Map<String, String> hostByMachine = new HashMap<>();
     private final Map<String, Emptying> emptying = new LinkedHashMap<>();
@@ -34,6 +35,7 @@
     SimulatedMachineControl(SimulatedFleet fleet, SimulatedTerm term, WorkScheduler scheduler) {
         this.fleet = fleet;
         this.term = term;
+        this.scheduler = scheduler;
         this.view = scheduler.createMachineView();
     }
 
@@ -56,7 +58,7 @@
     void advance() {
         if (!listInFlight && fleet.now() >= nextListAt && term.reachesPlatform()) {
             listInFlight = true;
-            nextListAt = fleet.now() + (leaving.isEmpty() ? IDLE_LIST_MILLISECONDS : ACTIVE_LIST_MILLISECONDS);
+            nextListAt = fleet.now() + (isListNeeded() ? ACTIVE_LIST_MILLISECONDS : IDLE_LIST_MILLISECONDS);
             long requestedAt = fleet.now();
             fleet.after(5L + fleet.random.nextInt(60), () -> {
                 List<MachineEntry> listed = fleet.machineList();
@@ -71,6 +73,10 @@
         }
     }
 
+    private boolean isListNeeded() {
+        return !leaving.isEmpty() || !scheduler.findBlockingHosts(fleet.time()).isEmpty();
+    }
+
     private void advance(Emptying empty) {
         long now = fleet.now();
         if (now - empty.since() > CORDON_TIMEOUT_MILLISECONDS) {
@@ -123,9 +129,9 @@
     }
 
     private void applyMachines(List<MachineEntry> listed, long requestedAt) {
+        view.updateMachines(listed);
         for (MachineEntry machine : listed) {
-            boolean hostEnded =
-                    machine.condition() == MachineCondition.UPKEEP || machine.condition() == MachineCondition.MOVING;
+            boolean hostEnded = machine.condition().endsHost();
             String previousHost = hostByMachine.getOrDefault(machine.machine(), machine.host());
             if (hostEnded || !previousHost.equals(machine.host())) {
                 view.onHostDown(previousHost);
--- a/src/test/java/org/cicadalead/logic/work/SimulatedTerm.java
+++ b/src/test/java/org/cicadalead/logic/work/SimulatedTerm.java
@@ -18,7 +18,7 @@
     final long epoch;
     final String zone;
     private final SimulatedFleet fleet;
-    private final Optional<LeaderRecord> previousLeader;
+    private final Optional<EarlierTerm> earlierTerm;
     private final long begunAt;
     private HostsInUse announcement;
     private Optional<SimulatedScheduling> scheduling = Optional.empty();
@@ -31,16 +31,16 @@
     private long pausedUntil;
     private String end = "";
 
-    SimulatedTerm(SimulatedFleet fleet, long epoch, String zone, Optional<LeaderRecord> previousLeader, long loadAt) {
+    SimulatedTerm(SimulatedFleet fleet, long epoch, String zone, Optional<EarlierTerm> earlierTerm, long loadAt) {
         this.fleet = fleet;
         this.epoch = epoch;
         this.zone = zone;
-        this.previousLeader = previousLeader;
+        this.earlierTerm = earlierTerm;
         this.begunAt = fleet.now();
         this.loadAt = loadAt;
         this.lastConfirmedAt = fleet.now();
         this.nextHeartbeatAt = fleet.now() + HEARTBEAT_MILLISECONDS;
-        this.announcement = HostsInUse.fromEarlierTerm(previousLeader);
+        this.announcement = HostsInUse.fromEarlierTerm(earlierTerm, fleet.now());
     }
 
     boolean hasEnded() {
@@ -53,7 +53,13 @@
 
     LeaderRecord createRecord(boolean resigned) {
         return new LeaderRecord(
-                epoch, "process-" + epoch, "address", resigned, announcement.claims(), announcement.startedJobs());
+                epoch,
+                "process-" + epoch,
+                "address",
+                resigned,
+                announcement.claims(),
+                announcement.startedJobs(),
+                announcement.leasesExpireAfter());
     }
 
     boolean reachesStore() {
@@ -116,14 +122,17 @@
         if (hasEnded()) {
             return;
         }
-        boolean hasIntents = scheduling
-                .map(loaded -> loaded.scheduler.hasPendingStartIntents())
+        boolean waitsForAnnouncement = scheduling
+                .map(loaded -> loaded.scheduler.isWaitingForAnnouncement(fleet.time()))
                 .orElse(false);
-        if (scheduling.isPresent() && (hasIntents || fleet.now() >= nextAnnouncementAt)) {
+        if (scheduling.isPresent() && (waitsForAnnouncement || fleet.now() >= nextAnnouncementAt)) {
             nextAnnouncementAt = fleet.now() + ANNOUNCEMENT_MILLISECONDS;
             announcement = scheduling.get().scheduler.announceHostsInUse(fleet.time());
         }
-        if (!heartbeatInFlight && (hasIntents || fleet.now() >= nextHeartbeatAt)) {
+        if (scheduling.isEmpty()) {
+            announcement = HostsInUse.fromEarlierTerm(earlierTerm, fleet.now());
+        }
+        if (!heartbeatInFlight && (waitsForAnnouncement || fleet.now() >= nextHeartbeatAt)) {
             sendHeartbeat();
         }
     }
@@ -134,8 +143,8 @@
             return;
         }
         fleet.store.fenceProgress(epoch);
-        EarlierHosts earlier = previousLeader
-                .map(leader -> EarlierHosts.from(leader, fleet.registry(), SimulatedFleet.TERMS))
+        EarlierHosts earlier = earlierTerm
+                .map(term -> EarlierHosts.from(term, fleet.registry(), SimulatedFleet.TERMS, fleet.now()))
                 .orElse(EarlierHosts.NONE);
         scheduling = Optional.of(new SimulatedScheduling(fleet, this, earlier));
     }
@@ -177,7 +186,8 @@
             return;
         }
         if (scheduling.isPresent() && fleet.now() >= pausedUntil) {
-            announcement = scheduling.get().scheduler.announceHostsInUse(fleet.time());
+            announcement =
+                    scheduling.get().scheduler.announceHostsInUse(fleet.time()).afterResignation();
             if (reachesStore()) {
                 fleet.store.appendLeader(createRecord(true), fleet.now());
             }
