Play hosts that are lost for good as a kind of fault of its own

A host that never comes back was mixed into every kind with crashes, so that one cause hid the others.

--- a/src/test/java/org/cicadalead/logic/work/SimulatedFleetTest.java
+++ b/src/test/java/org/cicadalead/logic/work/SimulatedFleetTest.java
@@ -116,6 +116,17 @@
         assertEquals(List.of(), simulateSeeds(kind, fleet -> fleet.oracle.violations));
     }
 
+    @Test
+    void keepsInvariantsWhenHostsAreLostForGood() {
+        assertEquals(List.of(), simulateSeeds("losses", fleet -> fleet.oracle.violations));
+    }
+
+    @Tag("known-red")
+    @Test
+    void runsWaitingWorkAfterHostsAreLostForGood() {
+        assertEquals(List.of(), simulateSeeds("losses", fleet -> fleet.oracle.lostWork));
+    }
+
     @Tag("known-red")
     @ParameterizedTest
     @MethodSource("kinds")
