--- a/src/test/java/org/cicadalead/logic/work/SimulatedMachineControl.java
+++ b/src/test/java/org/cicadalead/logic/work/SimulatedMachineControl.java
@@ -134,10 +134,10 @@
             boolean hostEnded = machine.condition().endsHost();
             String previousHost = hostByMachine.getOrDefault(machine.machine(), machine.host());
             if (hostEnded || !previousHost.equals(machine.host())) {
-                view.onHostDown(previousHost);
+                view.onHostDown(previousHost, requestedAt);
             }
             if (hostEnded) {
-                view.onHostDown(machine.host());
+                view.onHostDown(machine.host(), requestedAt);
             }
             hostByMachine.put(machine.machine(), machine.host());
             boolean isOrderSettled = leaving.getOrDefault(machine.machine(), Long.MIN_VALUE) < requestedAt;
