--- /dev/null
+++ b/src/test/java/org/cicadalead/logic/work/SuccessionReviewTest.java
@@ -0,0 +1,235 @@
+package org.cicadalead.logic.work;
+
+import static org.cicadalead.logic.work.WorkFixtures.at;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.IntStream;
+import org.cicadalead.model.work.HostClaim;
+import org.cicadalead.model.work.HostEntry;
+import org.cicadalead.model.work.LeaderRecord;
+import org.junit.jupiter.api.Test;
+
+/** Bounds and waits of successions that a review found open. All times are milliseconds of one monotonic clock. */
+class SuccessionReviewTest {
+    private static final HostEntry FIRST = WorkFixtures.host("first", WorkFixtures.BUSY, "rack-1");
+    private static final HostEntry SECOND = WorkFixtures.host("second", WorkFixtures.BUSY, "rack-2");
+    private static final long FULL_BOUND = WorkFixtures.TERMS.earlierLeaseExpiryMilliseconds();
+
+    private final SuccessiveTerms terms = new SuccessiveTerms();
+
+    private static List<String> startedHosts(List<WorkOrder> orders) {
+        return WorkFixtures.startsIn(orders).stream()
+                .map(start -> start.target().host())
+                .distinct()
+                .sorted()
+                .toList();
+    }
+
+    /** Begins a term with a started lasting job that both hosts run. */
+    private WorkScheduler beginFirstTerm(int tasks) {
+        terms.register(FIRST, SECOND);
+        terms.submit(WorkFixtures.job("job", WorkFixtures.BUSY, 0, WorkFixtures.longRunningStep(tasks, 0)));
+        terms.claim(0);
+        WorkScheduler scheduler = terms.load(0);
+        terms.announce(scheduler, 1);
+        SuccessiveTerms.replyWithoutRuns(scheduler, 2, "first", "second");
+        terms.announce(scheduler, 3);
+        scheduler.decide(at(4), true);
+        terms.announce(scheduler, 5);
+        WorkFixtures.confirmStarts(scheduler, WorkFixtures.startsIn(scheduler.decide(at(6), true)), 10);
+        return scheduler;
+    }
+
+    /** A record in the store says that the host is silent without a lease; only a later one may permit its use. */
+    @Test
+    void ordersNothingOnHostThatRegistersAgainBeforeALaterAnnouncementIsStored() {
+        WorkScheduler scheduler = beginFirstTerm(12);
+        long now = 20_000;
+        SuccessiveTerms.replyWithoutRuns(scheduler, now, "first");
+        scheduler.decide(at(now), true);
+        terms.announce(scheduler, now);
+        scheduler.updateHosts(List.of(FIRST), at(now + 10));
+        scheduler.updateHosts(List.of(FIRST, SECOND), at(now + 260));
+        SuccessiveTerms.replyWithoutRuns(scheduler, now + 262, "second", "first");
+        List<String> usedByFirstTerm = startedHosts(scheduler.decide(at(now + 263), true));
+
+        terms.claim(now + 1_500);
+        WorkScheduler successor = terms.load(now + 1_700);
+        SuccessiveTerms.replyWithoutRuns(successor, now + 1_710, "first");
+        terms.announce(successor, now + 1_711);
+        List<String> usedBySuccessor = startedHosts(successor.decide(at(now + 1_712), true));
+        assertTrue(
+                !usedByFirstTerm.contains("second") || usedBySuccessor.isEmpty(),
+                "first term used " + usedByFirstTerm + ", successor " + usedBySuccessor);
+    }
+
+    /** The same for a host that keeps a service closed and registers after loading. */
+    @Test
+    void givesNoLeaseToHostOfEarlierTermThatRegistersAfterLoadingBeforeALaterAnnouncementIsStored() {
+        beginFirstTerm(12);
+        terms.unregister("second");
+        terms.claim(1_300);
+        WorkScheduler second = terms.load(1_500);
+        long now = 1_500 + FULL_BOUND - 1_600;
+        SuccessiveTerms.replyWithoutRuns(second, now, "first");
+        terms.announce(second, now);
+        second.updateHosts(List.of(FIRST, SECOND), at(now + 10));
+        SuccessiveTerms.replyWithoutRuns(second, now + 12, "first", "second");
+        List<String> usedBySecond = startedHosts(second.decide(at(now + 13), true));
+
+        terms.claim(now + 1_500);
+        WorkScheduler third = terms.load(now + 1_700);
+        SuccessiveTerms.replyWithoutRuns(third, now + 1_710, "first");
+        terms.announce(third, now + 1_711);
+        List<String> usedByThird = startedHosts(third.decide(at(now + 1_712), true));
+        assertTrue(
+                !usedBySecond.contains("second") || usedByThird.isEmpty(),
+                "second term used " + usedBySecond + ", third " + usedByThird);
+    }
+
+    /** The bound that a record states covers the longest lease that its term counts itself, on the slowest clock. */
+    @Test
+    void statedBoundCoversLeaseThatIsRenewedAtTheLimitFromAnOldReadingOfTheClock() {
+        WorkScheduler scheduler = beginFirstTerm(12);
+        long confirmedAt = 1_000;
+        terms.announce(scheduler, confirmedAt);
+        long lastRenewal = confirmedAt + WorkFixtures.TERMS.renewalLimitMilliseconds() - 1;
+        long lastReply = lastRenewal - WorkHost.UNREACHABLE_AFTER_MILLISECONDS + 1;
+        WorkHost host = new WorkHost(SECOND, 0);
+        host.applyListing(new org.cicadalead.model.work.HostListing(1, lastReply, List.of(), List.of()), lastReply);
+        assertTrue(host.canReceiveLease(lastRenewal));
+        host.extendLease(lastRenewal, WorkFixtures.TERMS.leaseMilliseconds());
+        assertTrue(
+                host.leaseExpiresAt() <= confirmedAt + FULL_BOUND,
+                "lease may last until " + host.leaseExpiresAt() + ", a successor waits until "
+                        + (confirmedAt + FULL_BOUND));
+    }
+
+    /** An idle host gets its first run after the last record; its registry entry expires before a successor loads. */
+    @Test
+    void waitsForHostThatWasIdleInTheLastRecordAndIsMissingInTheRegistry() {
+        WorkScheduler idle = new WorkScheduler(WorkFixtures.TERMS, 7, EarlierHosts.NONE, 0);
+        idle.addJob(WorkFixtures.job("job", WorkFixtures.BUSY, 0, WorkFixtures.longRunningStep(1, 0)), at(0));
+        idle.updateHosts(List.of(SECOND), at(0));
+        SuccessiveTerms.replyWithoutRuns(idle, 1, "second");
+        HostsInUse announced = null;
+        for (int announcement = 0; announcement < 3; announcement++) {
+            // The host has no room until after the last record.
+            idle.createMachineView().setCordoned("second", true);
+            idle.decide(at(2), true);
+            announced = idle.announceHostsInUse(at(3));
+            idle.onAnnouncementStored(announced.generation());
+        }
+        idle.createMachineView().setCordoned("second", false);
+        idle.decide(at(4), true);
+        HostsInUse intent = idle.announceHostsInUse(at(5));
+        idle.onAnnouncementStored(intent.generation());
+        assertEquals(List.of("second"), startedHosts(idle.decide(at(6), true)));
+        EarlierHosts earlier = EarlierHosts.from(
+                new EarlierTerm(
+                        new LeaderRecord(
+                                7,
+                                "p",
+                                "a",
+                                false,
+                                intent.claims(),
+                                intent.startedJobs(),
+                                intent.leasesExpireAfter()),
+                        5),
+                List.of(FIRST),
+                WorkFixtures.TERMS,
+                5_000);
+        WorkScheduler successor = new WorkScheduler(WorkFixtures.TERMS, 8, earlier, 5_000);
+        successor.addJob(WorkFixtures.job("job", WorkFixtures.BUSY, 0, WorkFixtures.longRunningStep(1, 0)), at(5_000));
+        successor.updateHosts(List.of(FIRST), at(5_000));
+        SuccessiveTerms.replyWithoutRuns(successor, 5_001, "first");
+        successor.onAnnouncementStored(successor.announceHostsInUse(at(5_002)).generation());
+        assertEquals(List.of(), startedHosts(successor.decide(at(5_003), true)));
+    }
+
+    /** A host that joined and never replied has no lease of the term; a successor need not wait for it. */
+    @Test
+    void successorDoesNotWaitForHostThatJoinedAndNeverReplied() {
+        WorkScheduler first = beginFirstTerm(12);
+        HostEntry joined = WorkFixtures.host("joined", WorkFixtures.BUSY, "rack-3");
+        terms.register(joined);
+        first.updateHosts(List.of(FIRST, SECOND, joined), at(990));
+        terms.announce(first, 1_000);
+        terms.claim(2_300);
+        WorkScheduler successor = terms.load(2_500);
+        SuccessiveTerms.replyWithoutRuns(successor, 7_000, "first", "second");
+        assertEquals(Set.of(), successor.findBlockingHosts(at(7_000)));
+    }
+
+    /** Nothing is ordered on a host until it replies, so that the reply must not wait for an end of a run. */
+    @Test
+    void pollAfterFailureIsAnsweredAtOnce() {
+        WorkScheduler scheduler = WorkFixtures.scheduler(FIRST);
+        scheduler.onPollFailed("first");
+        assertEquals(
+                0, scheduler.createPoll("first", at(100), true).orElseThrow().waitMilliseconds());
+    }
+
+    /** Hosts that reply one after another in the first second of a term do not each cause an announcement. */
+    @Test
+    void hostsThatReplyOneAfterAnotherCauseAnnouncementsAtALimitedRate() {
+        int count = 600;
+        List<HostEntry> hosts = IntStream.range(0, count)
+                .mapToObj(number -> WorkFixtures.host("h" + number, WorkFixtures.BUSY, "rack"))
+                .toList();
+        WorkScheduler scheduler = new WorkScheduler(WorkFixtures.TERMS, 1, EarlierHosts.NONE, 0);
+        scheduler.updateHosts(hosts, at(0));
+        CyclePacing pacing = new CyclePacing();
+        int announcements = 0;
+        int heartbeats = 0;
+        long lastHeartbeat = 0;
+        HostsInUse newest = HostsInUse.NONE;
+        HostsInUse inFlight = null;
+        for (long now = 0; now < 1_200; now += 10) {
+            if (inFlight != null && now - lastHeartbeat >= 20) {
+                scheduler.onAnnouncementStored(inFlight.generation());
+                inFlight = null;
+            }
+            for (int host = (int) (now / 2); host < Math.min(count, now / 2 + 5); host++) {
+                SuccessiveTerms.replyWithoutRuns(scheduler, now, "h" + host);
+            }
+            scheduler.decide(at(now), true);
+            boolean waits = scheduler.isWaitingForAnnouncement(at(now));
+            if (pacing.startAnnouncement(now, waits)) {
+                newest = scheduler.announceHostsInUse(at(now));
+                announcements++;
+            }
+            if (inFlight == null && (waits || now - lastHeartbeat >= 300)) {
+                inFlight = newest;
+                lastHeartbeat = now;
+                heartbeats++;
+            }
+        }
+        assertTrue(
+                announcements <= 16 && heartbeats <= 16,
+                announcements + " announcements and " + heartbeats + " heartbeats in 1.2 s");
+    }
+
+    /** A claim without a lease does not shorten the bound of a claim that replies. */
+    @Test
+    void boundOfReplyingClaimCountsFromObservation() {
+        LeaderRecord leader = new LeaderRecord(
+                1,
+                "p",
+                "a",
+                false,
+                Map.of("h", new HostClaim(WorkFixtures.BUSY, true, 0, Optional.empty())),
+                Optional.empty(),
+                Optional.of(FULL_BOUND));
+        assertEquals(
+                FULL_BOUND - 1_000,
+                EarlierHosts.from(new EarlierTerm(leader, 0), List.of(), WorkFixtures.TERMS, 1_000)
+                        .leaseExpiresAfter()
+                        .get("h"));
+    }
+}
