--- a/src/main/java/org/cicadalead/adapters/work/LeaderElection.java
+++ b/src/main/java/org/cicadalead/adapters/work/LeaderElection.java
@@ -62,6 +62,9 @@
     /** Time when the oldest heartbeat was sent that may be in the store without a confirmation. */
     private OptionalLong unconfirmedSince = OptionalLong.empty();
 
+    /** What that heartbeat announced; later ones name all that it names, or are not older than what they permit. */
+    private HostsInUse unconfirmedAnnouncement = HostsInUse.NONE;
+
     private long nextOffset;
     private long lastObservedAt;
     private long newestOffset = NO_OFFSET;
@@ -150,7 +153,10 @@
         heartbeatRequests.drainPermits();
         HostsInUse hostsInUse = listener.hostsInUse(leadingEpoch)
                 .orElseGet(() -> HostsInUse.fromEarlierTerm(earlierTerm, monotonicMilliseconds()));
-        unconfirmedSince = OptionalLong.of(unconfirmedSince.orElse(sentAt));
+        if (unconfirmedSince.isEmpty()) {
+            unconfirmedSince = OptionalLong.of(sentAt);
+            unconfirmedAnnouncement = hostsInUse;
+        }
         AppendResult result = append(record(leadingEpoch, false, hostsInUse));
         switch (result.outcome()) {
             case STORED -> {
@@ -187,6 +193,9 @@
                 .isPresent();
         if (isOwnRecord) {
             lastConfirmedAt = Math.max(lastConfirmedAt, unconfirmedSince.orElse(lastConfirmedAt));
+            if (unconfirmedSince.isPresent()) {
+                listener.onAnnouncementStored(unconfirmedAnnouncement);
+            }
             unconfirmedSince = OptionalLong.empty();
         } else {
             endTerm("another process took over");
--- a/src/main/java/org/cicadalead/adapters/work/SchedulingTerm.java
+++ b/src/main/java/org/cicadalead/adapters/work/SchedulingTerm.java
@@ -236,12 +236,13 @@
             machineController.ifPresent(machineController -> machineController.runCycle(now, canStart));
         }
         takeoverReport.ifPresent(report -> report.logChanges(now));
-        boolean waitsForAnnouncement = scheduler.get().isWaitingForAnnouncement(now);
-        if (pacing.startAnnouncement(now.monotonic(), waitsForAnnouncement)) {
+        boolean startsWait = scheduler.get().hasPendingStartIntents();
+        boolean hostsWait = scheduler.get().hasHostsWaitingForAnnouncement(now);
+        if (pacing.startAnnouncement(now.monotonic(), startsWait, hostsWait)) {
             hostsInUseListener.accept(scheduler.get().announceHostsInUse(now));
-        }
-        if (waitsForAnnouncement) {
-            ports.requestHeartbeat().run();
+            if (startsWait || hostsWait) {
+                ports.requestHeartbeat().run();
+            }
         }
         pacing.onCycleEnded(ports.timers().nanoTime() - startNanoseconds);
     }
--- a/src/main/java/org/cicadalead/logic/work/CyclePacing.java
+++ b/src/main/java/org/cicadalead/logic/work/CyclePacing.java
@@ -21,6 +21,9 @@
     /** Minimum time between two announcements that no start waits for; a heartbeat stores one every 300. */
     private static final long ANNOUNCEMENT_INTERVAL_MILLISECONDS = 150;
 
+    /** Minimum time between two announcements for hosts that reply again; many reply one after another. */
+    private static final long HOST_ANNOUNCEMENT_INTERVAL_MILLISECONDS = 80;
+
     private static final long NANOSECONDS_PER_MILLISECOND = 1_000_000;
 
     private long delayMilliseconds = MIN_DELAY_MILLISECONDS;
@@ -51,9 +54,11 @@
      * Returns whether the cycle at the given monotonic time creates an announcement, and counts it if so.
      *
      * @param startsWait whether starts wait for an announcement, which is then due at once
+     * @param hostsWait whether the use of hosts waits for an announcement
      */
-    public boolean startAnnouncement(long now, boolean startsWait) {
-        if (!startsWait && now - lastAnnouncementAt < ANNOUNCEMENT_INTERVAL_MILLISECONDS) {
+    public boolean startAnnouncement(long now, boolean startsWait, boolean hostsWait) {
+        long interval = hostsWait ? HOST_ANNOUNCEMENT_INTERVAL_MILLISECONDS : ANNOUNCEMENT_INTERVAL_MILLISECONDS;
+        if (!startsWait && now - lastAnnouncementAt < interval) {
             return false;
         }
         lastAnnouncementAt = now;
--- a/src/main/java/org/cicadalead/logic/work/SchedulingTerms.java
+++ b/src/main/java/org/cicadalead/logic/work/SchedulingTerms.java
@@ -31,8 +31,13 @@
         return startLimitMilliseconds + MAX_READ_LAG_MILLISECONDS;
     }
 
-    /** Returns the time after the start of a term in milliseconds by which every lease of earlier terms has expired. */
+    /**
+     * Returns the milliseconds after the last confirmed heartbeat of a term by which every lease of that term has
+     * expired. The last renewal may count from a reading of the host's clock that is as old as a host may be silent,
+     * and since which the clock may have fallen behind.
+     */
     public long earlierLeaseExpiryMilliseconds() {
-        return renewalLimitMilliseconds + Math.round(leaseMilliseconds / SLOWEST_CLOCK_RATE) + 1;
+        double clockLag = WorkHost.UNREACHABLE_AFTER_MILLISECONDS * (1 - SLOWEST_CLOCK_RATE);
+        return renewalLimitMilliseconds + Math.round((leaseMilliseconds + clockLag) / SLOWEST_CLOCK_RATE) + 1;
     }
 }
--- a/src/main/java/org/cicadalead/logic/work/WorkHost.java
+++ b/src/main/java/org/cicadalead/logic/work/WorkHost.java
@@ -47,7 +47,7 @@
     long lastReplyAt;
     long highestEndNumber;
     long acknowledgedEndNumber;
-    long announcedUnreachableIn = NOT_ANNOUNCED_UNREACHABLE;
+    long announcedUnreachableIn;
     private HostCapacity takenCapacity = HostCapacity.NONE;
     private int longRunningRuns;
     private int spareCapacityRuns;
@@ -55,14 +55,15 @@
     private long excludedUntil = Long.MIN_VALUE;
 
     /**
-     * Creates a host that has not replied yet.
+     * Creates a host that has not replied yet, and is unreachable until it does.
      *
-     * @param silentSince monotonic time in milliseconds from which its silence counts
+     * @param generation generation of the last announcement, which may say that a host of this identifier has no lease
      */
-    WorkHost(HostEntry entry, long silentSince) {
+    WorkHost(HostEntry entry, long generation) {
         this.identifier = entry.identifier();
         this.entry = entry;
-        this.lastReplyAt = silentSince;
+        this.lastReplyAt = NEVER;
+        this.announcedUnreachableIn = generation;
     }
 
     /**
--- a/src/main/java/org/cicadalead/logic/work/WorkScheduler.java
+++ b/src/main/java/org/cicadalead/logic/work/WorkScheduler.java
@@ -42,8 +42,10 @@
     private final ProgressBatches batches;
     private final TakeoverGate takeoverGate;
     private final Set<String> lastRemovedJobs = new HashSet<>();
+    /** Jobs added since the last decision; those that an earlier term has ended are no arriving work. */
+    private final List<WorkJob> arrivedJobs = new ArrayList<>();
+
     private final Set<String> cancelledBeforeSubmission = new HashSet<>();
-    private boolean hostsLoaded;
     private boolean superseded;
     private long generation;
 
@@ -74,9 +76,7 @@
         }
         job.openDueOccurrences(now.wall());
         state.addJob(job);
-        if (!job.longRunning && WorkOrdering.canMeetObjective(job, now.wall())) {
-            state.arrivals.add(submission.service(), job.remainingWork(), now.monotonic());
-        }
+        arrivedJobs.add(job);
         if (cancelledBeforeSubmission.remove(submission.job())) {
             cancelJob(submission.job(), now);
         }
@@ -107,13 +107,10 @@
 
     /** Updates the hosts from the complete host registry. */
     public void updateHosts(List<HostEntry> entries, WorkTime now) {
-        // Hosts of earlier terms count as unreachable until they reply; a host that joins gets the time for a reply.
-        long silentSince = hostsLoaded ? now.monotonic() : WorkHost.NEVER;
-        hostsLoaded = true;
         Map<String, String> currentHostByAddress = new HashMap<>();
         Set<String> registeredIdentifiers = new HashSet<>();
         for (HostEntry entry : entries) {
-            WorkHost host = state.findOrCreateHost(entry, silentSince);
+            WorkHost host = state.findOrCreateHost(entry, generation);
             host.incarnationUnknown |= !host.registered;
             host.entry = entry;
             host.registered = true;
@@ -166,7 +163,8 @@
         // A restarted host numbers its ended runs from the beginning. An acknowledgement of numbers of the previous
         // incarnation would discard ends that are not stored yet.
         long acknowledged = host.incarnationUnknown ? 0 : host.acknowledgedEndNumber;
-        long wait = !host.repliedThisTerm ? 0 : isBusy ? BUSY_POLL_WAIT_MILLISECONDS : IDLE_POLL_WAIT_MILLISECONDS;
+        boolean isReplyUrgent = !host.repliedThisTerm || host.incarnationUnknown;
+        long wait = isReplyUrgent ? 0 : isBusy ? BUSY_POLL_WAIT_MILLISECONDS : IDLE_POLL_WAIT_MILLISECONDS;
         return Optional.of(new HostPollRequest(WorkState.targetOf(host), deadline, acknowledged, wait));
     }
 
@@ -263,9 +261,9 @@
     /**
      * Announces the hosts that may have runs of this term or an earlier one, and the started jobs, for a successor. A
      * host that is announced as unreachable is used again only after a later announcement is
-     * {@linkplain #onAnnouncementStored stored}, because a successor assumes that its lease is not renewed. Unreachable
-     * hosts are announced also without a lease, as are those that have ended, so that a successor waits for none of
-     * them that is still registered.
+     * {@linkplain #onAnnouncementStored stored}, because a successor assumes that its lease is not renewed. All hosts
+     * are announced, also without a lease: an idle one may get work before the next announcement is stored, and a
+     * successor waits for none that is unreachable or has ended and is still registered.
      */
     public HostsInUse announceHostsInUse(WorkTime now) {
         generation++;
@@ -286,7 +284,7 @@
         for (WorkHost host : state.hosts.values()) {
             long remaining = host.leaseExpiresAt() - now.monotonic();
             boolean answering = !host.isUnreachable(now.monotonic());
-            if (!host.runs.isEmpty() || remaining > 0 || !answering) {
+            if (!host.runs.isEmpty() || remaining > 0 || host.registered || !answering) {
                 host.announcedUnreachableIn = answering ? host.announcedUnreachableIn : generation;
                 claims.putIfAbsent(
                         host.identifier,
@@ -328,13 +326,9 @@
         return false;
     }
 
-    /**
-     * Returns whether a stored announcement would permit more than now: starts that wait for it, or the use of hosts
-     * that reply again.
-     */
-    public boolean isWaitingForAnnouncement(WorkTime now) {
-        return hasPendingStartIntents()
-                || state.hosts.values().stream().anyMatch(host -> host.isWaitingForAnnouncement(now.monotonic()));
+    /** Returns whether hosts that reply again may be used only after a later announcement is stored. */
+    public boolean hasHostsWaitingForAnnouncement(WorkTime now) {
+        return state.hosts.values().stream().anyMatch(host -> host.isWaitingForAnnouncement(now.monotonic()));
     }
 
     /** Records that an announcement of the hosts in use is in the store. */
@@ -409,6 +403,15 @@
         return orders;
     }
 
+    private void countArrivals(WorkTime now) {
+        for (WorkJob job : arrivedJobs) {
+            if (!job.longRunning && !job.phase.isTerminal() && WorkOrdering.canMeetObjective(job, now.wall())) {
+                state.arrivals.add(job.submission.service(), job.remainingWork(), now.monotonic());
+            }
+        }
+        arrivedJobs.clear();
+    }
+
     private void expireLeases(long now) {
         for (WorkHost host : state.hosts.values()) {
             if (host.isUnreachable(now) && !host.runs.isEmpty() && now >= host.leaseExpiresAt()) {
--- a/src/test/java/org/cicadalead/logic/work/CyclePacingTest.java
+++ b/src/test/java/org/cicadalead/logic/work/CyclePacingTest.java
@@ -38,10 +38,12 @@
 
     @Test
     void announcesAtIntervalsUnlessStartsWait() {
-        assertTrue(pacing.startAnnouncement(0, false));
-        assertFalse(pacing.startAnnouncement(149, false));
-        assertTrue(pacing.startAnnouncement(149, true));
-        assertFalse(pacing.startAnnouncement(298, false));
-        assertTrue(pacing.startAnnouncement(299, false));
+        assertTrue(pacing.startAnnouncement(0, false, false));
+        assertFalse(pacing.startAnnouncement(149, false, false));
+        assertTrue(pacing.startAnnouncement(149, true, false));
+        assertFalse(pacing.startAnnouncement(298, false, false));
+        assertTrue(pacing.startAnnouncement(299, false, false));
+        assertFalse(pacing.startAnnouncement(378, false, true));
+        assertTrue(pacing.startAnnouncement(379, false, true));
     }
 }
--- a/src/test/java/org/cicadalead/logic/work/SchedulingLoad.java
+++ b/src/test/java/org/cicadalead/logic/work/SchedulingLoad.java
@@ -266,8 +266,8 @@
             });
         }
         measure("announcements", () -> {
-            boolean startsWait = scheduler.isWaitingForAnnouncement(time());
-            if (!pacing.startAnnouncement(now, startsWait)) {
+            boolean startsWait = scheduler.hasPendingStartIntents();
+            if (!pacing.startAnnouncement(now, startsWait, scheduler.hasHostsWaitingForAnnouncement(time()))) {
                 return;
             }
             HostsInUse announcement = scheduler.announceHostsInUse(time());
--- a/src/test/java/org/cicadalead/logic/work/SimulatedTerm.java
+++ b/src/test/java/org/cicadalead/logic/work/SimulatedTerm.java
@@ -123,7 +123,8 @@
             return;
         }
         boolean waitsForAnnouncement = scheduling
-                .map(loaded -> loaded.scheduler.isWaitingForAnnouncement(fleet.time()))
+                .map(loaded -> loaded.scheduler.hasPendingStartIntents()
+                        || loaded.scheduler.hasHostsWaitingForAnnouncement(fleet.time()))
                 .orElse(false);
         if (scheduling.isPresent() && (waitsForAnnouncement || fleet.now() >= nextAnnouncementAt)) {
             nextAnnouncementAt = fleet.now() + ANNOUNCEMENT_MILLISECONDS;
--- a/src/test/java/org/cicadalead/logic/work/SuccessionReviewTest.java
+++ b/src/test/java/org/cicadalead/logic/work/SuccessionReviewTest.java
@@ -133,13 +133,7 @@
         EarlierHosts earlier = EarlierHosts.from(
                 new EarlierTerm(
                         new LeaderRecord(
-                                7,
-                                "p",
-                                "a",
-                                false,
-                                intent.claims(),
-                                intent.startedJobs(),
-                                intent.leasesExpireAfter()),
+                                7, "p", "a", false, intent.claims(), intent.startedJobs(), intent.leasesExpireAfter()),
                         5),
                 List.of(FIRST),
                 WorkFixtures.TERMS,
@@ -188,6 +182,7 @@
         int announcements = 0;
         int heartbeats = 0;
         long lastHeartbeat = 0;
+        long sentGeneration = 0;
         HostsInUse newest = HostsInUse.NONE;
         HostsInUse inFlight = null;
         for (long now = 0; now < 1_200; now += 10) {
@@ -199,12 +194,15 @@
                 SuccessiveTerms.replyWithoutRuns(scheduler, now, "h" + host);
             }
             scheduler.decide(at(now), true);
-            boolean waits = scheduler.isWaitingForAnnouncement(at(now));
-            if (pacing.startAnnouncement(now, waits)) {
+            boolean startsWait = scheduler.hasPendingStartIntents();
+            boolean hostsWait = scheduler.hasHostsWaitingForAnnouncement(at(now));
+            boolean waits = startsWait || hostsWait;
+            if (pacing.startAnnouncement(now, startsWait, hostsWait)) {
                 newest = scheduler.announceHostsInUse(at(now));
                 announcements++;
             }
-            if (inFlight == null && (waits || now - lastHeartbeat >= 300)) {
+            if (inFlight == null && (waits && newest.generation() > sentGeneration || now - lastHeartbeat >= 300)) {
+                sentGeneration = newest.generation();
                 inFlight = newest;
                 lastHeartbeat = now;
                 heartbeats++;
