--- a/src/main/java/org/cicadalead/adapters/work/MachineController.java
+++ b/src/main/java/org/cicadalead/adapters/work/MachineController.java
@@ -147,7 +147,10 @@
                 }));
     }
 
-    /** Applies the machine list: a machine that is down or has another host no longer runs its previous host. */
+    /**
+     * Applies the machine list: a machine that is moving, in maintenance or carries another host no longer runs its
+     * previous host. A machine without a host proves nothing, as its host may only be cut off.
+     */
     private void applyMachines(List<MachineEntry> machines, long requestedAtMilliseconds) {
         planner.updateMachines(machines, requestedAtMilliseconds);
         balancer.updateMachines(machines);
@@ -155,13 +158,15 @@
         for (MachineEntry machine : machines) {
             boolean hostEnded = machine.condition().endsHost();
             String previousHost = hostByMachine.getOrDefault(machine.machine(), machine.host());
-            if (!previousHost.equals(machine.host())) {
-                view.onHostReplaced(previousHost);
-            }
             if (hostEnded) {
-                view.onHostDown(machine.host(), requestedAtMilliseconds);
+                view.onHostDown(machine.host().isEmpty() ? previousHost : machine.host(), requestedAtMilliseconds);
+            }
+            if (!machine.host().isEmpty()) {
+                if (!previousHost.equals(machine.host())) {
+                    view.onHostReplaced(previousHost);
+                }
+                hostByMachine.put(machine.machine(), machine.host());
             }
-            hostByMachine.put(machine.machine(), machine.host());
             boolean remainsInService = machine.condition() == MachineCondition.UP
                     && !balancer.isMoving(machine.machine())
                     && !planner.findReservedMachines().contains(machine.machine());
--- a/src/main/java/org/cicadalead/logic/work/WorkHost.java
+++ b/src/main/java/org/cicadalead/logic/work/WorkHost.java
@@ -47,7 +47,7 @@
     long lastReplyAt;
     long highestEndNumber;
     long acknowledgedEndNumber;
-    long announcedUnreachableIn;
+    long announcedUnreachableIn = NOT_ANNOUNCED_UNREACHABLE;
     private HostCapacity takenCapacity = HostCapacity.NONE;
     private int longRunningRuns;
     private int spareCapacityRuns;
@@ -55,15 +55,14 @@
     private long excludedUntil = Long.MIN_VALUE;
 
     /**
-     * Creates a host that has not replied yet, and is unreachable until it does.
+     * Creates a host that has not replied yet.
      *
-     * @param generation generation of the last announcement, which may say that a host of this identifier has no lease
+     * @param silentSince monotonic time in milliseconds from which its silence counts
      */
-    WorkHost(HostEntry entry, long generation) {
+    WorkHost(HostEntry entry, long silentSince) {
         this.identifier = entry.identifier();
         this.entry = entry;
-        this.lastReplyAt = NEVER;
-        this.announcedUnreachableIn = generation;
+        this.lastReplyAt = silentSince;
     }
 
     /**
--- a/src/main/java/org/cicadalead/logic/work/WorkScheduler.java
+++ b/src/main/java/org/cicadalead/logic/work/WorkScheduler.java
@@ -42,12 +42,19 @@
     private final ProgressBatches batches;
     private final TakeoverGate takeoverGate;
     private final Set<String> lastRemovedJobs = new HashSet<>();
+    /**
+     * Generation of the newest announcement that says that a host is unreachable, by identifier, until a later one is
+     * stored. Outlives the host, which may leave the registry and register again.
+     */
+    private final Map<String, Long> announcedUnreachable = new HashMap<>();
+
     /** Jobs added since the last decision; those that an earlier term has ended are no arriving work. */
     private final List<WorkJob> arrivedJobs = new ArrayList<>();
 
     private final Set<String> cancelledBeforeSubmission = new HashSet<>();
     private boolean superseded;
     private long generation;
+    private boolean hostsLoaded;
 
     /**
      * Creates the scheduler of a new term.
@@ -107,10 +114,15 @@
 
     /** Updates the hosts from the complete host registry. */
     public void updateHosts(List<HostEntry> entries, WorkTime now) {
+        // Hosts of earlier terms count as unreachable until they reply; a host that joins gets the time for a reply.
+        long silentSince = hostsLoaded ? now.monotonic() : WorkHost.NEVER;
+        hostsLoaded = true;
         Map<String, String> currentHostByAddress = new HashMap<>();
         Set<String> registeredIdentifiers = new HashSet<>();
         for (HostEntry entry : entries) {
-            WorkHost host = state.findOrCreateHost(entry, generation);
+            WorkHost host = state.findOrCreateHost(entry, silentSince);
+            host.announcedUnreachableIn = announcedUnreachable.getOrDefault(
+                    host.identifier, WorkHost.NOT_ANNOUNCED_UNREACHABLE);
             host.incarnationUnknown |= !host.registered;
             host.entry = entry;
             host.registered = true;
@@ -270,8 +282,7 @@
         Map<String, HostClaim> claims = new HashMap<>();
         takeoverGate.unresolved().forEach((identifier, waiting) -> {
             if (now.monotonic() < waiting.leaseExpiresAt()) {
-                Optional.ofNullable(state.hosts.get(identifier))
-                        .ifPresent(host -> host.announcedUnreachableIn = generation);
+                announceUnreachable(identifier);
                 claims.put(
                         identifier,
                         new HostClaim(
@@ -285,7 +296,9 @@
             long remaining = host.leaseExpiresAt() - now.monotonic();
             boolean answering = !host.isUnreachable(now.monotonic());
             if (!host.runs.isEmpty() || remaining > 0 || host.registered || !answering) {
-                host.announcedUnreachableIn = answering ? host.announcedUnreachableIn : generation;
+                if (!answering) {
+                    announceUnreachable(host.identifier);
+                }
                 claims.putIfAbsent(
                         host.identifier,
                         new HostClaim(host.entry.service(), answering, Math.max(0, remaining), host.machine));
@@ -298,6 +311,11 @@
                 Optional.of(state.terms.earlierLeaseExpiryMilliseconds()));
     }
 
+    private void announceUnreachable(String identifier) {
+        announcedUnreachable.put(identifier, generation);
+        Optional.ofNullable(state.hosts.get(identifier)).ifPresent(host -> host.announcedUnreachableIn = generation);
+    }
+
     private Set<String> announceStartedJobs() {
         Set<String> started = new HashSet<>();
         for (WorkJob job : state.jobs.values()) {
@@ -334,6 +352,7 @@
     /** Records that an announcement of the hosts in use is in the store. */
     public void onAnnouncementStored(long storedGeneration) {
         state.storedGeneration = Math.max(state.storedGeneration, storedGeneration);
+        announcedUnreachable.values().removeIf(announcedIn -> storedGeneration > announcedIn);
         for (WorkHost host : state.hosts.values()) {
             if (storedGeneration > host.announcedUnreachableIn) {
                 host.announcedUnreachableIn = WorkHost.NOT_ANNOUNCED_UNREACHABLE;
@@ -369,6 +388,7 @@
 
     /** Creates a view of the demand and capacity of every pool. */
     public PoolView createPoolView(FleetPlan plan, WorkTime now) {
+        countArrivals(now);
         return new PoolView(state, plan, now);
     }
 
@@ -388,6 +408,7 @@
             orders.add(new WorkOrder.StepDown());
             return orders;
         }
+        countArrivals(now);
         expireLeases(now.monotonic());
         state.retireEndedJobs(now.monotonic());
         openDueOccurrences(now);
--- a/src/main/java/org/cicadalead/logic/work/WorkState.java
+++ b/src/main/java/org/cicadalead/logic/work/WorkState.java
@@ -84,8 +84,8 @@
         return Math.max(task.lastAttempt, (epoch - 1) * MAX_ATTEMPTS_PER_TERM) + 1;
     }
 
-    WorkHost findOrCreateHost(HostEntry entry, long generation) {
-        return hosts.computeIfAbsent(entry.identifier(), identifier -> new WorkHost(entry, generation));
+    WorkHost findOrCreateHost(HostEntry entry, long silentSince) {
+        return hosts.computeIfAbsent(entry.identifier(), identifier -> new WorkHost(entry, silentSince));
     }
 
     List<WorkHost> findHosts(String service) {
