--- a/src/test/java/org/cicadalead/logic/work/SimulatedFleetTest.java
+++ b/src/test/java/org/cicadalead/logic/work/SimulatedFleetTest.java
@@ -127,7 +127,6 @@
         assertEquals(List.of(), simulateSeeds("losses", fleet -> fleet.oracle.lostWork));
     }
 
-    @Tag("known-red")
     @ParameterizedTest
     @MethodSource("kinds")
     void runsWaitingWorkAfterFaults(String kind) {
