--- a/src/main/java/org/cicadalead/logic/work/WorkScheduler.java
+++ b/src/main/java/org/cicadalead/logic/work/WorkScheduler.java
@@ -121,8 +121,8 @@
         Set<String> registeredIdentifiers = new HashSet<>();
         for (HostEntry entry : entries) {
             WorkHost host = state.findOrCreateHost(entry, silentSince);
-            host.announcedUnreachableIn = announcedUnreachable.getOrDefault(
-                    host.identifier, WorkHost.NOT_ANNOUNCED_UNREACHABLE);
+            host.announcedUnreachableIn =
+                    announcedUnreachable.getOrDefault(host.identifier, WorkHost.NOT_ANNOUNCED_UNREACHABLE);
             host.incarnationUnknown |= !host.registered;
             host.entry = entry;
             host.registered = true;
@@ -289,7 +289,7 @@
                                 waiting.service(),
                                 false,
                                 waiting.leaseExpiresAt() - now.monotonic(),
-                                waiting.machine()));
+                                waiting.machine().or(() -> findMachine(identifier))));
             }
         });
         for (WorkHost host : state.hosts.values()) {
@@ -311,6 +311,10 @@
                 Optional.of(state.terms.earlierLeaseExpiryMilliseconds()));
     }
 
+    private Optional<String> findMachine(String identifier) {
+        return Optional.ofNullable(state.hosts.get(identifier)).flatMap(host -> host.machine);
+    }
+
     private void announceUnreachable(String identifier) {
         announcedUnreachable.put(identifier, generation);
         Optional.ofNullable(state.hosts.get(identifier)).ifPresent(host -> host.announcedUnreachableIn = generation);
