--- a/src/main/java/org/cicadalead/logic/work/MachineView.java
+++ b/src/main/java/org/cicadalead/logic/work/MachineView.java
@@ -90,7 +90,7 @@
         for (WorkStep step : steps) {
             StepSpecification specification = step.specification;
             int limit = specification.maximumUnavailable();
-            if (limit > 0 && countUnavailableWithout(step, host) > limit) {
+            if (limit > 0 && countUnavailableWithout(step, host, now) > limit) {
                 return false;
             }
         }
@@ -110,7 +110,7 @@
             WorkStep step = run.task.step;
             boolean isLongRunning = step.specification.longRunning();
             boolean isWithinLimit = step.specification.maximumUnavailable() == 0
-                    || step.countUnavailable() + 1 <= step.specification.maximumUnavailable();
+                    || step.countUnavailable(now) + 1 <= step.specification.maximumUnavailable();
             if (isLongRunning
                     && isWithinLimit
                     && run.state == WorkRun.State.RUNNING
@@ -134,11 +134,11 @@
         }
     }
 
-    private static int countUnavailableWithout(WorkStep step, WorkHost host) {
+    private static int countUnavailableWithout(WorkStep step, WorkHost host, long now) {
         int count = 0;
         for (WorkTask task : step.tasks) {
             boolean staysAvailable =
-                    task.run != null && task.run.host != host && !task.run.host.leaving && task.run.isAvailable();
+                    task.run != null && task.run.host != host && !task.run.host.leaving && task.run.isAvailable(now);
             count += staysAvailable ? 0 : 1;
         }
         return count;
--- a/src/main/java/org/cicadalead/logic/work/WorkRun.java
+++ b/src/main/java/org/cicadalead/logic/work/WorkRun.java
@@ -35,8 +35,9 @@
         changedAt = now;
     }
 
-    boolean isAvailable() {
-        return state == State.RUNNING && percentage >= FULL_SPEED_PERCENT && !host.leaving;
+    /** Returns whether the run is at work for certain: a run on a host that does not reply may have ended with it. */
+    boolean isAvailable(long now) {
+        return state == State.RUNNING && percentage >= FULL_SPEED_PERCENT && !host.leaving && !host.isUnreachable(now);
     }
 
     /** State of the orders for a run. */
--- a/src/main/java/org/cicadalead/logic/work/WorkStep.java
+++ b/src/main/java/org/cicadalead/logic/work/WorkStep.java
@@ -72,10 +72,10 @@
     }
 
     /** Counts the tasks that are not running at full speed. */
-    int countUnavailable() {
+    int countUnavailable(long now) {
         int count = 0;
         for (WorkTask task : tasks) {
-            count += task.run != null && task.run.isAvailable() ? 0 : 1;
+            count += task.run != null && task.run.isAvailable(now) ? 0 : 1;
         }
         return count;
     }
