--- a/src/test/java/org/cicadalead/logic/work/SuccessionReviewTest.java
+++ b/src/test/java/org/cicadalead/logic/work/SuccessionReviewTest.java
@@ -15,6 +15,7 @@
 import org.cicadalead.model.work.LeaderRecord;
 import org.cicadalead.model.work.MachineCondition;
 import org.cicadalead.model.work.MachineEntry;
+import org.cicadalead.model.work.StartOutcome;
 import org.cicadalead.model.work.WorkPhase;
 import org.cicadalead.model.work.WorkProgress;
 import org.junit.jupiter.api.Tag;
@@ -167,6 +168,28 @@
         assertEquals(Set.of(), successor.findBlockingHosts(at(7_000)));
     }
 
+    /** A deadline by the clock of a former process must not outlive the wait here, also before a poll has failed. */
+    @Tag("known-red")
+    @Test
+    void keepsTaskOfUncertainStartUntilLeaseOnRestartedHostHasExpired() {
+        WorkScheduler scheduler = WorkFixtures.scheduler(FIRST, SECOND);
+        WorkFixtures.replyToPoll(scheduler, "first", 100_000, List.of(), List.of());
+        scheduler.addJob(
+                WorkFixtures.job("job", WorkFixtures.BUSY, 0, WorkFixtures.longRunningStep(1, 0)), at(100_000));
+        // The host restarts now; its poll has not failed yet, and its clock begins anew.
+        WorkOrder.Start start = WorkFixtures.startsIn(WorkFixtures.decide(scheduler, at(100_001), true))
+                .get(0);
+        assertEquals("first", start.target().host());
+        scheduler.onStartReply("first", start.run(), StartOutcome.UNKNOWN, at(100_601));
+        scheduler.onPollFailed("first");
+        long now = 100_001 + 5_900;
+        SuccessiveTerms.replyWithoutRuns(scheduler, now, "second");
+        scheduler.onAnnouncementStored(scheduler.announceHostsInUse(at(now)).generation());
+        List<String> restartedOn = startedHosts(WorkFixtures.decide(scheduler, at(now), true));
+        // An order that is carried out within five seconds gets a lease up to the platform's limit of 6 s from then.
+        assertEquals(List.of(), restartedOn);
+    }
+
     /** A job that has ended before a term loads is no work that arrives. */
     @Test
     void countsNoArrivalOfJobThatEndedBeforeTheTerm() {
