--- a/src/main/java/org/cicadalead/adapters/work/LeaderElection.java
+++ b/src/main/java/org/cicadalead/adapters/work/LeaderElection.java
@@ -62,7 +62,7 @@
     /** Time when the oldest heartbeat was sent that may be in the store without a confirmation. */
     private OptionalLong unconfirmedSince = OptionalLong.empty();
 
-    /** What that heartbeat announced; later ones name all that it names, or are not older than what they permit. */
+    /** The announcement of that heartbeat; whatever it permits is permitted too when a later one is stored instead. */
     private HostsInUse unconfirmedAnnouncement = HostsInUse.NONE;
 
     private long nextOffset;
--- a/src/main/java/org/cicadalead/logic/work/CyclePacing.java
+++ b/src/main/java/org/cicadalead/logic/work/CyclePacing.java
@@ -2,8 +2,8 @@
 
 /**
  * Decides how soon a term runs its next scheduling cycle, and which of the costly parts it includes. The pause before a
- * cycle grows with the time that the last one took, so that decisions take a bounded share of a processor however many
- * hosts and jobs there are, and leave the rest to the orders and replies. Not thread-safe.
+ * cycle grows with the time that the last one took, so that decisions take a bounded share of a processor with many
+ * hosts and jobs, up to the limit of the pause, and leave the rest to the orders and replies. Not thread-safe.
  */
 public final class CyclePacing {
     /** Events that arrive within this time are handled by one cycle, when cycles are short. */
@@ -12,7 +12,7 @@
     /** Limit of the pause, well below the delay that a caller notices. */
     private static final long MAX_DELAY_MILLISECONDS = 40;
 
-    /** Pause before a cycle relative to the duration of the last one; bounds the share of cycles to a quarter. */
+    /** Pause relative to the duration of the last cycle; below the limit, cycles take a quarter of the time. */
     private static final long DELAY_FACTOR = 3;
 
     /** Minimum time between two decisions on machines, each of which takes seconds to move. */
