Log why a lasting task does not run

What callers saw: LOST, a lasting task that does not run although there is room.

Change: for lasting tasks that wait for 2 s, or whose host has been silent for 2 s, the leader decides the reason and its inputs, in the order in which the placement checks them (WaitingReasonFinder, pure). TASK_WAITS is written when a wait becomes overdue and when its reason changes, TASK_RUNS_AGAIN when it ends; once a second, at most 20 lines, TASKS_LEFT_OUT counts the rest. TERM_LOADING says each second what a term that has not loaded still reads. The ledger keeps how the last run of a task ended. No scheduling decision changes.

--- a/src/main/java/org/cicadalead/adapters/work/SchedulingTerm.java
+++ b/src/main/java/org/cicadalead/adapters/work/SchedulingTerm.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.EnumSet;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -76,6 +77,9 @@
     private Optional<MachineController> machineController = Optional.empty();
     private Optional<ScheduledFuture<?>> cycleTimer = Optional.empty();
     private Optional<TakeoverReport> takeoverReport = Optional.empty();
+    private Optional<WaitingTaskReport> waitingTaskReport = Optional.empty();
+    private Optional<LoadingReport> loadingReport = Optional.empty();
+    private volatile boolean fenced;
     private long startedAt;
     private boolean cycleScheduled;
     private volatile boolean closed;
@@ -109,8 +113,10 @@
     /** Fences earlier terms, then starts to read jobs, progress and the registry. */
     void start() {
         startedAt = now().monotonic();
+        loadingReport = Optional.of(new LoadingReport(ports.log(), epoch, startedAt));
         // Jobs that are read after the fence include every job of which an earlier term can have stored progress.
         progressAppender.fence().thenRun(() -> {
+            fenced = true;
             jobsFeed.start();
             readProgress();
         });
@@ -224,7 +230,11 @@
 
     private void runCycle() {
         cycleScheduled = false;
-        if (closed || scheduler.isEmpty()) {
+        if (closed) {
+            return;
+        }
+        if (scheduler.isEmpty()) {
+            loadingReport.ifPresent(report -> report.logWait(now(), findMissingData()));
             return;
         }
         long startNanoseconds = ports.timers().nanoTime();
@@ -236,6 +246,8 @@
             machineController.ifPresent(machineController -> machineController.runCycle(now, canStart));
         }
         takeoverReport.ifPresent(report -> report.logChanges(now));
+        waitingTaskReport.ifPresent(report ->
+                report.logChanges(now, canStart, ports.unconfirmedMilliseconds().getAsLong()));
         boolean startsWait = scheduler.get().hasPendingStartIntents();
         boolean hostsWait = scheduler.get().hasHostsWaitingForAnnouncement(now);
         if (pacing.startAnnouncement(now.monotonic(), startsWait, hostsWait)) {
@@ -247,6 +259,24 @@
         pacing.onCycleEnded(ports.timers().nanoTime() - startNanoseconds);
     }
 
+    /** Returns what this term has still to read before it can schedule. */
+    private Set<LoadingReport.Data> findMissingData() {
+        Set<LoadingReport.Data> missing = EnumSet.noneOf(LoadingReport.Data.class);
+        if (!fenced) {
+            missing.add(LoadingReport.Data.FENCE);
+        }
+        if (loadedJobs.isEmpty()) {
+            missing.add(LoadingReport.Data.JOBS);
+        }
+        if (loadedProgress.isEmpty()) {
+            missing.add(LoadingReport.Data.PROGRESS);
+        }
+        if (!registryLoaded) {
+            missing.add(LoadingReport.Data.REGISTRY);
+        }
+        return missing;
+    }
+
     /** Starts scheduling once the jobs, their progress and the registry have been read completely. */
     private void startWhenLoaded() {
         if (scheduler.isPresent() || loadedJobs.isEmpty() || loadedProgress.isEmpty() || !registryLoaded) {
@@ -269,6 +299,7 @@
                         .map(earlier -> earlier.lastRecord().hosts().values())
                         .orElse(List.of()));
         takeoverReport = Optional.of(report);
+        waitingTaskReport = Optional.of(new WaitingTaskReport(ports.log(), newScheduler.createWaitingTasks()));
         dispatcher = Optional.of(new OrderDispatcher(this, ports, newScheduler, jobRecords, progressAppender, epoch));
         machineController = Optional.of(new MachineController(
                 this, ports, newScheduler, terms, jobRecords, progressAppender, decodeWaveProgress(), epoch));
--- a/src/main/java/org/cicadalead/logic/work/RunLedger.java
+++ b/src/main/java/org/cicadalead/logic/work/RunLedger.java
@@ -116,6 +116,13 @@
         if (task == null || task.done) {
             return;
         }
+        task.recordEnd(new LastRun(
+                end.run(),
+                host.identifier,
+                true,
+                LastRun.Evidence.LISTED_END,
+                end.ending().name(),
+                now));
         WorkJob job = task.step.job;
         task.lastAttempt = Math.max(task.lastAttempt, end.run().attempt());
         task.highestEndedAttempt = Math.max(task.highestEndedAttempt, end.run().attempt());
@@ -163,12 +170,12 @@
         switch (run.state) {
             case RUNNING -> {
                 if (pollIsNewer) {
-                    drop(run);
+                    drop(run, LastRun.Evidence.NOT_LISTED, "", now);
                 }
             }
             case STOPPED -> {
                 if (pollIsNewer) {
-                    drop(run);
+                    drop(run, LastRun.Evidence.NOT_LISTED, "", now);
                 }
             }
             case UNCERTAIN -> {
@@ -206,7 +213,7 @@
     }
 
     private void handleRejectedStart(WorkHost host, WorkRun run, StartOutcome outcome, long now) {
-        drop(run);
+        drop(run, LastRun.Evidence.START_REJECTED, outcome.name(), now);
         switch (outcome) {
             case NO_TICKET -> {
                 StepTickets tickets = run.task.step.tickets;
@@ -236,13 +243,14 @@
     }
 
     /** Drops all runs of a host on which nothing can run any more. */
-    void dropAll(WorkHost host) {
-        new ArrayList<>(host.runs.values()).forEach(RunLedger::drop);
+    void dropAll(WorkHost host, LastRun.Evidence evidence, long now) {
+        new ArrayList<>(host.runs.values()).forEach(run -> drop(run, evidence, "", now));
         host.orphanedRuns.clear();
     }
 
-    private static void drop(WorkRun run) {
+    private static void drop(WorkRun run, LastRun.Evidence evidence, String detail, long now) {
         run.host.removeRun(run.key);
         run.task.detach(run);
+        run.task.recordEnd(LastRun.ofDropped(run, evidence, detail, now));
     }
 }
--- /dev/null
+++ b/src/main/java/org/cicadalead/logic/work/WaitingReasonFinder.java
@@ -0,0 +1,230 @@
+package org.cicadalead.logic.work;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.stream.Collectors;
+import org.cicadalead.model.event.EventDetail;
+import org.cicadalead.model.work.HostCapacity;
+
+/**
+ * Finds why lasting tasks do not run, at one point in time. Checks the same conditions as {@link TaskPlacement}, which
+ * it does not influence. The tasks of a step without a run wait for the same reason, so each step is compared with the
+ * hosts of its service once. Not thread-safe.
+ */
+final class WaitingReasonFinder {
+    /** Maximum number of hosts that a reason names. */
+    private static final int MAX_NAMED_HOSTS = 4;
+
+    private final WorkState state;
+    private final TakeoverGate takeoverGate;
+    private final long now;
+    private final boolean mayStart;
+    private final long unconfirmedMilliseconds;
+    private final Map<WorkStep, WaitingReason> reasons = new HashMap<>();
+    private Optional<Map<String, ClosedService>> closedServices = Optional.empty();
+
+    /**
+     * Creates a finder for one point in time.
+     *
+     * @param now monotonic time in milliseconds
+     * @param mayStart whether the last confirmed record is recent enough to start work
+     * @param unconfirmedMilliseconds age of the last confirmed record
+     */
+    WaitingReasonFinder(
+            WorkState state, TakeoverGate takeoverGate, long now, boolean mayStart, long unconfirmedMilliseconds) {
+        this.state = state;
+        this.takeoverGate = takeoverGate;
+        this.now = now;
+        this.mayStart = mayStart;
+        this.unconfirmedMilliseconds = unconfirmedMilliseconds;
+    }
+
+    /** Returns why a task that is not known to be at work does not run. */
+    WaitingReason find(WorkTask task) {
+        WorkRun run = task.run;
+        return run == null ? reasons.computeIfAbsent(task.step, this::findForStep) : describeRun(run);
+    }
+
+    private WaitingReason describeRun(WorkRun run) {
+        WorkHost host = run.host;
+        return new WaitingReason(
+                WaitingReason.Cause.RUN_EXPECTED,
+                run.key.attempt() + " " + run.state + " " + host.identifier,
+                List.of(
+                        EventDetail.of("attempt", run.key.attempt()),
+                        EventDetail.of("state", run.state),
+                        EventDetail.of("host", host.identifier),
+                        EventDetail.of("stateMilliseconds", now - run.changedAt),
+                        EventDetail.of("hostSilentMilliseconds", now - host.lastReplyAt),
+                        EventDetail.of("leaseExpiresAfterMilliseconds", host.leaseExpiresAt() - now)));
+    }
+
+    private WaitingReason findForStep(WorkStep step) {
+        if (!mayStart) {
+            return new WaitingReason(
+                    WaitingReason.Cause.LEADER_UNCONFIRMED,
+                    "",
+                    List.of(EventDetail.of("unconfirmedMilliseconds", unconfirmedMilliseconds)));
+        }
+        if (!state.isAnnounced()) {
+            return new WaitingReason(
+                    WaitingReason.Cause.FIRST_ANNOUNCEMENT_PENDING,
+                    "",
+                    List.of(EventDetail.of("unconfirmedMilliseconds", unconfirmedMilliseconds)));
+        }
+        if (!takeoverGate.canStart(step.job, now)) {
+            return describeClosedService(step.job.submission.service());
+        }
+        if (step.specification.gang() && step.waitingTasks < step.tasks.size()) {
+            return new WaitingReason(
+                    WaitingReason.Cause.GANG_INCOMPLETE,
+                    "",
+                    List.of(
+                            EventDetail.of("tasksWithoutRun", step.waitingTasks),
+                            EventDetail.of("gang", step.tasks.size())));
+        }
+        return describeHosts(step);
+    }
+
+    private WaitingReason describeClosedService(String service) {
+        if (closedServices.isEmpty()) {
+            closedServices = Optional.of(takeoverGate.findClosedServices(now));
+        }
+        ClosedService closed = closedServices.get().get(service);
+        if (closed == null) {
+            return new WaitingReason(WaitingReason.Cause.SERVICE_CLOSED, "", List.of());
+        }
+        return new WaitingReason(
+                WaitingReason.Cause.SERVICE_CLOSED,
+                String.valueOf(closed.opensAt()),
+                List.of(
+                        EventDetail.of("hosts", closed.hosts().size()),
+                        EventDetail.of(
+                                "someHosts",
+                                closed.hosts().stream()
+                                        .sorted()
+                                        .limit(MAX_NAMED_HOSTS)
+                                        .toList()),
+                        EventDetail.of("opensAfterMilliseconds", closed.opensAt() - now)));
+    }
+
+    private WaitingReason describeHosts(WorkStep step) {
+        Map<HostExclusion, List<WorkHost>> hosts = groupByExclusion(step);
+        List<WorkHost> withRoom = hosts.getOrDefault(HostExclusion.NONE, List.of());
+        List<WorkHost> withoutRoom = hosts.getOrDefault(HostExclusion.NO_ROOM, List.of());
+        int total = hosts.values().stream().mapToInt(List::size).sum();
+        List<EventDetail> inputs = new ArrayList<>(List.of(
+                EventDetail.of("needed", format(step.requiredCapacity)),
+                EventDetail.of("hosts", total),
+                EventDetail.of("usable", withRoom.size() + withoutRoom.size()),
+                EventDetail.of("withRoom", withRoom.size())));
+        findLargestFree(withRoom.isEmpty() ? withoutRoom : withRoom)
+                .ifPresent(host ->
+                        inputs.add(EventDetail.of("mostFree", format(host.freeCapacity()) + " on " + host.identifier)));
+        int places = step.specification.gang() ? countPlaces(step, withRoom) : withRoom.size();
+        boolean hasRoom = places >= (step.specification.gang() ? step.tasks.size() : 1);
+        if (step.specification.gang()) {
+            inputs.add(EventDetail.of("gang", step.tasks.size()));
+            inputs.add(EventDetail.of("places", places));
+        }
+        WaitingReason.Cause cause = findCause(step, hasRoom, !withRoom.isEmpty() || !withoutRoom.isEmpty());
+        if (cause == WaitingReason.Cause.START_INTENT_PENDING) {
+            inputs.add(EventDetail.of("unconfirmedMilliseconds", unconfirmedMilliseconds));
+        }
+        String unusable = hosts.entrySet().stream()
+                .filter(entry -> entry.getKey() != HostExclusion.NONE && entry.getKey() != HostExclusion.NO_ROOM)
+                .map(entry -> describeExclusion(entry.getKey(), entry.getValue()))
+                .collect(Collectors.joining(", "));
+        inputs.add(EventDetail.of("unusable", unusable.isEmpty() ? "none" : unusable));
+        return new WaitingReason(cause, hosts.keySet().toString(), inputs);
+    }
+
+    /** Counts the tasks of a gang that the free capacity of some hosts holds, up to the size of the gang. */
+    private static int countPlaces(WorkStep step, List<WorkHost> hosts) {
+        int maximumPerHost = step.specification.maximumPerHost();
+        int places = 0;
+        for (WorkHost host : hosts) {
+            HostCapacity free = host.freeCapacity();
+            for (int onHost = 0;
+                    places < step.tasks.size()
+                            && (maximumPerHost == 0 || onHost < maximumPerHost)
+                            && step.requiredCapacity.fitsInto(free);
+                    onHost++) {
+                free = free.minus(step.requiredCapacity);
+                places++;
+            }
+        }
+        return places;
+    }
+
+    private WaitingReason.Cause findCause(WorkStep step, boolean hasRoom, boolean hasUsableHost) {
+        if (!hasRoom) {
+            return hasUsableHost ? WaitingReason.Cause.NO_ROOM : WaitingReason.Cause.NO_USABLE_HOST;
+        }
+        return step.job.announcedIn > state.storedGeneration && step.job.announcedIn != WorkJob.NOT_ANNOUNCED
+                ? WaitingReason.Cause.START_INTENT_PENDING
+                : WaitingReason.Cause.PLACEABLE;
+    }
+
+    private Map<HostExclusion, List<WorkHost>> groupByExclusion(WorkStep step) {
+        Map<HostExclusion, List<WorkHost>> hosts = new EnumMap<>(HostExclusion.class);
+        for (WorkHost host : state.findHosts(step.job.submission.service())) {
+            hosts.computeIfAbsent(HostExclusion.find(step, host, now), key -> new ArrayList<>())
+                    .add(host);
+        }
+        separateOtherRacks(step, hosts);
+        return hosts;
+    }
+
+    /** Sets apart the hosts with room on other racks, as the placement does while the step's rack has usable hosts. */
+    private void separateOtherRacks(WorkStep step, Map<HostExclusion, List<WorkHost>> hosts) {
+        Optional<WorkRun> firstRun = step.tasks.stream()
+                .flatMap(task -> Optional.ofNullable(task.run).stream())
+                .findFirst();
+        if (!step.specification.sameRack() || firstRun.isEmpty() || !hosts.containsKey(HostExclusion.NONE)) {
+            return;
+        }
+        Optional<String> rack = firstRun.get().host.entry.rack();
+        boolean rackIsUsable = state.findHosts(step.job.submission.service()).stream()
+                .anyMatch(host -> host.entry.rack().equals(rack) && host.canAcceptWork(now));
+        List<WorkHost> others = hosts.get(HostExclusion.NONE).stream()
+                .filter(host -> !host.entry.rack().equals(rack))
+                .toList();
+        if (rackIsUsable && !others.isEmpty()) {
+            hosts.get(HostExclusion.NONE).removeAll(others);
+            hosts.put(HostExclusion.OTHER_RACK, others);
+            hosts.values().removeIf(List::isEmpty);
+        }
+    }
+
+    private static Optional<WorkHost> findLargestFree(List<WorkHost> hosts) {
+        return hosts.stream()
+                .max(Comparator.comparingLong(
+                                (WorkHost host) -> host.freeCapacity().milliCores())
+                        .thenComparing(host -> host.identifier, Comparator.reverseOrder()));
+    }
+
+    /** Names the cause, the number of its hosts, and the host for which it has lasted or will last shortest. */
+    private String describeExclusion(HostExclusion exclusion, List<WorkHost> hosts) {
+        WorkHost example = hosts.stream()
+                .min(Comparator.comparingLong((WorkHost host) -> exclusion.duration(host, now))
+                        .thenComparing(host -> host.identifier))
+                .orElseThrow();
+        long duration = exclusion.duration(example, now);
+        return exclusion + "=" + hosts.size() + " (" + example.identifier
+                + (duration == 0
+                        ? ""
+                        : (exclusion == HostExclusion.AFTER_FAILURES ? " for " : " since ") + duration + " ms")
+                + ")";
+    }
+
+    private static String format(HostCapacity capacity) {
+        return capacity.milliCores() + " millicores, " + capacity.memoryMegabytes() + " MB, " + capacity.accelerators()
+                + " accelerators";
+    }
+}
--- a/src/main/java/org/cicadalead/logic/work/WorkHost.java
+++ b/src/main/java/org/cicadalead/logic/work/WorkHost.java
@@ -195,6 +195,11 @@
         consecutiveFailures = 0;
     }
 
+    /** Returns the monotonic time in milliseconds until which the host gets no work after failures. */
+    long excludedUntil() {
+        return excludedUntil;
+    }
+
     void excludeUntil(long time) {
         excludedUntil = Math.max(excludedUntil, time);
     }
--- a/src/main/java/org/cicadalead/logic/work/WorkRun.java
+++ b/src/main/java/org/cicadalead/logic/work/WorkRun.java
@@ -33,6 +33,9 @@
     void transitionTo(State next, long now) {
         state = next;
         changedAt = now;
+        if (next == State.RUNNING) {
+            task.runningSince = now;
+        }
     }
 
     /** Returns whether the run is at work for certain: a run on a host that does not reply may have ended with it. */
--- a/src/main/java/org/cicadalead/logic/work/WorkScheduler.java
+++ b/src/main/java/org/cicadalead/logic/work/WorkScheduler.java
@@ -66,6 +66,7 @@
      */
     public WorkScheduler(SchedulingTerms terms, long epoch, EarlierHosts earlier, long now) {
         this.state = new WorkState(terms, epoch);
+        state.decidedAt = now;
         this.ledger = new RunLedger(state);
         this.takeoverGate = new TakeoverGate(earlier, now, now + terms.earlierStartWindowMilliseconds());
         this.placement = new TaskPlacement(state, ledger, takeoverGate);
@@ -152,7 +153,7 @@
         takeoverGate.resolve(identifier);
         WorkHost host = state.hosts.get(identifier);
         if (host != null) {
-            ledger.dropAll(host);
+            ledger.dropAll(host, LastRun.Evidence.HOST_ENDED, state.decidedAt);
             host.end();
         }
     }
@@ -401,6 +402,11 @@
         return new MachineView(state, takeoverGate, this::onHostEnded);
     }
 
+    /** Creates the view through which lasting tasks that do not run are reported. */
+    public WaitingTasks createWaitingTasks() {
+        return new WaitingTasks(state, takeoverGate);
+    }
+
     /**
      * Decides which orders are due now.
      *
@@ -408,6 +414,7 @@
      */
     public List<WorkOrder> decide(WorkTime now, boolean mayStart) {
         List<WorkOrder> orders = new ArrayList<>();
+        state.decidedAt = now.monotonic();
         if (superseded) {
             orders.add(new WorkOrder.StepDown());
             return orders;
@@ -440,7 +447,7 @@
     private void expireLeases(long now) {
         for (WorkHost host : state.hosts.values()) {
             if (host.isUnreachable(now) && !host.runs.isEmpty() && now >= host.leaseExpiresAt()) {
-                ledger.dropAll(host);
+                ledger.dropAll(host, LastRun.Evidence.LEASE_EXPIRED, now);
             }
         }
     }
--- a/src/main/java/org/cicadalead/logic/work/WorkState.java
+++ b/src/main/java/org/cicadalead/logic/work/WorkState.java
@@ -31,6 +31,8 @@
 
     final Map<String, WorkHost> hosts = new HashMap<>();
     final ArrivalRates arrivals = new ArrivalRates();
+    /** Monotonic time in milliseconds of the last decision, or of the start of the term. */
+    long decidedAt;
     /** Number of requests to the external policy that are in flight. */
     int pendingAdvisorRequests;
 
--- a/src/main/java/org/cicadalead/logic/work/WorkTask.java
+++ b/src/main/java/org/cicadalead/logic/work/WorkTask.java
@@ -25,6 +25,12 @@
 
     final Set<String> avoidedHosts = new HashSet<>();
 
+    /** Monotonic time in milliseconds at which a run was last confirmed as active; before all times without one. */
+    long runningSince = WorkHost.NEVER;
+
+    /** The ended run with the highest attempt number, as far as this term knows. */
+    @Nullable LastRun lastRun;
+
     WorkTask(TaskKey key, WorkStep step) {
         this.key = key;
         this.step = step;
@@ -47,6 +53,13 @@
         }
     }
 
+    /** Records the end of a run; an end that is already known, or older, changes nothing. */
+    void recordEnd(LastRun ended) {
+        if (lastRun == null || ended.key().attempt() > lastRun.key().attempt()) {
+            lastRun = ended;
+        }
+    }
+
     void finish() {
         step.waitingTasks -= isWaiting() ? 1 : 0;
         done = true;
--- a/src/main/java/org/cicadalead/model/event/EventKind.java
+++ b/src/main/java/org/cicadalead/model/event/EventKind.java
@@ -203,6 +203,8 @@
     JOB_CANCEL_STORED(8015, EventSeverity.INFORMATION, "A cancellation is stored"),
     /** A caller asked for the state of a job. */
     JOB_ASKED(8016, EventSeverity.DETAIL, "A caller asked for the state of a job"),
+    /** A new term has not loaded its data yet. */
+    TERM_LOADING(8017, EventSeverity.WARNING, "A new term has not read its data yet and gives no orders"),
     /** A run was ordered on a host. */
     RUN_ORDERED(8020, EventSeverity.INFORMATION, "A run was ordered on a host"),
     /** A host did not confirm an order to start a run. */
@@ -219,11 +221,17 @@
     HOST_ANSWERING(8026, EventSeverity.INFORMATION, "A host responds again, or for the first time"),
     /** The external policy was asked which hosts may run a step. */
     ADVICE_TAKEN(8027, EventSeverity.INFORMATION, "The external policy was asked which hosts may run a step"),
+    /** A lasting task does not run, and why. */
+    TASK_WAITS(8028, EventSeverity.WARNING, "A task that is to last does not run, or may not, and why"),
+    /** A lasting task that did not run for some time runs again. */
+    TASK_RUNS_AGAIN(8029, EventSeverity.INFORMATION, "A task that is to last and did not run, runs again"),
     /** A machine was ordered to change. */
     MACHINE_ORDERED(8030, EventSeverity.INFORMATION, "A machine was ordered to change"),
     /** All machines of a maintenance wave have started their maintenance. */
     WAVE_COMPLETED(
             8031, EventSeverity.INFORMATION, "All machines of a maintenance wave have started their maintenance"),
+    /** More lasting tasks wait than one second's lines tell of. */
+    TASKS_LEFT_OUT(8032, EventSeverity.WARNING, "Lasting tasks wait or run again that no line tells of yet"),
     /** The settings were reloaded. */
     SETTINGS_READ_AGAIN(8040, EventSeverity.INFORMATION, "The settings were reloaded");
 
--- a/src/test/java/org/cicadalead/adapters/work/SchedulingTermTest.java
+++ b/src/test/java/org/cicadalead/adapters/work/SchedulingTermTest.java
@@ -4,16 +4,21 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import java.io.ByteArrayOutputStream;
 import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.Executors;
+import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 import org.cicadalead.logic.work.SchedulingTerms;
 import org.cicadalead.model.work.FleetPlan;
@@ -101,10 +106,48 @@
         }
     }
 
-    static SchedulingPorts createPorts(RecordStore store) {
+    @Test
+    void saysWhatTermWaitsForThatHasNotLoaded() throws InterruptedException {
+        ScheduledExecutorService executor = Executors.newSingleThreadScheduledExecutor();
         ManualTimerService timers = new ManualTimerService();
-        DecisionLog log =
-                new DecisionLog(OutputStream.nullOutputStream(), "process", new WorkMetrics(new SimpleMeterRegistry()));
+        BlockingQueue<String> output = new LinkedBlockingQueue<>();
+        OutputStream queueingOutput = new ByteArrayOutputStream() {
+            @Override
+            public void flush() {
+                output.add(toString(StandardCharsets.UTF_8));
+                reset();
+            }
+        };
+        try (DecisionLog log = new DecisionLog(queueingOutput, "process", new WorkMetrics(new SimpleMeterRegistry()))) {
+            SchedulingTerm term = new SchedulingTerm(
+                    createPorts(store, timers, log),
+                    executor,
+                    new SchedulingTerms(5_700, 2_500, 6_000, 200, 2_000, 1),
+                    2,
+                    Optional.empty(),
+                    hostsInUse -> {});
+            term.start();
+            executor.execute(() -> timers.advance(Duration.ofSeconds(1)));
+            String line = output.poll(30, TimeUnit.SECONDS);
+            assertTrue(
+                    line != null && line.contains("\"TERM_LOADING\"") && line.contains("\"epoch\":\"2\""),
+                    "line " + line);
+            assertTrue(line.contains("\"missing\":\"[FENCE, JOBS, PROGRESS"), line);
+            term.close();
+        } finally {
+            executor.shutdownNow();
+        }
+    }
+
+    static SchedulingPorts createPorts(RecordStore store) {
+        return createPorts(
+                store,
+                new ManualTimerService(),
+                new DecisionLog(
+                        OutputStream.nullOutputStream(), "process", new WorkMetrics(new SimpleMeterRegistry())));
+    }
+
+    private static SchedulingPorts createPorts(RecordStore store, ManualTimerService timers, DecisionLog log) {
         return new SchedulingPorts(
                 store,
                 new UnreachableHosts(),
