Explain a task from the logs of the processes

What operators saw: the lines about one task are spread over the logs of all processes that led, and the timeline command only asks running processes.

--- a/src/main/java/org/cicadalead/cli/TimelineCommand.java
+++ b/src/main/java/org/cicadalead/cli/TimelineCommand.java
@@ -8,9 +8,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.Option;
 import org.apache.commons.cli.Options;
+import org.cicadalead.logic.timeline.LogExplainer;
 import org.cicadalead.logic.timeline.TimelineExplainer;
 import org.cicadalead.logic.timeline.TimelineFilter;
 import org.cicadalead.logic.timeline.TimelineMerger;
@@ -24,6 +26,10 @@
 final class TimelineCommand implements Subcommand {
     private static final long FOLLOW_PERIOD_MILLISECONDS = 500;
 
+    /** Options that only apply to the events of processes that are asked. */
+    private static final Set<String> LIVE_OPTIONS =
+            Set.of("address", "subject", "kind", "from-offset", "to-offset", "from", "to", "html", "follow");
+
     @Override
     public String commandName() {
         return "timeline";
@@ -31,7 +37,8 @@
 
     @Override
     public String argumentsUsage() {
-        return "[--address ADDRESS:PORT]... [--subject NAME] [--explain NAME] [--follow] [--html FILE]";
+        return "[--address ADDRESS:PORT]... [--subject NAME] [--explain NAME] [--follow] [--html FILE] | "
+                + "--log FILE... --explain TASK";
     }
 
     @Override
@@ -44,6 +51,7 @@
         return List.of(
                 "cicadalead timeline --address 127.0.0.1:20100 --address 127.0.0.1:20101",
                 "cicadalead timeline --explain kingston-03",
+                "cicadalead timeline --log frontend-1.log --log frontend-2.log --explain 587f12876c9e5118.0.0.0",
                 "cicadalead timeline --kind configuration-accepted --html timeline.html");
     }
 
@@ -63,6 +71,8 @@
                         CommandOptions.optionWithValue("to", "MILLISECONDS", "only events up to this time, since 1970"))
                 .addOption(CommandOptions.optionWithValue("explain", "NAME", "what happened to a subject, and why"))
                 .addOption(CommandOptions.optionWithValue("html", "FILE", "write a page with a picture"))
+                .addOption(CommandOptions.optionWithValue(
+                        "log", "FILE", "log of a process, read instead of asking processes; may be repeated"))
                 .addOption(Option.builder()
                         .longOpt("follow")
                         .desc("go on showing new events")
@@ -71,6 +81,10 @@
 
     @Override
     public ExitCode run(CommandLine arguments, Console console) {
+        if (arguments.hasOption("log")) {
+            explainFromLogs(arguments, console);
+            return ExitCode.DONE;
+        }
         List<AdministrationClient> clients = createClients(arguments);
         List<TimelineStream> streams =
                 clients.stream().map(client -> fetchStream(client, 1)).toList();
@@ -91,6 +105,23 @@
         return ExitCode.DONE;
     }
 
+    private static void explainFromLogs(CommandLine arguments, Console console) {
+        for (Option option : arguments.getOptions()) {
+            if (LIVE_OPTIONS.contains(option.getLongOpt())) {
+                throw OptionReader.badUsage("--" + option.getLongOpt() + " cannot be used with --log");
+            }
+        }
+        String subject = Optional.ofNullable(arguments.getOptionValue("explain"))
+                .orElseThrow(() -> OptionReader.badUsage("--log needs --explain with the identifier of a task or job"));
+        LogExplainer explainer = new LogExplainer(subject);
+        for (String file : arguments.getOptionValues("log")) {
+            LogFileReader reader = new LogFileReader(Path.of(file));
+            reader.read(explainer::add);
+            reader.describeMalformedLines().ifPresent(console::printProgress);
+        }
+        explainer.explain().forEach(line -> console.printResult(line, LogExplainer.describe(line)));
+    }
+
     private static List<AdministrationClient> createClients(CommandLine arguments) {
         String[] addresses = Optional.ofNullable(arguments.getOptionValues("address"))
                 .orElse(new String[] {AdministrationClient.DEFAULT_ADDRESS});
--- a/src/test/java/org/cicadalead/cli/MainTest.java
+++ b/src/test/java/org/cicadalead/cli/MainTest.java
@@ -52,6 +52,45 @@
         }
     }
 
+    @Test
+    void explainsTaskFromLogsAndCountsMalformedLines(@TempDir Path folder) throws IOException {
+        Path first = folder.resolve("first.log");
+        Path second = folder.resolve("second.log");
+        Files.writeString(
+                first,
+                """
+                {"time":"2026-01-01T00:00:02Z","number":8028,"kind":"TASK_WAITS","process":"p1",\
+                "task":"job.0.0.0","reason":"NO_ROOM"}
+                not JSON
+                {"time":"2026-01-01T00:00:04Z","number":8029,"kind":"TASK_RUNS_AGAIN","process":"p1","task":"job.0.0.0"}
+                {"time":"2026-01-01T00:00:0""");
+        Files.writeString(
+                second,
+                """
+                {"time":"2026-01-01T00:00:01Z","number":8002,"kind":"TERM_ENDED","process":"p2","epoch":"4"}
+                {"time":"2026-01-01T00:00:03Z","number":8020,"kind":"RUN_ORDERED","process":"p2","task":"other.0.0.0"}
+                """);
+        ExitCode code =
+                run("timeline", "--log", first.toString(), "--log", second.toString(), "--explain", "job.0.0.0");
+        assertEquals(ExitCode.DONE, code, errors.toString(UTF_8));
+        List<String> lines = output.toString(UTF_8).lines().toList();
+        assertEquals(3, lines.size(), lines.toString());
+        assertTrue(lines.get(0).startsWith("2026-01-01T00:00:01Z TERM_ENDED"), lines.get(0));
+        assertTrue(lines.get(1).contains("task=job.0.0.0 reason=NO_ROOM (process p1)"), lines.get(1));
+        assertTrue(lines.get(2).startsWith("2026-01-01T00:00:04Z TASK_RUNS_AGAIN"), lines.get(2));
+        assertTrue(errors.toString(UTF_8).contains("skipped 2 malformed of 4 lines"), errors.toString(UTF_8));
+    }
+
+    @Test
+    void rejectsLogsWithoutSubjectWithOtherFiltersOrUnreadable(@TempDir Path folder) throws IOException {
+        String log = Files.writeString(folder.resolve("log"), "").toString();
+        assertEquals(ExitCode.BAD_USAGE, run("timeline", "--log", log));
+        assertEquals(ExitCode.BAD_USAGE, run("timeline", "--log", log, "--explain", "job", "--follow"));
+        assertEquals(
+                ExitCode.BAD_USAGE,
+                run("timeline", "--log", folder.resolve("absent").toString(), "--explain", "job"));
+    }
+
     private ExitCode run(String... arguments) {
         return Main.run(List.of(arguments), new PrintStream(output, true, UTF_8), new PrintStream(errors, true, UTF_8));
     }
