Count waits from the last run that was active

What was seen: a task whose run ended and whose next start was rejected within one second was reported as waiting since its job was read; a task whose host ended right after its run was confirmed got a line each second. Two tests failed with both.

Change: the end of the last active run is kept apart from the last run, and is never before its confirmation. The hosts of a service are compared once an evaluation and then only those that accept work, a step each.

--- a/src/main/java/org/cicadalead/logic/work/HostExclusion.java
+++ b/src/main/java/org/cicadalead/logic/work/HostExclusion.java
@@ -35,12 +35,8 @@
     /** Nothing excludes it. */
     NONE;
 
-    /** Finds why a host gets no task of a step, disregarding racks. */
-    static HostExclusion find(WorkStep step, WorkHost host, long now) {
-        HostExclusion ofHost = findForAnyStep(host, now);
-        if (ofHost != NONE) {
-            return ofHost;
-        }
+    /** Finds why a host that accepts work gets no task of a step, disregarding racks. */
+    static HostExclusion findForStep(WorkStep step, WorkHost host, long now) {
         StepSpecification specification = step.specification;
         if (!specification.requiredLabel().map(host.entry.labels()::contains).orElse(true)) {
             return WITHOUT_LABEL;
--- a/src/main/java/org/cicadalead/logic/work/WaitingReasonFinder.java
+++ b/src/main/java/org/cicadalead/logic/work/WaitingReasonFinder.java
@@ -7,14 +7,13 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.stream.Collectors;
 import org.cicadalead.model.event.EventDetail;
 import org.cicadalead.model.work.HostCapacity;
 
 /**
  * Finds why lasting tasks do not run, at one point in time. Checks the same conditions as {@link TaskPlacement}, which
- * it does not influence. The tasks of a step without a run wait for the same reason, so each step is compared with the
- * hosts of its service once. Not thread-safe.
+ * it does not influence. The tasks of a step without a run wait for the same reason, so each step is compared once with
+ * the hosts of its service that accept work. Not thread-safe.
  */
 final class WaitingReasonFinder {
     /** Maximum number of hosts that a reason names. */
@@ -26,6 +25,7 @@
     private final boolean mayStart;
     private final long unconfirmedMilliseconds;
     private final Map<WorkStep, WaitingReason> reasons = new HashMap<>();
+    private final Map<String, ServiceHosts> services = new HashMap<>();
     private Optional<Map<String, ClosedService>> closedServices = Optional.empty();
 
     /**
@@ -114,13 +114,13 @@
     }
 
     private WaitingReason describeHosts(WorkStep step) {
-        Map<HostExclusion, List<WorkHost>> hosts = groupByExclusion(step);
-        List<WorkHost> withRoom = hosts.getOrDefault(HostExclusion.NONE, List.of());
-        List<WorkHost> withoutRoom = hosts.getOrDefault(HostExclusion.NO_ROOM, List.of());
-        int total = hosts.values().stream().mapToInt(List::size).sum();
+        ServiceHosts service = services.computeIfAbsent(step.job.submission.service(), this::groupHosts);
+        Map<HostExclusion, List<WorkHost>> candidates = groupForStep(step, service.usable());
+        List<WorkHost> withRoom = candidates.getOrDefault(HostExclusion.NONE, List.of());
+        List<WorkHost> withoutRoom = candidates.getOrDefault(HostExclusion.NO_ROOM, List.of());
         List<EventDetail> inputs = new ArrayList<>(List.of(
                 EventDetail.of("needed", format(step.requiredCapacity)),
-                EventDetail.of("hosts", total),
+                EventDetail.of("hosts", service.total()),
                 EventDetail.of("usable", withRoom.size() + withoutRoom.size()),
                 EventDetail.of("withRoom", withRoom.size())));
         findLargestFree(withRoom.isEmpty() ? withoutRoom : withRoom)
@@ -136,12 +136,14 @@
         if (cause == WaitingReason.Cause.START_INTENT_PENDING) {
             inputs.add(EventDetail.of("unconfirmedMilliseconds", unconfirmedMilliseconds));
         }
-        String unusable = hosts.entrySet().stream()
-                .filter(entry -> entry.getKey() != HostExclusion.NONE && entry.getKey() != HostExclusion.NO_ROOM)
-                .map(entry -> describeExclusion(entry.getKey(), entry.getValue()))
-                .collect(Collectors.joining(", "));
-        inputs.add(EventDetail.of("unusable", unusable.isEmpty() ? "none" : unusable));
-        return new WaitingReason(cause, hosts.keySet().toString(), inputs);
+        List<String> unusable = new ArrayList<>(service.unusable());
+        candidates.forEach((exclusion, hosts) -> {
+            if (exclusion != HostExclusion.NONE && exclusion != HostExclusion.NO_ROOM) {
+                unusable.add(describeExclusion(exclusion, hosts));
+            }
+        });
+        inputs.add(EventDetail.of("unusable", unusable.isEmpty() ? "none" : String.join(", ", unusable)));
+        return new WaitingReason(cause, service.exclusions() + " " + candidates.keySet(), inputs);
     }
 
     /** Counts the tasks of a gang that the free capacity of some hosts holds, up to the size of the gang. */
@@ -171,35 +173,43 @@
                 : WaitingReason.Cause.PLACEABLE;
     }
 
-    private Map<HostExclusion, List<WorkHost>> groupByExclusion(WorkStep step) {
+    private ServiceHosts groupHosts(String service) {
         Map<HostExclusion, List<WorkHost>> hosts = new EnumMap<>(HostExclusion.class);
-        for (WorkHost host : state.findHosts(step.job.submission.service())) {
-            hosts.computeIfAbsent(HostExclusion.find(step, host, now), key -> new ArrayList<>())
+        List<WorkHost> all = state.findHosts(service);
+        for (WorkHost host : all) {
+            hosts.computeIfAbsent(HostExclusion.findForAnyStep(host, now), key -> new ArrayList<>())
                     .add(host);
         }
-        separateOtherRacks(step, hosts);
-        return hosts;
+        List<WorkHost> usable = hosts.containsKey(HostExclusion.NONE) ? hosts.remove(HostExclusion.NONE) : List.of();
+        List<String> unusable = new ArrayList<>();
+        hosts.forEach((exclusion, excluded) -> unusable.add(describeExclusion(exclusion, excluded)));
+        return new ServiceHosts(all.size(), usable, hosts.keySet().toString(), unusable);
     }
 
-    /** Sets apart the hosts with room on other racks, as the placement does while the step's rack has usable hosts. */
-    private void separateOtherRacks(WorkStep step, Map<HostExclusion, List<WorkHost>> hosts) {
-        Optional<WorkRun> firstRun = step.tasks.stream()
-                .flatMap(task -> Optional.ofNullable(task.run).stream())
-                .findFirst();
-        if (!step.specification.sameRack() || firstRun.isEmpty() || !hosts.containsKey(HostExclusion.NONE)) {
-            return;
+    private Map<HostExclusion, List<WorkHost>> groupForStep(WorkStep step, List<WorkHost> usable) {
+        Map<HostExclusion, List<WorkHost>> hosts = new EnumMap<>(HostExclusion.class);
+        Optional<Optional<String>> stepRack = findRackOfStep(step, usable);
+        for (WorkHost host : usable) {
+            boolean isOnOtherRack = stepRack.isPresent() && !stepRack.get().equals(host.entry.rack());
+            hosts.computeIfAbsent(
+                            isOnOtherRack ? HostExclusion.OTHER_RACK : HostExclusion.findForStep(step, host, now),
+                            key -> new ArrayList<>())
+                    .add(host);
         }
-        Optional<String> rack = firstRun.get().host.entry.rack();
-        boolean rackIsUsable = state.findHosts(step.job.submission.service()).stream()
-                .anyMatch(host -> host.entry.rack().equals(rack) && host.canAcceptWork(now));
-        List<WorkHost> others = hosts.get(HostExclusion.NONE).stream()
-                .filter(host -> !host.entry.rack().equals(rack))
-                .toList();
-        if (rackIsUsable && !others.isEmpty()) {
-            hosts.get(HostExclusion.NONE).removeAll(others);
-            hosts.put(HostExclusion.OTHER_RACK, others);
-            hosts.values().removeIf(List::isEmpty);
+        return hosts;
+    }
+
+    /** Returns the rack to which the placement restricts a step; empty when it may use all. */
+    private static Optional<Optional<String>> findRackOfStep(WorkStep step, List<WorkHost> usable) {
+        if (!step.specification.sameRack()) {
+            return Optional.empty();
         }
+        return step.tasks.stream()
+                .flatMap(task -> Optional.ofNullable(task.run).stream())
+                .findFirst()
+                .map(run -> run.host.entry.rack())
+                .filter(rack ->
+                        usable.stream().anyMatch(host -> host.entry.rack().equals(rack)));
     }
 
     private static Optional<WorkHost> findLargestFree(List<WorkHost> hosts) {
@@ -227,4 +237,14 @@
         return capacity.milliCores() + " millicores, " + capacity.memoryMegabytes() + " MB, " + capacity.accelerators()
                 + " accelerators";
     }
+
+    /**
+     * The hosts of a service.
+     *
+     * @param total number of hosts
+     * @param usable hosts that accept work
+     * @param exclusions the causes for which the others do not
+     * @param unusable a description of each of these causes
+     */
+    private record ServiceHosts(int total, List<WorkHost> usable, String exclusions, List<String> unusable) {}
 }
--- a/src/main/java/org/cicadalead/logic/work/WaitingTasks.java
+++ b/src/main/java/org/cicadalead/logic/work/WaitingTasks.java
@@ -77,9 +77,8 @@
                     ? Math.max(task.runningSince, run.host.lastReplyAt)
                     : run.changedAt;
         }
-        LastRun lastRun = task.lastRun;
-        if (lastRun != null && lastRun.ran()) {
-            return lastRun.endedAt();
+        if (task.ranUntil != WorkHost.NEVER) {
+            return task.ranUntil;
         }
         boolean openSinceReceipt =
                 task.step.occurrence == 0 && task.step.specification.dependsOn().isEmpty();
--- a/src/main/java/org/cicadalead/logic/work/WorkTask.java
+++ b/src/main/java/org/cicadalead/logic/work/WorkTask.java
@@ -28,6 +28,9 @@
     /** Monotonic time in milliseconds at which a run was last confirmed as active; before all times without one. */
     long runningSince = WorkHost.NEVER;
 
+    /** Monotonic time in milliseconds at which the last run ended that was active; before all times without one. */
+    long ranUntil = WorkHost.NEVER;
+
     /** The ended run with the highest attempt number, as far as this term knows. */
     @Nullable LastRun lastRun;
 
@@ -57,6 +60,8 @@
     void recordEnd(LastRun ended) {
         if (lastRun == null || ended.key().attempt() > lastRun.key().attempt()) {
             lastRun = ended;
+            // The end of a host is dated by the decision before it, which may precede the confirmation of the run.
+            ranUntil = ended.ran() ? Math.max(ended.endedAt(), runningSince) : ranUntil;
         }
     }
 
--- a/src/test/java/org/cicadalead/logic/work/HostExclusionTest.java
+++ b/src/test/java/org/cicadalead/logic/work/HostExclusionTest.java
@@ -100,11 +100,11 @@
         WorkStep step = createStep(step(1_000, Optional.empty(), 1), Optional.empty());
         WorkTask task = step.tasks.get(0);
         task.attach(new WorkRun(new RunKey(task.key, 1), task, host, NOW));
-        assertEquals(HostExclusion.MAXIMUM_PER_HOST, HostExclusion.find(step, host, NOW));
+        assertEquals(HostExclusion.MAXIMUM_PER_HOST, HostExclusion.findForStep(step, host, NOW));
     }
 
     private static HostExclusion findFor(StepSpecification specification, Optional<AdvisorTerms> advisor) {
-        return HostExclusion.find(createStep(specification, advisor), createReplyingHost(), NOW);
+        return HostExclusion.findForStep(createStep(specification, advisor), createReplyingHost(), NOW);
     }
 
     private static WorkStep createStep(StepSpecification specification, Optional<AdvisorTerms> advisor) {
--- a/src/test/java/org/cicadalead/logic/work/WaitingTasksTest.java
+++ b/src/test/java/org/cicadalead/logic/work/WaitingTasksTest.java
@@ -254,6 +254,32 @@
                 onlyWaiting(evaluate(scheduler, 2_500)).lastRun());
     }
 
+    /** The end and the rejected start may both fall between two evaluations. */
+    @Test
+    void countsWaitFromEndOfLastRunThatRanThroughRejectedStarts() {
+        WorkScheduler scheduler = WorkFixtures.scheduler(HOST);
+        addJob(scheduler, "job", 1, lastingStep(1, 1_000));
+        List<WorkOrder.Start> starts = start(scheduler, 1);
+        WorkFixtures.confirmStarts(scheduler, starts, 2);
+        EndedRun end = new EndedRun(1, starts.get(0).run(), RunEnding.LAPSED, "");
+        WorkFixtures.replyToPoll(scheduler, "host", 90_000, List.of(), List.of(end));
+        WorkOrder.Start rejected = start(scheduler, 90_100).get(0);
+        scheduler.onStartReply("host", rejected.run(), StartOutcome.NO_ROOM, at(90_200));
+        assertEquals(List.of(), evaluate(scheduler, 91_000).waiting());
+        assertEquals(2_500, onlyWaiting(evaluate(scheduler, 92_500)).waitedMilliseconds());
+    }
+
+    @Test
+    void reportsOnceAlthoughEndOfHostIsDatedByDecisionBeforeIt() {
+        WorkScheduler scheduler = WorkFixtures.scheduler(HOST);
+        addJob(scheduler, "job", 1, lastingStep(1, 1_000));
+        WorkFixtures.confirmStarts(scheduler, start(scheduler, 1), 50);
+        scheduler.onHostEnded("host");
+        WaitingTasks tasks = scheduler.createWaitingTasks();
+        assertEquals(1, tasks.evaluate(at(3_000), true, 0).waiting().size());
+        assertEquals(List.of(), tasks.evaluate(at(4_000), true, 0).waiting());
+    }
+
     @Test
     void tellsThatGangWaitsForItsOwnRunsToEnd() {
         WorkScheduler scheduler = WorkFixtures.scheduler(HOST);
