State the rule for lasting tasks in the fleet's oracle

The simulation's oracle asked for something else than the rule: it looked from 6 s after the last run, but let calm begin 2 s after the loss of a host.

The rule (LOST): windows of 3 s that begin 6 s or more after the last run, with room, the window and the 4 s before it calm. So a task runs again by the later of 9 s after its run and 7 s after the last disruption. The loss of a host ends at once, as its return is a disruption of its own; so the 2 s that were added have no ground in the rule and hid waits of 9 s after a crash. A host that is cut off disrupts when it goes and when it returns, as before.

Nothing is weaker: the bound of 6 s is stricter than the rule where calm is long, so it stays beside the rule with the calm that it had, as LATE, and so does the one for short jobs. What the oracle found, it finds.

Ruled out: replacing 6 s by 9 s alone, which would no longer see waits of 6 to 9 s.

--- a/src/test/java/org/cicadalead/logic/work/FleetOracle.java
+++ b/src/test/java/org/cicadalead/logic/work/FleetOracle.java
@@ -21,11 +21,13 @@
  * <p>Safety: a task has one run at a time, starts after its dependencies and not after its end is acknowledged or its
  * attempts are used up, and a job is completed only with all its tasks.
  *
- * <p>Liveness: waiting work runs when it can. A task that lasts runs from 6 s after its last run has ended, for
- * whatever reason, or after its job was accepted; a job of short tasks has something running whenever a task's turn has
- * come. Both are checked only when the last 7 s (3 s of waiting and the 4 s before them) were calm, and when for the 3
- * s a sound host of the service, reachable and not about to leave, had room for the task twice over, however full the
- * others were.
+ * <p>Liveness: waiting work runs when it can. A job of short tasks has something running whenever a task's turn has
+ * come. For a task that lasts, the rule looks at each window of 3 s that begins 6 s after its last run has ended, for
+ * whatever reason, or after its job was accepted, or later: the task must not wait for all of it. So it runs again
+ * after 9 s at most. Both are checked only when the last 7 s (the window and the 4 s before it) were calm, and when in
+ * the window a sound host of the service, reachable and not about to leave, had room for the task twice over, however
+ * full the others were. Beside the rule, a task that lasts runs again after 6 s once 9 s have passed since the last
+ * loss of a host and 7 s since every other disruption.
  *
  * <p>Calm is a time in which no disruption began, ended or was in effect. Disruptions in effect are an outage of the
  * store, an availability zone that is cut off with processes of the system, a suspended process, and hosts that fail or
@@ -37,10 +39,9 @@
     private static final long CHECK_MILLISECONDS = 50;
     private static final long CALM_MILLISECONDS = 7_000;
     private static final long WAITING_MILLISECONDS = 3_000;
-    private static final long LASTING_MILLISECONDS = 6_000;
-
-    /** Time for which the loss of a host is in effect: until the leader knows of it and renews its leases no more. */
-    private static final long HOST_LOSS_MILLISECONDS = 2_000;
+    private static final long LASTING_WINDOW_FROM_MILLISECONDS = 6_000;
+    private static final long LASTING_MILLISECONDS = LASTING_WINDOW_FROM_MILLISECONDS + WAITING_MILLISECONDS;
+    private static final long CALM_AFTER_HOST_LOSS_MILLISECONDS = CALM_MILLISECONDS + 2_000;
 
     private static final long REQUIRED_MILLICORES = 2 * SimulatedHost.TASK_MILLICORES;
     private static final int MAXIMUM_ATTEMPTS = 3;
@@ -60,6 +61,7 @@
     private final Map<String, Long> roomSince = new HashMap<>();
     private final Set<Object> reported = new HashSet<>();
     private long disruptedUntil;
+    private long hostLostAt = -CALM_AFTER_HOST_LOSS_MILLISECONDS;
     private long nextCheckAt;
 
     FleetOracle(SimulatedFleet fleet) {
@@ -73,7 +75,8 @@
 
     /** Records that a host has crashed or is cut off, whether it comes back or not. */
     void onHostLost() {
-        onDisruptionFor(HOST_LOSS_MILLISECONDS);
+        hostLostAt = fleet.now();
+        onDisruption();
     }
 
     /** Records a disruption that is in effect for a time. */
@@ -167,6 +170,10 @@
         return fleet.now() - disruptedUntil >= CALM_MILLISECONDS;
     }
 
+    private boolean isCalmSinceHostLoss() {
+        return isCalm() && fleet.now() - hostLostAt >= CALM_AFTER_HOST_LOSS_MILLISECONDS;
+    }
+
     /** Returns the tasks that run, and those whose end a host still lists. */
     private Set<TaskKey> findActiveTasks() {
         Set<TaskKey> active = new HashSet<>();
@@ -219,9 +226,11 @@
                 reported.remove(task);
             }
             long lastRun = lastRunAt.getOrDefault(task, submission.acceptedMilliseconds());
-            boolean isLost = fleet.now() - lastRun >= LASTING_MILLISECONDS && isCalm();
-            if (isLost && hasRoom(submission.service()) && reported.add(task)) {
-                reportLost("LOST " + task + " of " + submission.service() + ", whose last run ended at " + lastRun);
+            boolean breaksRule = fleet.now() - lastRun >= LASTING_MILLISECONDS && isCalm();
+            boolean isLate = fleet.now() - lastRun >= LASTING_WINDOW_FROM_MILLISECONDS && isCalmSinceHostLoss();
+            if ((breaksRule || isLate) && hasRoom(submission.service()) && reported.add(task)) {
+                String kind = breaksRule ? "LOST " : "LATE ";
+                reportLost(kind + task + " of " + submission.service() + ", whose last run ended at " + lastRun);
             }
         }
     }
@@ -244,7 +253,7 @@
             reported.remove(job);
         }
         long lastActive = lastActiveAt.getOrDefault(job, submission.acceptedMilliseconds());
-        boolean isLost = fleet.now() - lastActive >= WAITING_MILLISECONDS && isCalm();
+        boolean isLost = fleet.now() - lastActive >= WAITING_MILLISECONDS && isCalmSinceHostLoss();
         if (isLost && hasRoom(submission.service()) && reported.add(job)) {
             reportLost(
                     "LOST " + job + " of " + submission.service() + ", of which nothing has run since " + lastActive);
