--- a/src/main/java/org/cicadalead/adapters/work/HostPoller.java
+++ b/src/main/java/org/cicadalead/adapters/work/HostPoller.java
@@ -48,7 +48,7 @@
     /** Sends one poll; its result schedules the next one. Ends when the scheduler no longer polls the host. */
     void poll() {
         WorkTime now = term.now();
-        Optional<HostPollRequest> request = scheduler.createPoll(host, now, term.canRenewLeases());
+        Optional<HostPollRequest> request = scheduler.createPoll(host, now, term.unconfirmedMilliseconds());
         if (request.isEmpty()) {
             onEnded.run();
             return;
--- a/src/main/java/org/cicadalead/adapters/work/SchedulingTerm.java
+++ b/src/main/java/org/cicadalead/adapters/work/SchedulingTerm.java
@@ -229,10 +229,11 @@
         }
         long startNanoseconds = ports.timers().nanoTime();
         WorkTime now = now();
-        boolean canStart = canStartRuns();
-        List<WorkOrder> orders = scheduler.get().decide(now, canStart);
+        long unconfirmedMilliseconds = unconfirmedMilliseconds();
+        List<WorkOrder> orders = scheduler.get().decide(now, unconfirmedMilliseconds);
         dispatcher.ifPresent(orderDispatcher -> orders.forEach(orderDispatcher::execute));
         if (pacing.startMachineDecisions(now.monotonic())) {
+            boolean canStart = unconfirmedMilliseconds < terms.startLimitMilliseconds();
             machineController.ifPresent(machineController -> machineController.runCycle(now, canStart));
         }
         takeoverReport.ifPresent(report -> report.logChanges(now));
@@ -353,14 +354,12 @@
         }
     }
 
-    /** Returns whether this process may still start runs, by its last confirmed heartbeat. */
-    private boolean canStartRuns() {
-        return ports.unconfirmedMilliseconds().getAsLong() < terms.startLimitMilliseconds();
-    }
-
-    /** Returns whether this process may still renew leases, by its last confirmed heartbeat. */
-    boolean canRenewLeases() {
-        return ports.unconfirmedMilliseconds().getAsLong() < terms.renewalLimitMilliseconds();
+    /**
+     * Returns the milliseconds since the last confirmed record of this process as leader was sent. A time on the
+     * monotonic clock that it is counted back from must be read before it, so that it is rather too long.
+     */
+    long unconfirmedMilliseconds() {
+        return ports.unconfirmedMilliseconds().getAsLong();
     }
 
     boolean isClosed() {
--- a/src/main/java/org/cicadalead/logic/work/EarlierTerm.java
+++ b/src/main/java/org/cicadalead/logic/work/EarlierTerm.java
@@ -4,9 +4,9 @@
 import org.cicadalead.model.work.LeaderRecord;
 
 /**
- * The last record of an earlier term, and the time from which its bounds count. A leader renews leases only for a
- * limited time after it sent its last confirmed heartbeat. That heartbeat was sent before any process observed its
- * record, so no lease outlives the bounds of the record, counted from the observation. Immutable.
+ * The last record of an earlier term, and the time from which its bounds count. No lease of a leader outlives a fixed
+ * time after it sent its last confirmed heartbeat. That heartbeat was sent before any process observed its record, so
+ * no lease outlives the bounds of the record, counted from the observation. Immutable.
  *
  * @param lastRecord the newest record that was in the store when the next term was claimed
  * @param observedAt time on this process's monotonic clock in milliseconds at or after which the record was stored. The
@@ -28,6 +28,6 @@
     private long maximumLease(SchedulingTerms terms) {
         return lastRecord
                 .leasesExpireAfter()
-                .orElse(lastRecord.resigned() ? 0 : terms.earlierLeaseExpiryMilliseconds());
+                .orElse(lastRecord.resigned() ? 0 : terms.unannouncedLeaseExpiryMilliseconds());
     }
 }
--- a/src/main/java/org/cicadalead/logic/work/RunLedger.java
+++ b/src/main/java/org/cicadalead/logic/work/RunLedger.java
@@ -53,7 +53,7 @@
         }
         if (restarted && !host.runs.isEmpty()) {
             // Runs that were ordered before the restart was known have a lease on the new process.
-            host.extendLease(now, state.terms.leaseMilliseconds());
+            host.recordLease(state.terms.leaseMilliseconds());
         }
         host.orphanedRuns.retainAll(listed);
     }
@@ -90,7 +90,7 @@
         run.transitionTo(WorkRun.State.RUNNING, now);
         attach(run);
         // The lease was granted by an earlier term and ends no later than one granted now.
-        host.extendLease(now, state.terms.leaseMilliseconds());
+        host.recordLease(state.terms.leaseMilliseconds());
         return run;
     }
 
--- a/src/main/java/org/cicadalead/logic/work/TaskPlacement.java
+++ b/src/main/java/org/cicadalead/logic/work/TaskPlacement.java
@@ -212,6 +212,7 @@
         return assignments;
     }
 
+    /** Orders a run. The lease horizon leaves a lease whenever work may be started, as the terms have checked. */
     private void startTask(WorkTask task, WorkHost host, long attempt, List<WorkOrder> orders, long now) {
         RunKey key = new RunKey(task.key, attempt);
         ledger.attach(new WorkRun(key, task, host, now));
@@ -219,7 +220,7 @@
                 WorkState.targetOf(host),
                 key,
                 task.step.job.submission.payload(),
-                host.extendLease(now, state.terms.leaseMilliseconds()),
+                state.grantLease(host, now).orElseThrow(),
                 task.checkpoint,
                 Optional.ofNullable(task.step.tickets).flatMap(tickets -> tickets.findTicket(host.identifier, now))));
     }
--- a/src/main/java/org/cicadalead/logic/work/WorkHost.java
+++ b/src/main/java/org/cicadalead/logic/work/WorkHost.java
@@ -4,6 +4,7 @@
 import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.cicadalead.model.work.HostCapacity;
 import org.cicadalead.model.work.HostEntry;
@@ -98,11 +99,33 @@
         return restarted;
     }
 
-    /** Returns the expiry of a new lease in milliseconds of the host's clock, and records the latest expiry given. */
-    long extendLease(long now, long lease) {
-        long deadline = clockReading + (now - clockReadAt) + lease;
-        highestDeadline = Math.max(highestDeadline, deadline);
-        return deadline;
+    /**
+     * Grants a lease, and records the latest expiry granted. The lease has expired for certain by the horizon, which
+     * counts from the sending of the last confirmed record of the leader and from the last reply of the host, whichever
+     * is earlier. So it becomes shorter as either of them becomes older.
+     *
+     * @param confirmedAt monotonic time in milliseconds at which the last confirmed record was sent
+     * @return expiry in milliseconds of the host's clock; empty when the horizon leaves no time
+     */
+    OptionalLong grantLease(SchedulingTerms terms, long confirmedAt, long now) {
+        long readingAge = now - clockReadAt;
+        long horizonEnd = Math.min(confirmedAt, clockReadAt) + terms.leaseHorizonMilliseconds();
+        long lease = Math.min(
+                readingAge + terms.leaseMilliseconds(), SchedulingTerms.longestLease(horizonEnd - clockReadAt));
+        if (lease <= readingAge) {
+            return OptionalLong.empty();
+        }
+        recordLease(lease);
+        return OptionalLong.of(clockReading + lease);
+    }
+
+    /**
+     * Records a lease that the host may have.
+     *
+     * @param milliseconds its length from the last reading of the host's clock, in milliseconds of that clock
+     */
+    void recordLease(long milliseconds) {
+        highestDeadline = Math.max(highestDeadline, clockReading + milliseconds);
     }
 
     /** Returns the monotonic time of this process in milliseconds at which all leases have expired for certain. */
--- a/src/main/java/org/cicadalead/logic/work/WorkScheduler.java
+++ b/src/main/java/org/cicadalead/logic/work/WorkScheduler.java
@@ -158,20 +158,20 @@
     }
 
     /**
-     * Creates the next poll of a host, extending its lease where permitted; empty once the host need not be polled.
+     * Creates the next poll of a host, extending its lease as far as the age of the last confirmed record permits;
+     * empty once the host need not be polled.
      *
-     * @param mayRenew whether the last confirmed heartbeat is recent enough to renew leases
+     * @param unconfirmedMilliseconds time since the last confirmed record of the leader was sent
      */
-    public Optional<HostPollRequest> createPoll(String identifier, WorkTime now, boolean mayRenew) {
+    public Optional<HostPollRequest> createPoll(String identifier, WorkTime now, long unconfirmedMilliseconds) {
         WorkHost host = state.hosts.get(identifier);
         if (host == null || (!host.registered && host.runs.isEmpty())) {
             return Optional.empty();
         }
         boolean isBusy = !host.runs.isEmpty();
-        boolean renewsLease = mayRenew && state.isAnnounced() && isBusy && host.canReceiveLease(now.monotonic());
-        OptionalLong deadline = renewsLease
-                ? OptionalLong.of(host.extendLease(now.monotonic(), state.terms.leaseMilliseconds()))
-                : OptionalLong.empty();
+        state.updateConfirmation(now.monotonic(), unconfirmedMilliseconds);
+        boolean renewsLease = state.isAnnounced() && isBusy && host.canReceiveLease(now.monotonic());
+        OptionalLong deadline = renewsLease ? state.grantLease(host, now.monotonic()) : OptionalLong.empty();
         // A restarted host numbers its ended runs from the beginning. An acknowledgement of numbers of the previous
         // incarnation would discard ends that are not stored yet.
         long acknowledged = host.incarnationUnknown ? 0 : host.acknowledgedEndNumber;
@@ -404,19 +404,21 @@
     /**
      * Decides which orders are due now.
      *
-     * @param mayStart whether the last confirmed heartbeat is recent enough to start work
+     * @param unconfirmedMilliseconds time since the last confirmed record of the leader was sent
      */
-    public List<WorkOrder> decide(WorkTime now, boolean mayStart) {
+    public List<WorkOrder> decide(WorkTime now, long unconfirmedMilliseconds) {
         List<WorkOrder> orders = new ArrayList<>();
         if (superseded) {
             orders.add(new WorkOrder.StepDown());
             return orders;
         }
+        state.updateConfirmation(now.monotonic(), unconfirmedMilliseconds);
         countArrivals(now);
         expireLeases(now.monotonic());
         state.retireEndedJobs(now.monotonic());
         openDueOccurrences(now);
         stopUnwantedRuns(orders, now.monotonic());
+        boolean mayStart = unconfirmedMilliseconds < state.terms.startLimitMilliseconds();
         if (mayStart && state.isAnnounced()) {
             placement.place(orders, now);
             for (WorkHost host : state.hosts.values()) {
--- a/src/main/java/org/cicadalead/logic/work/WorkState.java
+++ b/src/main/java/org/cicadalead/logic/work/WorkState.java
@@ -7,6 +7,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.cicadalead.model.work.HostEntry;
 import org.cicadalead.model.work.TaskKey;
@@ -37,6 +38,9 @@
     /** Generation of the newest announcement that is in the store; 0 before the first one. */
     long storedGeneration;
 
+    /** Monotonic time in milliseconds at which the last confirmed record of the leader was sent. */
+    private long confirmedAt = WorkHost.NEVER;
+
     WorkState(SchedulingTerms terms, long epoch) {
         this.terms = terms;
         this.epoch = epoch;
@@ -50,6 +54,16 @@
         return storedGeneration > 0;
     }
 
+    /** Records the age of the last confirmed record, from which the horizon of leases counts. */
+    void updateConfirmation(long now, long unconfirmedMilliseconds) {
+        confirmedAt = now - unconfirmedMilliseconds;
+    }
+
+    /** Grants a lease on a host, as {@link WorkHost#grantLease} does. */
+    OptionalLong grantLease(WorkHost host, long now) {
+        return host.grantLease(terms, confirmedAt, now);
+    }
+
     void addJob(WorkJob job) {
         jobs.put(job.identifier(), job);
         liveJobs.add(job);
--- a/src/main/java/org/cicadalead/platform/PlatformEntry.java
+++ b/src/main/java/org/cicadalead/platform/PlatformEntry.java
@@ -46,8 +46,11 @@
     /** Maximum time for which a leader starts runs without a confirmed heartbeat: longer than a takeover takes. */
     private static final long MAX_UNCONFIRMED_START_MILLISECONDS = 2_500;
 
-    /** Maximum time for which a leader renews leases without a confirmed heartbeat; leases last longer than this. */
-    private static final long MAX_UNCONFIRMED_RENEWAL_MILLISECONDS = 6_000;
+    /**
+     * Time by which every lease has expired after the last confirmed heartbeat of the leader, and after the last reply
+     * of the host. A lasting task has to run again 7 s after the last disruption; the rest is for the start after it.
+     */
+    private static final long LEASE_HORIZON_MILLISECONDS = 6_000;
 
     /** Minimum number of processor cores with which a host takes part in elections without delay. */
     private static final double MIN_LARGE_HOST_CORES = 0.7;
@@ -151,7 +154,7 @@
         return new SchedulingTerms(
                 Math.round(settings.maximumLeaseMilliseconds() * LEASE_SHARE),
                 MAX_UNCONFIRMED_START_MILLISECONDS,
-                MAX_UNCONFIRMED_RENEWAL_MILLISECONDS,
+                LEASE_HORIZON_MILLISECONDS,
                 settings.stopTimeoutMilliseconds(),
                 settings.maintenanceMilliseconds(),
                 settings.remoteFactor());
--- a/src/test/java/org/cicadalead/logic/work/AvailabilityLimitTest.java
+++ b/src/test/java/org/cicadalead/logic/work/AvailabilityLimitTest.java
@@ -28,7 +28,7 @@
     @Test
     void stopsNoTaskOfStepWhoseOtherTasksAreOnHostThatDoesNotReply() {
         scheduler.addJob(WorkFixtures.job("job", WorkFixtures.BUSY, 0, WorkFixtures.longRunningStep(4, 1)), at(1));
-        List<WorkOrder.Start> starts = WorkFixtures.startsIn(WorkFixtures.decide(scheduler, at(1), true));
+        List<WorkOrder.Start> starts = WorkFixtures.startsIn(WorkFixtures.decide(scheduler, at(1), 0));
         WorkFixtures.confirmStarts(scheduler, starts, 10);
         List<String> used =
                 starts.stream().map(start -> start.target().host()).distinct().toList();
@@ -41,6 +41,6 @@
         MachineView view = scheduler.createMachineView();
         view.setCordoned(used.get(0), true);
         view.evacuateOneTask(used.get(0), now);
-        assertTrue(scheduler.decide(at(now + 1), true).stream().noneMatch(WorkOrder.Stop.class::isInstance));
+        assertTrue(scheduler.decide(at(now + 1), 0).stream().noneMatch(WorkOrder.Stop.class::isInstance));
     }
 }
--- a/src/test/java/org/cicadalead/logic/work/BacklogCostTest.java
+++ b/src/test/java/org/cicadalead/logic/work/BacklogCostTest.java
@@ -30,7 +30,7 @@
         scheduler.addJob(
                 WorkFixtures.job("filling", WorkFixtures.BUSY, 0, WorkFixtures.step(HOSTS, 7_000, 60_000)),
                 WorkFixtures.at(0));
-        List<WorkOrder.Start> starts = WorkFixtures.startsIn(WorkFixtures.decide(scheduler, WorkFixtures.at(1), true));
+        List<WorkOrder.Start> starts = WorkFixtures.startsIn(WorkFixtures.decide(scheduler, WorkFixtures.at(1), 0));
         assertEquals(HOSTS, starts.size());
         WorkFixtures.confirmStarts(scheduler, starts, 2);
         for (int number = 0; number < backlog; number++) {
@@ -44,10 +44,10 @@
                             WorkFixtures.step(4, 1_200 + number, 1_000)),
                     WorkFixtures.at(3));
         }
-        WorkFixtures.decide(scheduler, WorkFixtures.at(4), true);
+        WorkFixtures.decide(scheduler, WorkFixtures.at(4), 0);
         long evaluatedBefore = scheduler.evaluatedHosts();
         for (int cycle = 0; cycle < CYCLES; cycle++) {
-            assertTrue(WorkFixtures.startsIn(scheduler.decide(WorkFixtures.at(5 + cycle), true))
+            assertTrue(WorkFixtures.startsIn(scheduler.decide(WorkFixtures.at(5 + cycle), 0))
                     .isEmpty());
         }
         return scheduler.evaluatedHosts() - evaluatedBefore;
--- a/src/test/java/org/cicadalead/logic/work/JobRetentionTest.java
+++ b/src/test/java/org/cicadalead/logic/work/JobRetentionTest.java
@@ -38,11 +38,11 @@
     }
 
     private static void endJob(WorkScheduler scheduler) {
-        List<WorkOrder.Start> starts = WorkFixtures.startsIn(WorkFixtures.decide(scheduler, WorkFixtures.at(2), true));
+        List<WorkOrder.Start> starts = WorkFixtures.startsIn(WorkFixtures.decide(scheduler, WorkFixtures.at(2), 0));
         WorkFixtures.confirmStarts(scheduler, starts, 3);
         EndedRun end = new EndedRun(1, starts.get(0).run(), RunEnding.DONE, "");
         WorkFixtures.replyToPoll(scheduler, "host", ENDED_AT, List.of(), List.of(end));
-        for (WorkOrder order : scheduler.decide(WorkFixtures.at(ENDED_AT + 1), true)) {
+        for (WorkOrder order : scheduler.decide(WorkFixtures.at(ENDED_AT + 1), 0)) {
             if (order instanceof WorkOrder.Persist persist) {
                 scheduler.onBatchResult(persist.batch(), true);
             }
@@ -52,7 +52,7 @@
 
     private static List<String> findRemovedJobs(WorkScheduler scheduler, long now) {
         List<String> removed = new ArrayList<>();
-        for (WorkOrder order : scheduler.decide(WorkFixtures.at(now), true)) {
+        for (WorkOrder order : scheduler.decide(WorkFixtures.at(now), 0)) {
             if (order instanceof WorkOrder.RemoveJobs removal) {
                 removed.addAll(removal.jobs());
             }
--- a/src/test/java/org/cicadalead/logic/work/MachineMaintenancePlannerTest.java
+++ b/src/test/java/org/cicadalead/logic/work/MachineMaintenancePlannerTest.java
@@ -104,10 +104,10 @@
         scheduler.addJob(
                 WorkFixtures.job("job", WorkFixtures.BUSY, 0, WorkFixtures.step(32, 1_000, 9_000)), WorkFixtures.at(1));
         WorkFixtures.confirmStarts(
-                scheduler, WorkFixtures.startsIn(WorkFixtures.decide(scheduler, WorkFixtures.at(1), true)), 5);
+                scheduler, WorkFixtures.startsIn(WorkFixtures.decide(scheduler, WorkFixtures.at(1), 0)), 5);
         assertEquals(List.of(), decide(scheduler, 10), "the machine is cordoned first");
         assertEquals(List.of(), decide(scheduler, 2_100), "its short work is then stopped");
-        List<WorkOrder> stops = WorkFixtures.decide(scheduler, WorkFixtures.at(2_101), true).stream()
+        List<WorkOrder> stops = WorkFixtures.decide(scheduler, WorkFixtures.at(2_101), 0).stream()
                 .filter(WorkOrder.Stop.class::isInstance)
                 .toList();
         assertEquals(8, stops.size(), "the tasks of one machine");
@@ -129,9 +129,9 @@
         scheduler.addJob(
                 WorkFixtures.job("job", WorkFixtures.BUSY, 0, WorkFixtures.longRunningStep(4, 1)), WorkFixtures.at(1));
         WorkFixtures.confirmStarts(
-                scheduler, WorkFixtures.startsIn(WorkFixtures.decide(scheduler, WorkFixtures.at(1), true)), 5);
+                scheduler, WorkFixtures.startsIn(WorkFixtures.decide(scheduler, WorkFixtures.at(1), 0)), 5);
         assertEquals(List.of(), decide(scheduler, 10), "the host has two tasks and one may be unavailable");
-        long stops = WorkFixtures.decide(scheduler, WorkFixtures.at(11), true).stream()
+        long stops = WorkFixtures.decide(scheduler, WorkFixtures.at(11), 0).stream()
                 .filter(WorkOrder.Stop.class::isInstance)
                 .count();
         assertEquals(1, stops);
@@ -145,9 +145,9 @@
         scheduler.addJob(
                 WorkFixtures.job("job", WorkFixtures.BUSY, 0, WorkFixtures.longRunningStep(3, 1)), WorkFixtures.at(1));
         WorkFixtures.confirmStarts(
-                scheduler, WorkFixtures.startsIn(WorkFixtures.decide(scheduler, WorkFixtures.at(1), true)), 5);
+                scheduler, WorkFixtures.startsIn(WorkFixtures.decide(scheduler, WorkFixtures.at(1), 0)), 5);
         List<MachineMaintenancePlanner.Order> orders = decide(scheduler, 10);
-        long stops = WorkFixtures.decide(scheduler, WorkFixtures.at(11), true).stream()
+        long stops = WorkFixtures.decide(scheduler, WorkFixtures.at(11), 0).stream()
                 .filter(WorkOrder.Stop.class::isInstance)
                 .count();
         assertTrue(orders.size() + stops <= 1, orders.size() + " machines and " + stops + " tasks at once");
--- a/src/test/java/org/cicadalead/logic/work/PoolBalancerTest.java
+++ b/src/test/java/org/cicadalead/logic/work/PoolBalancerTest.java
@@ -66,7 +66,7 @@
         addStandbyMachines(2);
         WorkScheduler scheduler = createScheduler();
         submitPeak(scheduler, WorkFixtures.BUSY, 20, 100);
-        WorkFixtures.decide(scheduler, WorkFixtures.at(101), true);
+        WorkFixtures.decide(scheduler, WorkFixtures.at(101), 0);
         List<PoolBalancer.Move> moves = decide(scheduler, 102);
         assertTrue(moves.stream().allMatch(move -> move.pool().equals(WorkFixtures.BUSY)));
         assertEquals(5, moves.size(), "all except the one that the quiet pool keeps");
@@ -79,7 +79,7 @@
         WorkScheduler scheduler = createScheduler();
         submitPeak(scheduler, WorkFixtures.BUSY, 20, 100);
         submitPeak(scheduler, WorkFixtures.QUIET, 20, 100);
-        WorkFixtures.decide(scheduler, WorkFixtures.at(101), true);
+        WorkFixtures.decide(scheduler, WorkFixtures.at(101), 0);
         assertEquals(List.of(), decide(scheduler, 102));
     }
 
@@ -89,7 +89,7 @@
         addStandbyMachines(3);
         WorkScheduler scheduler = createScheduler();
         submitPeak(scheduler, WorkFixtures.BUSY, 20, 100);
-        WorkFixtures.decide(scheduler, WorkFixtures.at(101), true);
+        WorkFixtures.decide(scheduler, WorkFixtures.at(101), 0);
         assertEquals(List.of(), decide(scheduler, 60_000));
     }
 
@@ -101,13 +101,12 @@
         scheduler.addJob(
                 WorkFixtures.job("late", WorkFixtures.QUIET, -60_000, WorkFixtures.step(16, 1_000, 5_000)),
                 WorkFixtures.at(1));
-        List<WorkOrder.Start> lateStarts =
-                WorkFixtures.startsIn(WorkFixtures.decide(scheduler, WorkFixtures.at(1), true));
+        List<WorkOrder.Start> lateStarts = WorkFixtures.startsIn(WorkFixtures.decide(scheduler, WorkFixtures.at(1), 0));
         WorkFixtures.confirmStarts(scheduler, lateStarts, 5);
         submitPeak(scheduler, WorkFixtures.BUSY, 20, 100);
-        WorkFixtures.decide(scheduler, WorkFixtures.at(101), true);
+        WorkFixtures.decide(scheduler, WorkFixtures.at(101), 0);
         assertEquals(List.of(), decide(scheduler, 102), "its late work must be stopped first");
-        List<WorkOrder> orders = WorkFixtures.decide(scheduler, WorkFixtures.at(103), true);
+        List<WorkOrder> orders = WorkFixtures.decide(scheduler, WorkFixtures.at(103), 0);
         assertEquals(8, orders.stream().filter(WorkOrder.Stop.class::isInstance).count());
     }
 
@@ -129,7 +128,7 @@
         WorkScheduler scheduler = createScheduler();
         scheduler.addJob(
                 WorkFixtures.job("short", WorkFixtures.QUIET, 0, WorkFixtures.step(1, 8_000, 50)), WorkFixtures.at(1));
-        List<WorkOrder.Start> started = WorkFixtures.startsIn(WorkFixtures.decide(scheduler, WorkFixtures.at(1), true));
+        List<WorkOrder.Start> started = WorkFixtures.startsIn(WorkFixtures.decide(scheduler, WorkFixtures.at(1), 0));
         WorkFixtures.confirmStarts(scheduler, started, 5);
         String host = started.get(0).target().host();
         WorkFixtures.replyToPoll(
@@ -140,7 +139,7 @@
                 List.of(new EndedRun(1, started.get(0).run(), RunEnding.FAILED, "")));
         scheduler.cancelJob("short", WorkFixtures.at(61));
         submitPeak(scheduler, WorkFixtures.BUSY, 20, 100);
-        List<WorkOrder> orders = scheduler.decide(WorkFixtures.at(101), true);
+        List<WorkOrder> orders = scheduler.decide(WorkFixtures.at(101), 0);
         assertEquals(
                 1, orders.stream().filter(WorkOrder.Persist.class::isInstance).count());
         assertTrue(decide(scheduler, 102).stream().noneMatch(move -> move.host().equals(host)));
@@ -155,7 +154,7 @@
         addStandbyMachines(3);
         WorkScheduler scheduler = createScheduler();
         submitPeak(scheduler, WorkFixtures.BUSY, 20, 100);
-        WorkFixtures.decide(scheduler, WorkFixtures.at(101), true);
+        WorkFixtures.decide(scheduler, WorkFixtures.at(101), 0);
         assertEquals(3, decide(scheduler, 102).size());
         assertEquals(List.of(), decide(scheduler, 110));
     }
@@ -166,7 +165,7 @@
         addStandbyMachines(1);
         WorkScheduler scheduler = createScheduler();
         submitPeak(scheduler, WorkFixtures.BUSY, 20, 100);
-        WorkFixtures.decide(scheduler, WorkFixtures.at(101), true);
+        WorkFixtures.decide(scheduler, WorkFixtures.at(101), 0);
         PoolBalancer.Move move = decide(scheduler, 102).get(0);
         balancer.onMoveReply(move, MachineOutcome.BUSY, 110);
         assertEquals(List.of(), decide(scheduler, 111));
--- a/src/test/java/org/cicadalead/logic/work/RunLedgerTest.java
+++ b/src/test/java/org/cicadalead/logic/work/RunLedgerTest.java
@@ -18,7 +18,7 @@
 
     private WorkOrder.Start startTask(long now) {
         scheduler.addJob(WorkFixtures.job("job", WorkFixtures.BUSY, 0, WorkFixtures.step(1, 1_000, 500)), at(now));
-        WorkOrder.Start start = WorkFixtures.startsIn(WorkFixtures.decide(scheduler, at(now), true))
+        WorkOrder.Start start = WorkFixtures.startsIn(WorkFixtures.decide(scheduler, at(now), 0))
                 .get(0);
         scheduler.onStartReply("host", start.run(), StartOutcome.STARTED, at(now + 4));
         return start;
@@ -32,7 +32,7 @@
     void keepsRunThatRestartedHostStartedAfterItsListingWasRequested() {
         startTask(100);
         listNoRunsAfterRestart(99, 106);
-        assertEquals(List.of(), WorkFixtures.startsIn(WorkFixtures.decide(scheduler, at(107), true)));
+        assertEquals(List.of(), WorkFixtures.startsIn(WorkFixtures.decide(scheduler, at(107), 0)));
         long remaining =
                 scheduler.announceHostsInUse(at(107)).claims().get("host").remainingLease();
         assertTrue(remaining >= WorkFixtures.TERMS.leaseMilliseconds() - 1, "remaining lease is " + remaining);
@@ -44,7 +44,7 @@
         listNoRunsAfterRestart(105, 106);
         assertEquals(
                 1,
-                WorkFixtures.startsIn(WorkFixtures.decide(scheduler, at(107), true))
+                WorkFixtures.startsIn(WorkFixtures.decide(scheduler, at(107), 0))
                         .size());
     }
 
@@ -52,11 +52,11 @@
     void ordersNothingOnHostThatMayHaveRestartedUntilItReplies() {
         scheduler.onPollFailed("host");
         scheduler.addJob(WorkFixtures.job("job", WorkFixtures.BUSY, 0, WorkFixtures.step(1, 1_000, 500)), at(100));
-        assertEquals(List.of(), WorkFixtures.startsIn(WorkFixtures.decide(scheduler, at(100), true)));
+        assertEquals(List.of(), WorkFixtures.startsIn(WorkFixtures.decide(scheduler, at(100), 0)));
         WorkFixtures.replyToPoll(scheduler, "host", 200, List.of(), List.of());
         assertEquals(
                 1,
-                WorkFixtures.startsIn(WorkFixtures.decide(scheduler, at(201), true))
+                WorkFixtures.startsIn(WorkFixtures.decide(scheduler, at(201), 0))
                         .size());
     }
 
@@ -64,13 +64,13 @@
     void keepsRunOfHostThatRepliedAfterTheListOfItsMachineWasRequested() {
         startTask(100);
         scheduler.createMachineView().onHostDown("host", -1);
-        assertTrue(scheduler.createPoll("host", at(107), true).isPresent());
+        assertTrue(scheduler.createPoll("host", at(107), 0).isPresent());
     }
 
     @Test
     void dropsRunOfHostThatHasNotRepliedSinceTheListOfItsMachineWasRequested() {
         startTask(100);
         scheduler.createMachineView().onHostDown("host", 101);
-        assertEquals(Optional.empty(), scheduler.createPoll("host", at(107), true));
+        assertEquals(Optional.empty(), scheduler.createPoll("host", at(107), 0));
     }
 }
--- a/src/test/java/org/cicadalead/logic/work/SchedulingLoad.java
+++ b/src/test/java/org/cicadalead/logic/work/SchedulingLoad.java
@@ -222,7 +222,7 @@
     }
 
     private void poll(String host) {
-        Optional<HostPollRequest> request = scheduler.createPoll(host, time(), true);
+        Optional<HostPollRequest> request = scheduler.createPoll(host, time(), 0);
         Machine machine = machineByHost.get(host);
         if (request.isEmpty() || machine == null) {
             polled.remove(host);
@@ -256,7 +256,7 @@
         cycles++;
         long startNanoseconds = threads.getCurrentThreadCpuTime();
         List<WorkOrder> orders = new ArrayList<>();
-        measure("decide", () -> orders.addAll(scheduler.decide(time(), true)));
+        measure("decide", () -> orders.addAll(scheduler.decide(time(), 0)));
         orders.forEach(this::execute);
         if (pacing.startMachineDecisions(now)) {
             measure("machines", () -> {
--- a/src/test/java/org/cicadalead/logic/work/SimulatedScheduling.java
+++ b/src/test/java/org/cicadalead/logic/work/SimulatedScheduling.java
@@ -45,7 +45,7 @@
                 }
             }
         }
-        execute(scheduler.decide(fleet.time(), term.canStart()));
+        execute(scheduler.decide(fleet.time(), term.unconfirmedMilliseconds()));
         if (term.canStart() && !term.hasEnded()) {
             machines.advance();
         }
@@ -66,7 +66,8 @@
     }
 
     private void poll(String identifier) {
-        Optional<HostPollRequest> request = scheduler.createPoll(identifier, fleet.time(), term.canRenew());
+        Optional<HostPollRequest> request =
+                scheduler.createPoll(identifier, fleet.time(), term.unconfirmedMilliseconds());
         if (request.isEmpty()) {
             polledHosts.remove(identifier);
             return;
--- a/src/test/java/org/cicadalead/logic/work/SimulatedTerm.java
+++ b/src/test/java/org/cicadalead/logic/work/SimulatedTerm.java
@@ -75,11 +75,11 @@
     }
 
     boolean canStart() {
-        return fleet.now() - lastConfirmedAt < SimulatedFleet.TERMS.startLimitMilliseconds();
+        return unconfirmedMilliseconds() < SimulatedFleet.TERMS.startLimitMilliseconds();
     }
 
-    boolean canRenew() {
-        return fleet.now() - lastConfirmedAt < SimulatedFleet.TERMS.renewalLimitMilliseconds();
+    long unconfirmedMilliseconds() {
+        return fleet.now() - lastConfirmedAt;
     }
 
     /**
--- a/src/test/java/org/cicadalead/logic/work/SuccessionReviewTest.java
+++ b/src/test/java/org/cicadalead/logic/work/SuccessionReviewTest.java
@@ -7,8 +7,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.stream.IntStream;
+import org.cicadalead.model.work.ActiveRun;
 import org.cicadalead.model.work.HostClaim;
 import org.cicadalead.model.work.HostEntry;
 import org.cicadalead.model.work.HostListing;
@@ -20,6 +22,8 @@
 import org.cicadalead.model.work.WorkProgress;
 import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Bounds and waits of successions that a review found open. All times are milliseconds of one monotonic clock. */
 class SuccessionReviewTest {
@@ -46,9 +50,9 @@
         terms.announce(scheduler, 1);
         SuccessiveTerms.replyWithoutRuns(scheduler, 2, "first", "second");
         terms.announce(scheduler, 3);
-        scheduler.decide(at(4), true);
+        scheduler.decide(at(4), 0);
         terms.announce(scheduler, 5);
-        WorkFixtures.confirmStarts(scheduler, WorkFixtures.startsIn(scheduler.decide(at(6), true)), 10);
+        WorkFixtures.confirmStarts(scheduler, WorkFixtures.startsIn(scheduler.decide(at(6), 0)), 10);
         return scheduler;
     }
 
@@ -58,18 +62,18 @@
         WorkScheduler scheduler = beginFirstTerm(12);
         long now = 20_000;
         SuccessiveTerms.replyWithoutRuns(scheduler, now, "first");
-        scheduler.decide(at(now), true);
+        scheduler.decide(at(now), 0);
         terms.announce(scheduler, now);
         scheduler.updateHosts(List.of(FIRST), at(now + 10));
         scheduler.updateHosts(List.of(FIRST, SECOND), at(now + 260));
         SuccessiveTerms.replyWithoutRuns(scheduler, now + 262, "second", "first");
-        List<String> usedByFirstTerm = startedHosts(scheduler.decide(at(now + 263), true));
+        List<String> usedByFirstTerm = startedHosts(scheduler.decide(at(now + 263), 0));
 
         terms.claim(now + 1_500);
         WorkScheduler successor = terms.load(now + 1_700);
         SuccessiveTerms.replyWithoutRuns(successor, now + 1_710, "first");
         terms.announce(successor, now + 1_711);
-        List<String> usedBySuccessor = startedHosts(successor.decide(at(now + 1_712), true));
+        List<String> usedBySuccessor = startedHosts(successor.decide(at(now + 1_712), 0));
         assertTrue(
                 !usedByFirstTerm.contains("second") || usedBySuccessor.isEmpty(),
                 "first term used " + usedByFirstTerm + ", successor " + usedBySuccessor);
@@ -87,13 +91,13 @@
         terms.announce(second, now);
         second.updateHosts(List.of(FIRST, SECOND), at(now + 10));
         SuccessiveTerms.replyWithoutRuns(second, now + 12, "first", "second");
-        List<String> usedBySecond = startedHosts(second.decide(at(now + 13), true));
+        List<String> usedBySecond = startedHosts(second.decide(at(now + 13), 0));
 
         terms.claim(now + 1_500);
         WorkScheduler third = terms.load(now + 1_700);
         SuccessiveTerms.replyWithoutRuns(third, now + 1_710, "first");
         terms.announce(third, now + 1_711);
-        List<String> usedByThird = startedHosts(third.decide(at(now + 1_712), true));
+        List<String> usedByThird = startedHosts(third.decide(at(now + 1_712), 0));
         assertTrue(
                 !usedBySecond.contains("second") || usedByThird.isEmpty(),
                 "second term used " + usedBySecond + ", third " + usedByThird);
@@ -102,19 +106,56 @@
     /** The bound that a record states covers the longest lease that its term counts itself, on the slowest clock. */
     @Test
     void statedBoundCoversLeaseThatIsRenewedAtTheLimitFromAnOldReadingOfTheClock() {
-        WorkScheduler scheduler = beginFirstTerm(12);
-        long confirmedAt = 1_000;
-        terms.announce(scheduler, confirmedAt);
-        long lastRenewal = confirmedAt + WorkFixtures.TERMS.renewalLimitMilliseconds() - 1;
-        long lastReply = lastRenewal - WorkHost.UNREACHABLE_AFTER_MILLISECONDS + 1;
-        WorkHost host = new WorkHost(SECOND, 0);
-        host.applyListing(new HostListing(1, lastReply, List.of(), List.of()), lastReply);
-        assertTrue(host.canReceiveLease(lastRenewal));
-        host.extendLease(lastRenewal, WorkFixtures.TERMS.leaseMilliseconds());
-        assertTrue(
-                host.leaseExpiresAt() <= confirmedAt + FULL_BOUND,
-                "lease may last until " + host.leaseExpiresAt() + ", a successor waits until "
-                        + (confirmedAt + FULL_BOUND));
+        long now = 20_000;
+        int grants = 0;
+        for (long unconfirmed = 0; unconfirmed <= FULL_BOUND + 100; unconfirmed += 10) {
+            for (long readingAge = 0; readingAge < WorkHost.UNREACHABLE_AFTER_MILLISECONDS; readingAge += 7) {
+                WorkHost host = new WorkHost(SECOND, 0);
+                host.applyListing(new HostListing(1, 3, List.of(), List.of()), now - readingAge);
+                assertTrue(host.canReceiveLease(now));
+                if (host.grantLease(WorkFixtures.TERMS, now - unconfirmed, now).isEmpty()) {
+                    assertTrue(host.leaseExpiresAt() <= now);
+                    continue;
+                }
+                grants++;
+                long bound = now - Math.max(unconfirmed, readingAge) + FULL_BOUND;
+                assertTrue(
+                        host.leaseExpiresAt() <= bound,
+                        "lease may last until " + host.leaseExpiresAt() + ", the bound ends at " + bound);
+            }
+        }
+        assertTrue(grants > 0, "no lease was granted");
+    }
+
+    /** The leader renews what the horizon leaves while it gets no confirmation; the host's clock may be slow. */
+    @ParameterizedTest
+    @ValueSource(doubles = {SchedulingTerms.SLOWEST_CLOCK_RATE, 0.99, 1})
+    void leasesOfLeaderWithoutConfirmationEndByTheHorizonAndNotAfterTheirAnnouncedEnd(double clockRate) {
+        WorkScheduler scheduler = WorkFixtures.scheduler(FIRST);
+        scheduler.addJob(WorkFixtures.job("job", WorkFixtures.BUSY, 0, WorkFixtures.longRunningStep(1, 0)), at(0));
+        WorkOrder.Start start =
+                WorkFixtures.startsIn(WorkFixtures.decide(scheduler, at(0), 0)).get(0);
+        List<ActiveRun> active = List.of(new ActiveRun(start.run(), "", WorkRun.FULL_SPEED_PERCENT, 0));
+        long highestDeadline = start.deadline();
+        for (long now = 250; now < FULL_BOUND; now += 250) {
+            long reading = (long) Math.floor(now * clockRate);
+            scheduler.onHostListing("first", new HostListing(1, reading, active, List.of()), now - 1, at(now));
+            OptionalLong deadline =
+                    scheduler.createPoll("first", at(now), now).orElseThrow().deadline();
+            assertTrue(deadline.isPresent(), "a lease is left at " + now);
+            highestDeadline = Math.max(highestDeadline, deadline.getAsLong());
+            double endsAt = highestDeadline / clockRate;
+            HostClaim claim = scheduler.announceHostsInUse(at(now)).claims().get("first");
+            assertTrue(claim.answering());
+            assertTrue(endsAt <= FULL_BOUND, "the lease ends at " + endsAt);
+            assertTrue(endsAt <= now + claim.remainingLease(), "the lease ends at " + endsAt + " despite " + claim);
+        }
+        assertEquals(
+                OptionalLong.empty(),
+                scheduler
+                        .createPoll("first", at(FULL_BOUND), FULL_BOUND)
+                        .orElseThrow()
+                        .deadline());
     }
 
     /** An idle host gets its first run after the last record; its registry entry expires before a successor loads. */
@@ -128,15 +169,15 @@
         for (int announcement = 0; announcement < 3; announcement++) {
             // The host has no room until after the last record.
             idle.createMachineView().setCordoned("second", true);
-            idle.decide(at(2), true);
+            idle.decide(at(2), 0);
             announced = idle.announceHostsInUse(at(3));
             idle.onAnnouncementStored(announced.generation());
         }
         idle.createMachineView().setCordoned("second", false);
-        idle.decide(at(4), true);
+        idle.decide(at(4), 0);
         HostsInUse intent = idle.announceHostsInUse(at(5));
         idle.onAnnouncementStored(intent.generation());
-        assertEquals(List.of("second"), startedHosts(idle.decide(at(6), true)));
+        assertEquals(List.of("second"), startedHosts(idle.decide(at(6), 0)));
         EarlierHosts earlier = EarlierHosts.from(
                 new EarlierTerm(
                         new LeaderRecord(
@@ -150,7 +191,7 @@
         successor.updateHosts(List.of(FIRST), at(5_000));
         SuccessiveTerms.replyWithoutRuns(successor, 5_001, "first");
         successor.onAnnouncementStored(successor.announceHostsInUse(at(5_002)).generation());
-        assertEquals(List.of(), startedHosts(successor.decide(at(5_003), true)));
+        assertEquals(List.of(), startedHosts(successor.decide(at(5_003), 0)));
     }
 
     /** A host that joined and never replied has no lease of the term; a successor need not wait for it. */
@@ -177,7 +218,7 @@
         scheduler.addJob(
                 WorkFixtures.job("job", WorkFixtures.BUSY, 0, WorkFixtures.longRunningStep(1, 0)), at(100_000));
         // The host restarts now; its poll has not failed yet, and its clock begins anew.
-        WorkOrder.Start start = WorkFixtures.startsIn(WorkFixtures.decide(scheduler, at(100_001), true))
+        WorkOrder.Start start = WorkFixtures.startsIn(WorkFixtures.decide(scheduler, at(100_001), 0))
                 .get(0);
         assertEquals("first", start.target().host());
         scheduler.onStartReply("first", start.run(), StartOutcome.UNKNOWN, at(100_601));
@@ -185,7 +226,7 @@
         long now = 100_001 + 5_900;
         SuccessiveTerms.replyWithoutRuns(scheduler, now, "second");
         scheduler.onAnnouncementStored(scheduler.announceHostsInUse(at(now)).generation());
-        List<String> restartedOn = startedHosts(WorkFixtures.decide(scheduler, at(now), true));
+        List<String> restartedOn = startedHosts(WorkFixtures.decide(scheduler, at(now), 0));
         // An order that is carried out within five seconds gets a lease up to the platform's limit of 6 s from then.
         assertEquals(List.of(), restartedOn);
     }
@@ -233,8 +274,7 @@
     void pollAfterFailureIsAnsweredAtOnce() {
         WorkScheduler scheduler = WorkFixtures.scheduler(FIRST);
         scheduler.onPollFailed("first");
-        assertEquals(
-                0, scheduler.createPoll("first", at(100), true).orElseThrow().waitMilliseconds());
+        assertEquals(0, scheduler.createPoll("first", at(100), 0).orElseThrow().waitMilliseconds());
     }
 
     /** Hosts that reply one after another in the first second of a term do not each cause an announcement. */
@@ -261,7 +301,7 @@
             for (int host = (int) (now / 2); host < Math.min(count, now / 2 + 5); host++) {
                 SuccessiveTerms.replyWithoutRuns(scheduler, now, "h" + host);
             }
-            scheduler.decide(at(now), true);
+            scheduler.decide(at(now), 0);
             boolean startsWait = scheduler.hasPendingStartIntents();
             boolean hostsWait = scheduler.hasHostsWaitingForAnnouncement(at(now));
             boolean waits = startsWait || hostsWait;
--- a/src/test/java/org/cicadalead/logic/work/SuccessiveTermsTest.java
+++ b/src/test/java/org/cicadalead/logic/work/SuccessiveTermsTest.java
@@ -2,11 +2,19 @@
 
 import static org.cicadalead.logic.work.WorkFixtures.at;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.cicadalead.model.work.ActiveRun;
 import org.cicadalead.model.work.HostEntry;
+import org.cicadalead.model.work.StartOutcome;
+import org.cicadalead.model.work.TaskKey;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Waits of lasting tasks over changes of the leader. All times are milliseconds of one monotonic clock. */
 class SuccessiveTermsTest {
@@ -18,6 +26,9 @@
 
     private static final long LOAD_DELAY = 200;
 
+    /** Changes of the leader within the time after its last record for which leases may last. */
+    private static final int SUCCESSIONS = 3;
+
     /** Tasks of the lasting job; they need all three hosts. */
     private static final int TASKS = 20;
 
@@ -30,6 +41,9 @@
 
     private final SuccessiveTerms terms = new SuccessiveTerms();
 
+    /** Starts of the first term. */
+    private List<WorkOrder.Start> starts = List.of();
+
     /** Begins a first term in which all three hosts run tasks of a lasting job, announced at 1,000 ms. */
     private WorkScheduler beginFirstTerm() {
         terms.register(FIRST, SECOND, THIRD);
@@ -39,15 +53,15 @@
         terms.announce(scheduler, 1);
         SuccessiveTerms.replyWithoutRuns(scheduler, 2, "first", "second", "third");
         terms.announce(scheduler, 3);
-        scheduler.decide(at(4), true);
+        scheduler.decide(at(4), 0);
         terms.announce(scheduler, 5);
-        List<WorkOrder.Start> starts = WorkFixtures.startsIn(scheduler.decide(at(6), true));
+        starts = WorkFixtures.startsIn(scheduler.decide(at(6), 0));
         assertEquals(
                 3,
                 starts.stream().map(start -> start.target().host()).distinct().count());
         WorkFixtures.confirmStarts(scheduler, starts, 10);
         for (String host : List.of("first", "second", "third")) {
-            scheduler.createPoll(host, at(900), true);
+            scheduler.createPoll(host, at(900), 0);
         }
         terms.announce(scheduler, 1_000);
         return scheduler;
@@ -57,7 +71,7 @@
     private int countStarts(WorkScheduler scheduler, long now, String... replyingHosts) {
         SuccessiveTerms.replyWithoutRuns(scheduler, now, replyingHosts);
         terms.announce(scheduler, now + 1);
-        return WorkFixtures.startsIn(scheduler.decide(at(now + 2), true)).size();
+        return WorkFixtures.startsIn(scheduler.decide(at(now + 2), 0)).size();
     }
 
     @Test
@@ -111,7 +125,7 @@
     void successionsBeforeLoadingDoNotExtendWaitOfFirst() {
         beginFirstTerm();
         long now = 1_000;
-        for (int succession = 0; succession < 4; succession++) {
+        for (int succession = 0; succession < SUCCESSIONS; succession++) {
             now += CLAIM_DELAY;
             terms.claim(now);
             now += 300;
@@ -129,7 +143,7 @@
         first.updateHosts(List.of(FIRST, SECOND, THIRD, joined), at(1_000));
         terms.announce(first, 1_000);
         long now = 1_000;
-        for (int succession = 0; succession < 4; succession++) {
+        for (int succession = 0; succession < SUCCESSIONS; succession++) {
             now += CLAIM_DELAY;
             terms.claim(now);
         }
@@ -142,14 +156,14 @@
         beginFirstTerm();
         long now = 1_000;
         WorkScheduler scheduler = null;
-        for (int succession = 0; succession < 4; succession++) {
+        for (int succession = 0; succession < SUCCESSIONS; succession++) {
             now += CLAIM_DELAY;
             terms.claim(now);
             now += LOAD_DELAY;
             scheduler = terms.load(now);
             SuccessiveTerms.replyWithoutRuns(scheduler, now, "first", "second");
             terms.announce(scheduler, now);
-            assertEquals(List.of(), WorkFixtures.startsIn(scheduler.decide(at(now + 1), true)));
+            assertEquals(List.of(), WorkFixtures.startsIn(scheduler.decide(at(now + 1), 0)));
         }
         assertEquals(TASKS_OF_TWO_HOSTS, countStarts(scheduler, 1_000 + waitOfFirstSuccession(), "first", "second"));
     }
@@ -190,6 +204,85 @@
                 .contains("third"));
     }
 
+    /** Lets a term renew leases on hosts and announce itself each 300 ms, until its leader is lost. */
+    private void schedule(WorkScheduler scheduler, long from, long until, String... replyingHosts) {
+        for (long now = from; now < until; now += 300) {
+            for (String host : replyingHosts) {
+                scheduler.createPoll(host, at(now), 0);
+                WorkFixtures.replyToPoll(scheduler, host, now + 10, activeRuns(starts, host), List.of());
+            }
+            scheduler.createPoll("third", at(now), 0);
+            terms.announce(scheduler, now + 20);
+        }
+        terms.announce(scheduler, until);
+    }
+
+    private static List<ActiveRun> activeRuns(List<WorkOrder.Start> starts, String host) {
+        return starts.stream()
+                .filter(start -> start.target().host().equals(host))
+                .map(start -> new ActiveRun(start.run(), "", WorkRun.FULL_SPEED_PERCENT, 0))
+                .toList();
+    }
+
+    /** Returns when a lasting task must run again: 9 s after its last run, once 7 s were calm. */
+    private static long dueAt(long lastRunEndedAt, long lastDisruptionEndedAt) {
+        return Math.max(lastRunEndedAt + 9_000, lastDisruptionEndedAt + 7_000);
+    }
+
+    /** The third host is lost for good at 1,000 ms, and no evidence of that comes, as its machine stays down. */
+    @ParameterizedTest
+    @ValueSource(longs = {1_000, 1_100, 2_000, 3_400, 3_600, 5_000, 6_500, 8_000})
+    void restartsLastingTaskInTimeAlthoughItsHostIsLostWithTheLeaderOrBefore(long leaderLostAt) {
+        WorkScheduler first = beginFirstTerm();
+        WorkFixtures.replyToPoll(first, "third", 1_000, activeRuns(starts, "third"), List.of());
+        schedule(first, 1_010, leaderLostAt, "first", "second");
+        terms.claim(leaderLostAt + CLAIM_DELAY);
+        WorkScheduler successor = terms.load(leaderLostAt + CLAIM_DELAY + LOAD_DELAY);
+        long dueAt = dueAt(1_000, leaderLostAt);
+        assertEquals(TASKS_OF_TWO_HOSTS, countStarts(successor, dueAt - 200, "first", "second"));
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {2, 3, 5})
+    void restartsLastingTaskInTimeAlthoughItsHostIsLostAndLeadersFollowEachOther(int successions) {
+        WorkScheduler leader = beginFirstTerm();
+        long now = 1_000;
+        for (int succession = 1; succession < successions; succession++) {
+            terms.claim(now + CLAIM_DELAY);
+            leader = terms.load(now + CLAIM_DELAY + LOAD_DELAY);
+            SuccessiveTerms.replyWithoutRuns(leader, now + 1_600, "first", "second");
+            terms.announce(leader, now + 1_610);
+            leader.decide(at(now + 1_700), 0);
+            terms.announce(leader, now + 1_900);
+            now += 1_900;
+        }
+        terms.claim(now + CLAIM_DELAY);
+        WorkScheduler last = terms.load(now + CLAIM_DELAY + LOAD_DELAY);
+        assertEquals(TASKS_OF_TWO_HOSTS, countStarts(last, dueAt(1_000, now) - 200, "first", "second"));
+    }
+
+    @Test
+    void restartsLastingTaskInTimeAlthoughItWasOrderedOnAHostThatWasLostBefore() {
+        WorkScheduler scheduler = WorkFixtures.scheduler(FIRST, SECOND);
+        SuccessiveTerms.replyWithoutRuns(scheduler, 1_000, "first", "second");
+        SuccessiveTerms.replyWithoutRuns(scheduler, 3_400, "first");
+        scheduler.addJob(WorkFixtures.job("job", WorkFixtures.BUSY, 0, WorkFixtures.longRunningStep(4, 0)), at(3_400));
+        starts = WorkFixtures.startsIn(WorkFixtures.decide(scheduler, at(3_400), 0));
+        Set<TaskKey> lost = activeRuns(starts, "second").stream()
+                .map(active -> active.run().task())
+                .collect(Collectors.toSet());
+        assertFalse(lost.isEmpty());
+        activeRuns(starts, "second")
+                .forEach(run -> scheduler.onStartReply("second", run.run(), StartOutcome.UNKNOWN, at(4_000)));
+        long releasedAt = 1_000 + LONGEST_STANDSTILL + 100;
+        WorkFixtures.replyToPoll(scheduler, "first", releasedAt, activeRuns(starts, "first"), List.of());
+        assertEquals(
+                lost,
+                WorkFixtures.startsIn(WorkFixtures.decide(scheduler, at(releasedAt + 1), 0)).stream()
+                        .map(start -> start.run().task())
+                        .collect(Collectors.toSet()));
+    }
+
     /** Returns the time from the last record of the first term until each of its leases has expired for certain. */
     private static long waitOfFirstSuccession() {
         return WorkFixtures.TERMS.earlierLeaseExpiryMilliseconds();
--- a/src/test/java/org/cicadalead/logic/work/TakeoverGateTest.java
+++ b/src/test/java/org/cicadalead/logic/work/TakeoverGateTest.java
@@ -80,8 +80,7 @@
         scheduler.addJob(WorkFixtures.job("job", WorkFixtures.BUSY, 0, WorkFixtures.longRunningStep(1, 0)), at(1));
         assertEquals(
                 1,
-                WorkFixtures.startsIn(WorkFixtures.decide(scheduler, at(1), true))
-                        .size());
+                WorkFixtures.startsIn(WorkFixtures.decide(scheduler, at(1), 0)).size());
         assertEquals(
                 Optional.of("machine"),
                 scheduler.announceHostsInUse(at(2)).claims().get("host").machine());
@@ -101,7 +100,8 @@
     @Test
     void assumesLongestLeasesForRecordWithoutAnnouncedBounds() {
         LeaderRecord lastRecord = record(false, claim(true, 5_000), Optional.empty());
-        assertEquals(Map.of("earlier", FULL_BOUND, "host", FULL_BOUND), expiryAt(lastRecord, 500, 500));
+        long longestBound = 6_000 + Math.round((5_700 + 2_500 * 0.02) / 0.98) + 2;
+        assertEquals(Map.of("earlier", longestBound, "host", longestBound), expiryAt(lastRecord, 500, 500));
         HostsInUse carriedOn = HostsInUse.fromEarlierTerm(Optional.of(new EarlierTerm(lastRecord, 500)), 900);
         assertEquals(Optional.empty(), carriedOn.leasesExpireAfter());
         assertTrue(carriedOn.claims().get("earlier").answering());
@@ -115,16 +115,13 @@
         scheduler.addJob(WorkFixtures.job("job", WorkFixtures.BUSY, 0, WorkFixtures.longRunningStep(2, 0)), at(0));
         WorkFixtures.replyToPoll(scheduler, "host", 1, List.of(new ActiveRun(run, "", 100, 0)), List.of());
         scheduler.addJob(WorkFixtures.job("new", WorkFixtures.BUSY, 0, WorkFixtures.step(1, 1_000, 500)), at(2));
-        assertEquals(List.of(), WorkFixtures.startsIn(scheduler.decide(at(3), true)));
+        assertEquals(List.of(), WorkFixtures.startsIn(scheduler.decide(at(3), 0)));
         assertEquals(
                 OptionalLong.empty(),
-                scheduler.createPoll("host", at(3), true).orElseThrow().deadline());
+                scheduler.createPoll("host", at(3), 0).orElseThrow().deadline());
         assertTrue(scheduler.hasPendingStartIntents());
         scheduler.onAnnouncementStored(scheduler.announceHostsInUse(at(4)).generation());
-        assertTrue(scheduler
-                .createPoll("host", at(5), true)
-                .orElseThrow()
-                .deadline()
-                .isPresent());
+        assertTrue(
+                scheduler.createPoll("host", at(5), 0).orElseThrow().deadline().isPresent());
     }
 }
--- a/src/test/java/org/cicadalead/logic/work/WorkFixtures.java
+++ b/src/test/java/org/cicadalead/logic/work/WorkFixtures.java
@@ -111,12 +111,12 @@
     }
 
     /** Returns the decided orders, with a store that confirms at once the announcements that starts wait for. */
-    static List<WorkOrder> decide(WorkScheduler scheduler, WorkTime now, boolean mayStart) {
-        List<WorkOrder> orders = new ArrayList<>(scheduler.decide(now, mayStart));
+    static List<WorkOrder> decide(WorkScheduler scheduler, WorkTime now, long unconfirmedMilliseconds) {
+        List<WorkOrder> orders = new ArrayList<>(scheduler.decide(now, unconfirmedMilliseconds));
         // The first announcement may be that of the term, the second that of its started jobs.
         for (int announcement = 0; announcement < 2 && scheduler.hasPendingStartIntents(); announcement++) {
             scheduler.onAnnouncementStored(scheduler.announceHostsInUse(now).generation());
-            orders.addAll(scheduler.decide(now, mayStart));
+            orders.addAll(scheduler.decide(now, unconfirmedMilliseconds));
         }
         return orders;
     }
--- a/src/test/java/org/cicadalead/logic/work/WorkSchedulerTest.java
+++ b/src/test/java/org/cicadalead/logic/work/WorkSchedulerTest.java
@@ -32,71 +32,66 @@
     void acknowledgesAndShowsEndOnlyAfterItIsStored() {
         WorkScheduler scheduler = WorkFixtures.scheduler(FIRST);
         scheduler.addJob(WorkFixtures.job("job", WorkFixtures.BUSY, 0, WorkFixtures.step(1, 1_000, 500)), at(1));
-        WorkOrder.Start start = WorkFixtures.startsIn(WorkFixtures.decide(scheduler, at(1), true))
-                .get(0);
+        WorkOrder.Start start =
+                WorkFixtures.startsIn(WorkFixtures.decide(scheduler, at(1), 0)).get(0);
         EndedRun end = new EndedRun(1, start.run(), RunEnding.DONE, "");
         WorkFixtures.replyToPoll(scheduler, "first", 600, List.of(), List.of(end));
-        WorkOrder.Persist persist = (WorkOrder.Persist) WorkFixtures.decide(scheduler, at(600), true).stream()
+        WorkOrder.Persist persist = (WorkOrder.Persist) WorkFixtures.decide(scheduler, at(600), 0).stream()
                 .filter(WorkOrder.Persist.class::isInstance)
                 .findFirst()
                 .orElseThrow();
         assertEquals(Optional.of(WorkPhase.RUNNING), scheduler.findPhase("job"));
-        assertEquals(
-                0, scheduler.createPoll("first", at(601), true).orElseThrow().acknowledged());
+        assertEquals(0, scheduler.createPoll("first", at(601), 0).orElseThrow().acknowledged());
         scheduler.onBatchResult(persist.batch(), true);
         assertEquals(Optional.of(WorkPhase.COMPLETED), scheduler.findPhase("job"));
-        assertEquals(
-                1, scheduler.createPoll("first", at(602), true).orElseThrow().acknowledged());
+        assertEquals(1, scheduler.createPoll("first", at(602), 0).orElseThrow().acknowledged());
     }
 
     @Test
     void acknowledgesNoEndsOfPossiblyRestartedHost() {
         WorkScheduler scheduler = WorkFixtures.scheduler(FIRST);
         scheduler.addJob(WorkFixtures.job("job", WorkFixtures.BUSY, 0, WorkFixtures.step(1, 1_000, 500)), at(1));
-        WorkOrder.Start start = WorkFixtures.startsIn(WorkFixtures.decide(scheduler, at(1), true))
-                .get(0);
+        WorkOrder.Start start =
+                WorkFixtures.startsIn(WorkFixtures.decide(scheduler, at(1), 0)).get(0);
         WorkFixtures.replyToPoll(
                 scheduler, "first", 600, List.of(), List.of(new EndedRun(9, start.run(), RunEnding.DONE, "")));
-        WorkFixtures.decide(scheduler, at(600), true);
+        WorkFixtures.decide(scheduler, at(600), 0);
         scheduler.onBatchResult(1, true);
-        assertEquals(
-                9, scheduler.createPoll("first", at(601), true).orElseThrow().acknowledged());
+        assertEquals(9, scheduler.createPoll("first", at(601), 0).orElseThrow().acknowledged());
         scheduler.onPollFailed("first");
-        assertEquals(
-                0, scheduler.createPoll("first", at(602), true).orElseThrow().acknowledged());
+        assertEquals(0, scheduler.createPoll("first", at(602), 0).orElseThrow().acknowledged());
     }
 
     @Test
     void acknowledgesNoEndsOfReregisteredHost() {
         WorkScheduler scheduler = WorkFixtures.scheduler(FIRST);
         scheduler.addJob(WorkFixtures.job("job", WorkFixtures.BUSY, 0, WorkFixtures.step(1, 1_000, 500)), at(1));
-        WorkOrder.Start start = WorkFixtures.startsIn(WorkFixtures.decide(scheduler, at(1), true))
-                .get(0);
+        WorkOrder.Start start =
+                WorkFixtures.startsIn(WorkFixtures.decide(scheduler, at(1), 0)).get(0);
         WorkFixtures.replyToPoll(
                 scheduler, "first", 600, List.of(), List.of(new EndedRun(9, start.run(), RunEnding.DONE, "")));
-        WorkFixtures.decide(scheduler, at(600), true);
+        WorkFixtures.decide(scheduler, at(600), 0);
         scheduler.onBatchResult(1, true);
         scheduler.updateHosts(List.of(), at(700));
         scheduler.updateHosts(List.of(FIRST), at(800));
-        assertEquals(
-                0, scheduler.createPoll("first", at(801), true).orElseThrow().acknowledged());
+        assertEquals(0, scheduler.createPoll("first", at(801), 0).orElseThrow().acknowledged());
     }
 
     @Test
     void restartsTaskWithUnknownStartOnlyAfterConfirmedStop() {
         WorkScheduler scheduler = WorkFixtures.scheduler(FIRST, SECOND);
         scheduler.addJob(WorkFixtures.job("job", WorkFixtures.BUSY, 0, WorkFixtures.step(1, 1_000, 500)), at(1));
-        WorkOrder.Start start = WorkFixtures.startsIn(WorkFixtures.decide(scheduler, at(1), true))
-                .get(0);
+        WorkOrder.Start start =
+                WorkFixtures.startsIn(WorkFixtures.decide(scheduler, at(1), 0)).get(0);
         String host = start.target().host();
         scheduler.onStartReply(host, start.run(), StartOutcome.UNKNOWN, at(600));
         WorkFixtures.replyToPoll(scheduler, host, 700, List.of(), List.of());
-        List<WorkOrder> orders = WorkFixtures.decide(scheduler, at(701), true);
+        List<WorkOrder> orders = WorkFixtures.decide(scheduler, at(701), 0);
         assertEquals(List.of(), WorkFixtures.startsIn(orders));
         assertTrue(orders.contains(new WorkOrder.Stop(start.target(), start.run())));
         scheduler.onStopConfirmed(host, start.run(), at(710));
         WorkFixtures.replyToPoll(scheduler, host, 720, List.of(), List.of());
-        List<WorkOrder.Start> restarts = WorkFixtures.startsIn(WorkFixtures.decide(scheduler, at(721), true));
+        List<WorkOrder.Start> restarts = WorkFixtures.startsIn(WorkFixtures.decide(scheduler, at(721), 0));
         assertEquals(1, restarts.size());
         assertNotEquals(start.run(), restarts.get(0).run());
     }
@@ -105,16 +100,16 @@
     void restartsTasksOfUnreachableHostOnlyAfterLeaseExpiryOnSlowestClock() {
         WorkScheduler scheduler = WorkFixtures.scheduler(FIRST, SECOND);
         scheduler.addJob(WorkFixtures.job("job", WorkFixtures.BUSY, 0, WorkFixtures.longRunningStep(1, 0)), at(1));
-        List<WorkOrder.Start> starts = WorkFixtures.startsIn(WorkFixtures.decide(scheduler, at(1), true));
+        List<WorkOrder.Start> starts = WorkFixtures.startsIn(WorkFixtures.decide(scheduler, at(1), 0));
         WorkFixtures.confirmStarts(scheduler, starts, 10);
         String other = starts.get(0).target().host().equals("first") ? "second" : "first";
         long leaseEnd = Math.round(WorkFixtures.TERMS.leaseMilliseconds() / SchedulingTerms.SLOWEST_CLOCK_RATE);
         WorkFixtures.replyToPoll(scheduler, other, leaseEnd - 100, List.of(), List.of());
-        assertEquals(List.of(), WorkFixtures.startsIn(WorkFixtures.decide(scheduler, at(leaseEnd - 100), true)));
+        assertEquals(List.of(), WorkFixtures.startsIn(WorkFixtures.decide(scheduler, at(leaseEnd - 100), 0)));
         WorkFixtures.replyToPoll(scheduler, other, leaseEnd + 200, List.of(), List.of());
         assertEquals(
                 List.of(other),
-                WorkFixtures.startsIn(WorkFixtures.decide(scheduler, at(leaseEnd + 200), true)).stream()
+                WorkFixtures.startsIn(WorkFixtures.decide(scheduler, at(leaseEnd + 200), 0)).stream()
                         .map(start -> start.target().host())
                         .toList());
     }
@@ -130,13 +125,12 @@
         scheduler.updateHosts(List.of(FIRST, SECOND), at(0));
         scheduler.addJob(WorkFixtures.job("job", WorkFixtures.BUSY, 0, WorkFixtures.step(1, 1_000, 500)), at(1));
         WorkFixtures.replyToPoll(scheduler, "first", 10, List.of(), List.of());
-        assertEquals(List.of(), WorkFixtures.startsIn(WorkFixtures.decide(scheduler, at(11), true)));
+        assertEquals(List.of(), WorkFixtures.startsIn(WorkFixtures.decide(scheduler, at(11), 0)));
         assertEquals(Set.of("second"), scheduler.findBlockingHosts(at(11)));
         WorkFixtures.replyToPoll(scheduler, "second", 20, List.of(), List.of());
         assertEquals(
                 1,
-                WorkFixtures.startsIn(WorkFixtures.decide(scheduler, at(21), true))
-                        .size());
+                WorkFixtures.startsIn(WorkFixtures.decide(scheduler, at(21), 0)).size());
     }
 
     @Test
@@ -153,7 +147,7 @@
         WorkFixtures.replyToPoll(scheduler, "first", 10, List.of(), List.of());
         assertEquals(
                 List.of("waiting"),
-                WorkFixtures.startsIn(WorkFixtures.decide(scheduler, at(11), true)).stream()
+                WorkFixtures.startsIn(WorkFixtures.decide(scheduler, at(11), 0)).stream()
                         .map(start -> start.run().task().job())
                         .toList());
     }
@@ -163,16 +157,14 @@
         WorkScheduler scheduler = WorkFixtures.scheduler(FIRST);
         scheduler.addJob(WorkFixtures.job("job", WorkFixtures.BUSY, 0, WorkFixtures.step(1, 1_000, 500)), at(1));
         HostsInUse withoutJob = scheduler.announceHostsInUse(at(1));
-        assertEquals(List.of(), WorkFixtures.startsIn(scheduler.decide(at(2), true)));
+        assertEquals(List.of(), WorkFixtures.startsIn(scheduler.decide(at(2), 0)));
         scheduler.onAnnouncementStored(withoutJob.generation());
         assertEquals(
-                List.of(),
-                WorkFixtures.startsIn(scheduler.decide(at(3), true)),
-                "the announcement does not name the job");
+                List.of(), WorkFixtures.startsIn(scheduler.decide(at(3), 0)), "the announcement does not name the job");
         HostsInUse withJob = scheduler.announceHostsInUse(at(4));
         assertEquals(Optional.of(Set.of("job")), withJob.startedJobs());
         scheduler.onAnnouncementStored(withJob.generation());
-        assertEquals(1, WorkFixtures.startsIn(scheduler.decide(at(5), true)).size());
+        assertEquals(1, WorkFixtures.startsIn(scheduler.decide(at(5), 0)).size());
     }
 
     @Test
@@ -191,12 +183,12 @@
         scheduler.cancelJob("job", at(1));
         scheduler.addJob(WorkFixtures.job("job", WorkFixtures.BUSY, 0, WorkFixtures.step(1, 1_000, 500)), at(2));
         assertEquals(Optional.of(WorkPhase.CANCELED), scheduler.findPhase("job"));
-        assertEquals(List.of(), WorkFixtures.startsIn(WorkFixtures.decide(scheduler, at(3), true)));
+        assertEquals(List.of(), WorkFixtures.startsIn(WorkFixtures.decide(scheduler, at(3), 0)));
     }
 
     /** Starts and confirms the next run of the only task of a job, and returns the run. */
     private static RunKey startNext(WorkScheduler scheduler, long now) {
-        List<WorkOrder.Start> starts = WorkFixtures.startsIn(WorkFixtures.decide(scheduler, at(now), true));
+        List<WorkOrder.Start> starts = WorkFixtures.startsIn(WorkFixtures.decide(scheduler, at(now), 0));
         WorkFixtures.confirmStarts(scheduler, starts, now + 1);
         return starts.get(0).run();
     }
@@ -221,7 +213,7 @@
         scheduler.onBatchResult(1, true);
         WorkFixtures.replyToPoll(scheduler, "first", afterExpiry + 40, List.of(), failedEnd(first));
         WorkFixtures.replyToPoll(scheduler, "third", afterExpiry + 50, List.of(), failedEnd(third));
-        List<WorkOrder> orders = WorkFixtures.decide(scheduler, at(afterExpiry + 200), true);
+        List<WorkOrder> orders = WorkFixtures.decide(scheduler, at(afterExpiry + 200), 0);
         assertEquals(List.of(), WorkFixtures.startsIn(orders), "three runs have failed");
         assertEquals(
                 List.of(WorkPhase.FAILED),
@@ -249,7 +241,7 @@
                         0,
                         1),
                 at(1));
-        List<WorkOrder> orders = WorkFixtures.decide(scheduler, at(2), true);
+        List<WorkOrder> orders = WorkFixtures.decide(scheduler, at(2), 0);
         assertEquals(List.of(), WorkFixtures.startsIn(orders));
         WorkOrder.AskAdvisor request = orders.stream()
                 .filter(WorkOrder.AskAdvisor.class::isInstance)
@@ -259,7 +251,7 @@
         assertEquals("job.0.0", request.stepText());
         assertEquals(List.of("first", "second"), request.hosts());
         scheduler.onAdvisorReply(request, Optional.of(Map.of("second", "ticket")), 2, at(60));
-        List<WorkOrder.Start> starts = WorkFixtures.startsIn(WorkFixtures.decide(scheduler, at(61), true));
+        List<WorkOrder.Start> starts = WorkFixtures.startsIn(WorkFixtures.decide(scheduler, at(61), 0));
         assertEquals(
                 List.of("second", "second"),
                 starts.stream().map(start -> start.target().host()).toList());
@@ -288,7 +280,7 @@
     void excludesHostAnnouncedUnreachableUntilLaterAnnouncementIsStored() {
         WorkScheduler scheduler = WorkFixtures.scheduler(FIRST);
         scheduler.addJob(WorkFixtures.job("first", WorkFixtures.BUSY, 0, WorkFixtures.step(1, 1_000, 500)), at(1));
-        List<WorkOrder.Start> running = WorkFixtures.startsIn(WorkFixtures.decide(scheduler, at(1), true));
+        List<WorkOrder.Start> running = WorkFixtures.startsIn(WorkFixtures.decide(scheduler, at(1), 0));
         WorkFixtures.confirmStarts(scheduler, running, 5);
         long unreachableAt = WorkHost.UNREACHABLE_AFTER_MILLISECONDS + 10;
         scheduler.announceHostsInUse(at(unreachableAt));
@@ -300,12 +292,12 @@
                 List.of());
         scheduler.addJob(
                 WorkFixtures.job("job", WorkFixtures.BUSY, 0, WorkFixtures.step(1, 1_000, 500)), at(unreachableAt));
-        assertEquals(List.of(), WorkFixtures.startsIn(WorkFixtures.decide(scheduler, at(unreachableAt + 11), true)));
+        assertEquals(List.of(), WorkFixtures.startsIn(WorkFixtures.decide(scheduler, at(unreachableAt + 11), 0)));
         HostsInUse laterAnnouncement = scheduler.announceHostsInUse(at(unreachableAt + 12));
         scheduler.onAnnouncementStored(laterAnnouncement.generation());
         assertEquals(
                 1,
-                WorkFixtures.startsIn(WorkFixtures.decide(scheduler, at(unreachableAt + 13), true))
+                WorkFixtures.startsIn(WorkFixtures.decide(scheduler, at(unreachableAt + 13), 0))
                         .size());
     }
 
@@ -318,7 +310,7 @@
         scheduler.addJob(WorkFixtures.job("job", WorkFixtures.BUSY, 0, WorkFixtures.step(1, 1_000, 500)), at(5_010));
         assertEquals(
                 List.of("second"),
-                WorkFixtures.startsIn(WorkFixtures.decide(scheduler, at(5_011), true)).stream()
+                WorkFixtures.startsIn(WorkFixtures.decide(scheduler, at(5_011), 0)).stream()
                         .map(start -> start.target().host())
                         .toList());
     }
@@ -328,7 +320,7 @@
         HostEntry third = WorkFixtures.host("third", WorkFixtures.BUSY, "rack-2");
         WorkScheduler scheduler = WorkFixtures.scheduler(FIRST, SECOND, third);
         scheduler.addJob(WorkFixtures.job("job", WorkFixtures.BUSY, 0, WorkFixtures.gangStep(6, true)), at(1));
-        List<WorkOrder.Start> starts = WorkFixtures.startsIn(WorkFixtures.decide(scheduler, at(1), true));
+        List<WorkOrder.Start> starts = WorkFixtures.startsIn(WorkFixtures.decide(scheduler, at(1), 0));
         assertEquals(6, starts.size());
         assertEquals(
                 1,
@@ -342,11 +334,11 @@
     void preemptsShortTasksForLongRunningTask() {
         WorkScheduler scheduler = WorkFixtures.scheduler(FIRST);
         scheduler.addJob(WorkFixtures.job("short", WorkFixtures.BUSY, 0, WorkFixtures.step(8, 1_000, 5_000)), at(1));
-        List<WorkOrder.Start> starts = WorkFixtures.startsIn(WorkFixtures.decide(scheduler, at(1), true));
+        List<WorkOrder.Start> starts = WorkFixtures.startsIn(WorkFixtures.decide(scheduler, at(1), 0));
         WorkFixtures.confirmStarts(scheduler, starts, 10);
         scheduler.addJob(WorkFixtures.job("lasting", WorkFixtures.BUSY, 0, WorkFixtures.longRunningStep(1, 0)), at(20));
-        WorkFixtures.decide(scheduler, at(20), true);
-        List<WorkOrder> orders = WorkFixtures.decide(scheduler, at(21), true);
+        WorkFixtures.decide(scheduler, at(20), 0);
+        List<WorkOrder> orders = WorkFixtures.decide(scheduler, at(21), 0);
         List<WorkOrder> stops =
                 orders.stream().filter(WorkOrder.Stop.class::isInstance).toList();
         assertEquals(1, stops.size());
@@ -358,7 +350,7 @@
         WorkFixtures.replyToPoll(scheduler, "first", 100, activeRuns, List.of(stopped));
         assertEquals(
                 List.of("lasting"),
-                WorkFixtures.startsIn(WorkFixtures.decide(scheduler, at(101), true)).stream()
+                WorkFixtures.startsIn(WorkFixtures.decide(scheduler, at(101), 0)).stream()
                         .map(start -> start.run().task().job())
                         .toList());
     }
@@ -367,18 +359,18 @@
     void startsNothingOfGangThatDoesNotFit() {
         WorkScheduler scheduler = WorkFixtures.scheduler(FIRST, SECOND);
         scheduler.addJob(WorkFixtures.job("job", WorkFixtures.BUSY, 0, WorkFixtures.gangStep(9, false)), at(1));
-        assertEquals(List.of(), WorkFixtures.startsIn(WorkFixtures.decide(scheduler, at(1), true)));
+        assertEquals(List.of(), WorkFixtures.startsIn(WorkFixtures.decide(scheduler, at(1), 0)));
     }
 
     @Test
     void movesLongRunningTasksOffDrainingHost() {
         WorkScheduler scheduler = WorkFixtures.scheduler(FIRST);
         scheduler.addJob(WorkFixtures.job("job", WorkFixtures.BUSY, 0, WorkFixtures.longRunningStep(1, 0)), at(1));
-        List<WorkOrder.Start> starts = WorkFixtures.startsIn(WorkFixtures.decide(scheduler, at(1), true));
+        List<WorkOrder.Start> starts = WorkFixtures.startsIn(WorkFixtures.decide(scheduler, at(1), 0));
         WorkFixtures.confirmStarts(scheduler, starts, 10);
         scheduler.updateHosts(List.of(WorkFixtures.draining(FIRST), SECOND), at(20));
         WorkFixtures.replyToPoll(scheduler, "second", 20, List.of(), List.of());
-        List<WorkOrder> orders = WorkFixtures.decide(scheduler, at(21), true);
+        List<WorkOrder> orders = WorkFixtures.decide(scheduler, at(21), 0);
         assertTrue(orders.contains(
                 new WorkOrder.Stop(starts.get(0).target(), starts.get(0).run())));
         WorkFixtures.replyToPoll(
@@ -389,7 +381,7 @@
                 List.of(new EndedRun(1, starts.get(0).run(), RunEnding.STOPPED, "")));
         assertEquals(
                 List.of("second"),
-                WorkFixtures.startsIn(WorkFixtures.decide(scheduler, at(101), true)).stream()
+                WorkFixtures.startsIn(WorkFixtures.decide(scheduler, at(101), 0)).stream()
                         .map(start -> start.target().host())
                         .toList());
     }
@@ -398,18 +390,18 @@
     void retriesFailedTaskOnOtherHostAndFailsJobAfterLastAttempt() {
         WorkScheduler scheduler = WorkFixtures.scheduler(FIRST, SECOND);
         scheduler.addJob(WorkFixtures.job("job", WorkFixtures.BUSY, 0, WorkFixtures.step(1, 1_000, 500)), at(1));
-        WorkOrder.Start first = WorkFixtures.startsIn(WorkFixtures.decide(scheduler, at(1), true))
-                .get(0);
+        WorkOrder.Start first =
+                WorkFixtures.startsIn(WorkFixtures.decide(scheduler, at(1), 0)).get(0);
         reportFailure(scheduler, first, 1, 100);
-        WorkOrder.Start second = WorkFixtures.startsIn(WorkFixtures.decide(scheduler, at(101), true))
+        WorkOrder.Start second = WorkFixtures.startsIn(WorkFixtures.decide(scheduler, at(101), 0))
                 .get(0);
         assertNotEquals(first.target().host(), second.target().host());
         reportFailure(scheduler, second, 1, 200);
-        WorkOrder.Start third = WorkFixtures.startsIn(WorkFixtures.decide(scheduler, at(201), true))
+        WorkOrder.Start third = WorkFixtures.startsIn(WorkFixtures.decide(scheduler, at(201), 0))
                 .get(0);
         reportFailure(scheduler, third, 2, 300);
-        WorkFixtures.decide(scheduler, at(301), true);
-        assertEquals(List.of(), WorkFixtures.startsIn(WorkFixtures.decide(scheduler, at(400), true)));
+        WorkFixtures.decide(scheduler, at(301), 0);
+        assertEquals(List.of(), WorkFixtures.startsIn(WorkFixtures.decide(scheduler, at(400), 0)));
     }
 
     private static void reportFailure(WorkScheduler scheduler, WorkOrder.Start start, long number, long now) {
@@ -425,21 +417,21 @@
     void stepsDownWhenFenced() {
         WorkScheduler scheduler = WorkFixtures.scheduler(FIRST);
         scheduler.onFenced();
-        assertEquals(List.of(new WorkOrder.StepDown()), WorkFixtures.decide(scheduler, at(1), true));
+        assertEquals(List.of(new WorkOrder.StepDown()), WorkFixtures.decide(scheduler, at(1), 0));
     }
 
     @Test
     void dropsRunsOfHostReplacedAtItsAddress() {
         WorkScheduler scheduler = WorkFixtures.scheduler(FIRST);
         scheduler.addJob(WorkFixtures.job("job", WorkFixtures.BUSY, 0, WorkFixtures.step(1, 1_000, 500)), at(1));
-        WorkFixtures.confirmStarts(scheduler, WorkFixtures.startsIn(WorkFixtures.decide(scheduler, at(1), true)), 10);
+        WorkFixtures.confirmStarts(scheduler, WorkFixtures.startsIn(WorkFixtures.decide(scheduler, at(1), 0)), 10);
         HostEntry restarted = new HostEntry(
                 "reborn", WorkFixtures.BUSY, FIRST.address(), "zone", false, 50, 0, FIRST.capacity(), FIRST.labels());
         scheduler.updateHosts(List.of(FIRST, restarted), at(100));
         scheduler.onHostListing("reborn", new HostListing(50, 1, List.of(), List.of()), 101, at(102));
         assertEquals(
                 List.of("reborn"),
-                WorkFixtures.startsIn(WorkFixtures.decide(scheduler, at(103), true)).stream()
+                WorkFixtures.startsIn(WorkFixtures.decide(scheduler, at(103), 0)).stream()
                         .map(start -> start.target().host())
                         .toList());
     }
