--- a/src/main/java/org/cicadalead/logic/work/RunLedger.java
+++ b/src/main/java/org/cicadalead/logic/work/RunLedger.java
@@ -89,8 +89,7 @@
         WorkRun run = new WorkRun(active.run(), task, host, now);
         run.transitionTo(WorkRun.State.RUNNING, now);
         attach(run);
-        // The lease was granted by an earlier term and ends no later than one granted now.
-        host.recordLease(state.terms.leaseMilliseconds());
+        host.recordLease(state.terms.longestEarlierLeaseMilliseconds());
         return run;
     }
 
--- a/src/test/java/org/cicadalead/logic/work/RunLedgerTest.java
+++ b/src/test/java/org/cicadalead/logic/work/RunLedgerTest.java
@@ -6,9 +6,12 @@
 
 import java.util.List;
 import java.util.Optional;
+import org.cicadalead.model.work.ActiveRun;
 import org.cicadalead.model.work.HostEntry;
 import org.cicadalead.model.work.HostListing;
+import org.cicadalead.model.work.RunKey;
 import org.cicadalead.model.work.StartOutcome;
+import org.cicadalead.model.work.TaskKey;
 import org.junit.jupiter.api.Test;
 
 class RunLedgerTest {
@@ -38,6 +41,21 @@
         assertTrue(remaining >= WorkFixtures.TERMS.leaseMilliseconds() - 1, "remaining lease is " + remaining);
     }
 
+    /**
+     * An earlier term may have granted its lease by a reading of a slow clock that was as old as a host may be silent.
+     */
+    @Test
+    void countsLeaseOfAdoptedRunAsLongAsAnEarlierTermMayHaveGrantedIt() {
+        scheduler.addJob(WorkFixtures.job("job", WorkFixtures.BUSY, 0, WorkFixtures.longRunningStep(1, 0)), at(100));
+        RunKey run = new RunKey(new TaskKey("job", 0, 0, 0), 1);
+        WorkFixtures.replyToPoll(scheduler, "host", 100, List.of(new ActiveRun(run, "", 100, 0)), List.of());
+        double clockLag = WorkHost.UNREACHABLE_AFTER_MILLISECONDS * (1 - SchedulingTerms.SLOWEST_CLOCK_RATE);
+        double longest = (WorkFixtures.TERMS.leaseMilliseconds() + clockLag) / SchedulingTerms.SLOWEST_CLOCK_RATE;
+        long remaining =
+                scheduler.announceHostsInUse(at(100)).claims().get("host").remainingLease();
+        assertTrue(remaining >= longest, "remaining lease is " + remaining);
+    }
+
     @Test
     void restartsTaskOfRestartedHostOnceItsListingWasRequestedLater() {
         startTask(100);
