Count the bounds of the own previous incarnation from the start of the process

Callers saw: after a restart of the leader's process, the wait for hosts that were lost with it counted from its first reading of the record, up to a second after the process started, and later while the store was away.

Cause: a successor knows of a record only that it was sent before it was first read. A record of the process that listened on the same address was sent before this process started.

Test: LeaderElectionTest.countsBoundOfOwnPreviousIncarnationFromTheStartOfTheProcess (without the change the bound is 59,957 ms where at most 53,000 are left). A record of another process still counts from its first reading (test).

--- a/src/main/java/org/cicadalead/adapters/work/LeaderElection.java
+++ b/src/main/java/org/cicadalead/adapters/work/LeaderElection.java
@@ -248,7 +248,8 @@
 
     private void claim() {
         long epoch = newestRecord.map(LeaderRecord::epoch).orElse(0L) + 1;
-        Optional<EarlierTerm> previousTerm = newestRecord.map(leader -> new EarlierTerm(leader, newestRecordReadAt));
+        Optional<EarlierTerm> previousTerm =
+                newestRecord.map(leader -> new EarlierTerm(leader, findObservationTime(leader)));
         long sentAt = clock.elapsedMilliseconds();
         AppendResult result =
                 append(record(epoch, false, HostsInUse.fromEarlierTerm(previousTerm, monotonicMilliseconds())));
@@ -272,6 +273,13 @@
         }
     }
 
+    /** Returns the monotonic time in milliseconds by which a record was sent, as far as this process can tell. */
+    private long findObservationTime(LeaderRecord leader) {
+        return isPreviousIncarnation(leader)
+                ? Math.min(newestRecordReadAt, candidate.startedAtMilliseconds())
+                : newestRecordReadAt;
+    }
+
     private void beginTerm(long epoch, Optional<EarlierTerm> previousTerm, long sentAt) {
         lastConfirmedAt = sentAt;
         unconfirmedSince = OptionalLong.empty();
@@ -398,8 +406,10 @@
      * @param process name of the process, with a part that changes with each restart
      * @param address address at which its peers reach it
      * @param claimDelayMilliseconds delay before it claims a term, so that preferred candidates claim first
+     * @param startedAtMilliseconds monotonic time at which the process was running; the process that listened on its
+     *     address before had ended by then
      */
-    public record Candidate(String process, String address, long claimDelayMilliseconds) {}
+    public record Candidate(String process, String address, long claimDelayMilliseconds, long startedAtMilliseconds) {}
 
     /** Is notified of this process's terms. Implementations must not block, except in {@link #resign}. */
     public interface Listener {
--- a/src/main/java/org/cicadalead/logic/work/EarlierTerm.java
+++ b/src/main/java/org/cicadalead/logic/work/EarlierTerm.java
@@ -9,8 +9,8 @@
  * no lease outlives the bounds of the record, counted from the observation. Immutable.
  *
  * @param lastRecord the newest record that was in the store when the next term was claimed
- * @param observedAt time on this process's monotonic clock in milliseconds at or after which the record was stored. The
- *     clock must not run ahead while the machine is suspended, as the bounds would end too early.
+ * @param observedAt time on this process's monotonic clock in milliseconds by which the record had been sent. The clock
+ *     must not run ahead while the machine is suspended, as the bounds would end too early.
  */
 public record EarlierTerm(LeaderRecord lastRecord, long observedAt) {
     /** Returns the milliseconds from a time on after which hosts that reply or are not claimed have no lease. */
--- a/src/main/java/org/cicadalead/platform/PlatformEntry.java
+++ b/src/main/java/org/cicadalead/platform/PlatformEntry.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
 import org.cicadalead.adapters.http.HttpServers;
 import org.cicadalead.adapters.http.PlaintextHttpClients;
 import org.cicadalead.adapters.time.SystemTimerService;
@@ -71,6 +72,9 @@
     private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(600);
     private static final int CLIENT_THREADS = 2;
 
+    /** Monotonic time at which this process has started; its previous incarnation had ended by then. */
+    private final long startedAtNanoseconds = System.nanoTime();
+
     private final PlatformSettings settings;
     private final DecisionLog log;
     private final SystemTimerService timers;
@@ -130,8 +134,7 @@
                 this::onSuperseded,
                 this::requestHeartbeat);
         this.schedulingService = new SchedulingService(ports, createSchedulingTerms(settings));
-        this.election = new LeaderElection(
-                store, codec, timers, log, createCandidate(settings, peerAddress), schedulingService);
+        this.election = new LeaderElection(store, codec, timers, log, createCandidate(peerAddress), schedulingService);
         PeerClient peerClient = new PeerClient(httpClient, codec, peerAddress, timers);
         this.jobService = new JobRequestService(store, timers, codec, schedulingService, peerClient, election, log);
         ExecutorService serverThreads = HttpServers.createDaemonExecutor("server");
@@ -160,13 +163,14 @@
                 settings.remoteFactor());
     }
 
-    private static LeaderElection.Candidate createCandidate(PlatformSettings settings, String peerAddress) {
+    private LeaderElection.Candidate createCandidate(String peerAddress) {
         String process = settings.nodeName() + "#"
                 + Long.toHexString(ThreadLocalRandom.current().nextLong());
         return new LeaderElection.Candidate(
                 process,
                 peerAddress,
-                settings.cpuShare() >= MIN_LARGE_HOST_CORES ? 0 : SMALL_HOST_ELECTION_DELAY_MILLISECONDS);
+                settings.cpuShare() >= MIN_LARGE_HOST_CORES ? 0 : SMALL_HOST_ELECTION_DELAY_MILLISECONDS,
+                TimeUnit.NANOSECONDS.toMillis(startedAtNanoseconds));
     }
 
     private long millisecondsSinceConfirmedHeartbeat() {
--- a/src/test/java/org/cicadalead/adapters/work/JobRequestServiceTest.java
+++ b/src/test/java/org/cicadalead/adapters/work/JobRequestServiceTest.java
@@ -44,7 +44,12 @@
             scheduling,
             new PeerClient(HttpClient.newHttpClient(), codec, "own:1", timers),
             new LeaderElection(
-                    store, codec, timers, log, new LeaderElection.Candidate("process", "own:1", 0), new NoOpListener()),
+                    store,
+                    codec,
+                    timers,
+                    log,
+                    new LeaderElection.Candidate("process", "own:1", 0, 0),
+                    new NoOpListener()),
             log);
 
     @AfterEach
--- a/src/test/java/org/cicadalead/adapters/work/LeaderElectionTest.java
+++ b/src/test/java/org/cicadalead/adapters/work/LeaderElectionTest.java
@@ -14,6 +14,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import org.cicadalead.adapters.time.SystemTimerService;
 import org.cicadalead.logic.work.EarlierTerm;
@@ -42,6 +43,7 @@
     private final DecisionLog log =
             new DecisionLog(OutputStream.nullOutputStream(), "process", new WorkMetrics(new SimpleMeterRegistry()));
     private volatile boolean hostsKnown = true;
+    private long startedAtMilliseconds = TimeUnit.NANOSECONDS.toMillis(timers.nanoTime());
     private volatile boolean losesRepliesOfStoredHeartbeats;
     private final List<String> startedTerms = new CopyOnWriteArrayList<>();
     private final List<Long> storedGenerations = new CopyOnWriteArrayList<>();
@@ -77,7 +79,7 @@
                 codec,
                 timers,
                 log,
-                new LeaderElection.Candidate(name + "#1", name + ":1", 0),
+                new LeaderElection.Candidate(name + "#1", name + ":1", 0, startedAtMilliseconds),
                 listener);
         elections.add(election);
         return election;
@@ -203,13 +205,18 @@
     }
 
     private Optional<Long> awaitCarriedOnBound(Optional<Long> announcedBound) throws InterruptedException {
+        return awaitCarriedOnBound("b", announcedBound);
+    }
+
+    private Optional<Long> awaitCarriedOnBound(String leader, Optional<Long> announcedBound)
+            throws InterruptedException {
         hostsKnown = false;
         store.append(
                 Topic.LEADER,
                 List.of(org.cicadalead.ports.RecordStore.KeyedRecord.of(
                         "leader",
-                        codec.encode(
-                                new LeaderRecord(4, "b#1", "b:1", false, Map.of(), Optional.empty(), announcedBound)))),
+                        codec.encode(new LeaderRecord(
+                                4, leader + "#0", leader + ":1", false, Map.of(), Optional.empty(), announcedBound)))),
                 java.util.OptionalLong.empty());
         createCandidate("a").start();
         await(() -> startedTerms.contains("a 5"));
@@ -222,6 +229,20 @@
         assertTrue(carriedOn <= 60_000 - LEADER_TIMEOUT_MILLISECONDS, "the bound is " + carriedOn);
     }
 
+    @Test
+    void countsBoundOfOwnPreviousIncarnationFromTheStartOfTheProcess() throws InterruptedException {
+        startedAtMilliseconds -= 7_000;
+        long carriedOn = awaitCarriedOnBound("a", Optional.of(60_000L)).orElseThrow();
+        assertTrue(carriedOn <= 60_000 - 7_000, "the bound is " + carriedOn);
+    }
+
+    @Test
+    void countsBoundOfAnotherProcessFromTheFirstReadingOfItsRecord() throws InterruptedException {
+        startedAtMilliseconds -= 40_000;
+        long carriedOn = awaitCarriedOnBound("b", Optional.of(60_000L)).orElseThrow();
+        assertTrue(carriedOn > 60_000 - 40_000, "the bound is " + carriedOn);
+    }
+
     @Test
     void carriesOnNoBoundOfTermThatAnnouncedNone() throws InterruptedException {
         assertEquals(Optional.empty(), awaitCarriedOnBound(Optional.empty()));
