--- a/src/main/java/org/cicadalead/platform/PlatformEntry.java
+++ b/src/main/java/org/cicadalead/platform/PlatformEntry.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
 import org.cicadalead.adapters.http.HttpServers;
 import org.cicadalead.adapters.http.PlaintextHttpClients;
 import org.cicadalead.adapters.time.SystemTimerService;
@@ -46,8 +47,11 @@
     /** Maximum time for which a leader starts runs without a confirmed heartbeat: longer than a takeover takes. */
     private static final long MAX_UNCONFIRMED_START_MILLISECONDS = 2_500;
 
-    /** Maximum time for which a leader renews leases without a confirmed heartbeat; leases last longer than this. */
-    private static final long MAX_UNCONFIRMED_RENEWAL_MILLISECONDS = 6_000;
+    /**
+     * Time by which every lease has expired after the last confirmed heartbeat of the leader, and after the last reply
+     * of the host. A lasting task has to run again 7 s after the last disruption; the rest is for the start after it.
+     */
+    private static final long LEASE_HORIZON_MILLISECONDS = 6_000;
 
     /** Minimum number of processor cores with which a host takes part in elections without delay. */
     private static final double MIN_LARGE_HOST_CORES = 0.7;
@@ -68,6 +72,9 @@
     private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(600);
     private static final int CLIENT_THREADS = 2;
 
+    /** Monotonic time at which this process has started; its previous incarnation had ended by then. */
+    private final long startedAtNanoseconds = System.nanoTime();
+
     private final PlatformSettings settings;
     private final DecisionLog log;
     private final SystemTimerService timers;
@@ -127,8 +134,7 @@
                 this::onSuperseded,
                 this::requestHeartbeat);
         this.schedulingService = new SchedulingService(ports, createSchedulingTerms(settings));
-        this.election = new LeaderElection(
-                store, codec, timers, log, createCandidate(settings, peerAddress), schedulingService);
+        this.election = new LeaderElection(store, codec, timers, log, createCandidate(peerAddress), schedulingService);
         PeerClient peerClient = new PeerClient(httpClient, codec, peerAddress, timers);
         this.jobService = new JobRequestService(store, timers, codec, schedulingService, peerClient, election, log);
         ExecutorService serverThreads = HttpServers.createDaemonExecutor("server");
@@ -151,19 +157,20 @@
         return new SchedulingTerms(
                 Math.round(settings.maximumLeaseMilliseconds() * LEASE_SHARE),
                 MAX_UNCONFIRMED_START_MILLISECONDS,
-                MAX_UNCONFIRMED_RENEWAL_MILLISECONDS,
+                LEASE_HORIZON_MILLISECONDS,
                 settings.stopTimeoutMilliseconds(),
                 settings.maintenanceMilliseconds(),
                 settings.remoteFactor());
     }
 
-    private static LeaderElection.Candidate createCandidate(PlatformSettings settings, String peerAddress) {
+    private LeaderElection.Candidate createCandidate(String peerAddress) {
         String process = settings.nodeName() + "#"
                 + Long.toHexString(ThreadLocalRandom.current().nextLong());
         return new LeaderElection.Candidate(
                 process,
                 peerAddress,
-                settings.cpuShare() >= MIN_LARGE_HOST_CORES ? 0 : SMALL_HOST_ELECTION_DELAY_MILLISECONDS);
+                settings.cpuShare() >= MIN_LARGE_HOST_CORES ? 0 : SMALL_HOST_ELECTION_DELAY_MILLISECONDS,
+                TimeUnit.NANOSECONDS.toMillis(startedAtNanoseconds));
     }
 
     private long millisecondsSinceConfirmedHeartbeat() {
