--- a/src/main/java/org/cicadalead/adapters/work/SchedulingTerm.java
+++ b/src/main/java/org/cicadalead/adapters/work/SchedulingTerm.java
@@ -240,10 +240,10 @@
         long startNanoseconds = ports.timers().nanoTime();
         WorkTime now = now();
         long unconfirmedMilliseconds = unconfirmedMilliseconds();
+        boolean canStart = unconfirmedMilliseconds < terms.startLimitMilliseconds();
         List<WorkOrder> orders = scheduler.get().decide(now, unconfirmedMilliseconds);
         dispatcher.ifPresent(orderDispatcher -> orders.forEach(orderDispatcher::execute));
         if (pacing.startMachineDecisions(now.monotonic())) {
-            boolean canStart = unconfirmedMilliseconds < terms.startLimitMilliseconds();
             machineController.ifPresent(machineController -> machineController.runCycle(now, canStart));
         }
         takeoverReport.ifPresent(report -> report.logChanges(now));
@@ -256,8 +256,7 @@
             }
         }
         // Last, so that a fault in the report can hold up neither orders nor announcements.
-        waitingTaskReport.ifPresent(report ->
-                report.logChanges(now, canStart, ports.unconfirmedMilliseconds().getAsLong()));
+        waitingTaskReport.ifPresent(report -> report.logChanges(now, canStart, unconfirmedMilliseconds));
         pacing.onCycleEnded(ports.timers().nanoTime() - startNanoseconds);
     }
 
