Complete every call to the platform

A call whose result never comes stands still until the term or the process ends: a host that is not polled any more counts as unreachable though it is well, the registry is not read any more, a run counts as ordered, a batch of ends stays unacknowledged, and an election that waits for its append neither leads nor follows. Some of these outlast every bound on lasting tasks.

Cause: the timeout of the JDK's client (17) ends when the headers have arrived. A body that breaks off while the connection stays open, as when a link is cut or a host is lost within a response, never completes. Besides, a registry entry of another writer with an address that no URI can have made the call throw, and a list with an unknown ending made its result fail, against the contract of HostOrders.

Change: BoundedExchanges limits the whole exchange, 600 ms beyond the timeout, and closes its connection. The outcome is unknown, as after a timeout, so no rule of safety depends on it in a new way.

--- /dev/null
+++ b/src/main/java/org/cicadalead/adapters/http/BoundedExchanges.java
@@ -0,0 +1,37 @@
+package org.cicadalead.adapters.http;
+
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Sends HTTP requests with a time limit that includes the body of the response. The timeout of the JDK's client ends
+ * when the headers have arrived; a body that breaks off while its connection stays open would never complete. Stateless
+ * and thread-safe.
+ */
+public final class BoundedExchanges {
+    /** Time limit of the body, in addition to the timeout of the request. */
+    private static final Duration BODY_TIMEOUT = Duration.ofMillis(600);
+
+    private BoundedExchanges() {}
+
+    /**
+     * Sends a request that has a timeout. The result fails with a {@link java.util.concurrent.TimeoutException} when
+     * the response is not complete in time, and the connection is closed.
+     */
+    public static CompletableFuture<HttpResponse<byte[]>> send(HttpClient client, HttpRequest request) {
+        CompletableFuture<HttpResponse<byte[]>> exchange =
+                client.sendAsync(request, HttpResponse.BodyHandlers.ofByteArray());
+        Duration limit = request.timeout().orElse(Duration.ZERO).plus(BODY_TIMEOUT);
+        return exchange.copy()
+                .orTimeout(limit.toMillis(), TimeUnit.MILLISECONDS)
+                .whenComplete((response, failure) -> {
+                    if (failure != null) {
+                        exchange.cancel(true);
+                    }
+                });
+    }
+}
--- a/src/main/java/org/cicadalead/adapters/work/PeerClient.java
+++ b/src/main/java/org/cicadalead/adapters/work/PeerClient.java
@@ -4,7 +4,6 @@
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
-import java.net.http.HttpResponse;
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.List;
@@ -13,6 +12,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.ConcurrentHashMap;
+import org.cicadalead.adapters.http.BoundedExchanges;
 import org.cicadalead.adapters.work.JobRequestService.JobAnswer;
 import org.cicadalead.ports.RecordStore.AppendOutcome;
 import org.cicadalead.ports.RecordStore.KeyedRecord;
@@ -106,7 +106,7 @@
                 .timeout(REQUEST_TIMEOUT)
                 .POST(HttpRequest.BodyPublishers.ofByteArray(codec.encode(peerRequest)))
                 .build();
-        return client.sendAsync(request, HttpResponse.BodyHandlers.ofByteArray())
+        return BoundedExchanges.send(client, request)
                 .whenComplete((response, failure) -> path.recordCall(failure == null, timers.nanoTime()))
                 .thenApply(response -> response.statusCode() == OK
                         ? codec.decode(response.body(), PeerReply.class)
--- a/src/main/java/org/cicadalead/platform/HostClient.java
+++ b/src/main/java/org/cicadalead/platform/HostClient.java
@@ -100,14 +100,18 @@
         if (!wait.isZero()) {
             body.put("waitMs", wait.toMillis());
         }
-        return post(target, "/v1/hold", body, POLL_TIMEOUT_MARGIN.plus(wait)).thenApply(response -> {
-            OrderOutcome outcome = toOrderOutcome(response);
-            return new PollResult(
-                    outcome,
-                    outcome == OrderOutcome.CONFIRMED
-                            ? response.map(PlatformHttpClient.Response::json).map(HostClient::parseListing)
-                            : Optional.empty());
-        });
+        return post(target, "/v1/hold", body, POLL_TIMEOUT_MARGIN.plus(wait))
+                .thenApply(HostClient::toPollResult)
+                .exceptionally(unreadable -> new PollResult(OrderOutcome.UNKNOWN, Optional.empty()));
+    }
+
+    private static PollResult toPollResult(Optional<PlatformHttpClient.Response> response) {
+        OrderOutcome outcome = toOrderOutcome(response);
+        return new PollResult(
+                outcome,
+                outcome == OrderOutcome.CONFIRMED
+                        ? response.map(PlatformHttpClient.Response::json).map(HostClient::parseListing)
+                        : Optional.empty());
     }
 
     private static OrderOutcome toOrderOutcome(Optional<PlatformHttpClient.Response> response) {
--- a/src/main/java/org/cicadalead/platform/PlatformHttpClient.java
+++ b/src/main/java/org/cicadalead/platform/PlatformHttpClient.java
@@ -11,12 +11,12 @@
 import java.net.http.HttpClient;
 import java.net.http.HttpConnectTimeoutException;
 import java.net.http.HttpRequest;
-import java.net.http.HttpResponse;
 import java.time.Duration;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
+import org.cicadalead.adapters.http.BoundedExchanges;
 
 /** Sends HTTP requests to the platform, with JSON bodies where there is a body. Safe for use by several threads. */
 final class PlatformHttpClient {
@@ -45,15 +45,20 @@
     /** Sends a request; the result is empty when no complete response arrived in time. */
     CompletableFuture<Optional<Response>> send(
             String method, String address, String path, byte[] body, Map<String, String> headers, Duration timeout) {
-        HttpRequest.Builder request = HttpRequest.newBuilder(URI.create("http://" + address + path))
-                .timeout(timeout)
+        HttpRequest.Builder request;
+        try {
+            request = HttpRequest.newBuilder(URI.create("http://" + address + path));
+        } catch (IllegalArgumentException unusableAddress) {
+            return CompletableFuture.completedFuture(Optional.of(new Response(NOT_SENT, new byte[0])));
+        }
+        request.timeout(timeout)
                 .method(
                         method,
                         body.length == 0
                                 ? HttpRequest.BodyPublishers.noBody()
                                 : HttpRequest.BodyPublishers.ofByteArray(body));
         headers.forEach(request::header);
-        return client.sendAsync(request.build(), HttpResponse.BodyHandlers.ofByteArray())
+        return BoundedExchanges.send(client, request.build())
                 .thenApply(response -> Optional.of(new Response(response.statusCode(), response.body())))
                 .exceptionally(PlatformHttpClient::toFailedResponse);
     }
