Continue polls and the election after a failure in them

Seen: nothing by callers; read, then shown by tests. A failure while the list of a host was applied ended the polls of that host until the end of the term, and one in the election ended the election of the process until its restart, while an order that failed dropped all later ones of its cycle, which then counted as ordered.

Evidence: SchedulingTermTest.pollsHostAgainAfterItsListCouldNotBeApplied and LeaderElectionTest.continuesElectionAfterFailureInIt failed before.

Change: the next poll is scheduled in any case; the election logs a failure and goes on after its usual delay, with what the store says; orders are carried out one by one.

--- a/src/main/java/org/cicadalead/adapters/work/HostPoller.java
+++ b/src/main/java/org/cicadalead/adapters/work/HostPoller.java
@@ -65,7 +65,25 @@
     }
 
     private void onPollResult(HostOrders.PollResult result, long sentAtMilliseconds) {
-        long delay = 0;
+        long delay = DELAY_AFTER_FAILURE_MILLISECONDS;
+        try {
+            delay = applyPollResult(result, sentAtMilliseconds);
+        } finally {
+            // Also after a failure: a host that is not polled any more gets no work until the term ends.
+            term.executor()
+                    .schedule(
+                            () -> {
+                                if (!term.isClosed()) {
+                                    poll();
+                                }
+                            },
+                            delay,
+                            TimeUnit.MILLISECONDS);
+        }
+    }
+
+    /** Applies the result of a poll, and returns the delay of the next one in milliseconds. */
+    private long applyPollResult(HostOrders.PollResult result, long sentAtMilliseconds) {
         switch (result.outcome()) {
             case CONFIRMED -> {
                 boolean hasEndedRuns = result.listing()
@@ -74,32 +92,17 @@
                 result.listing().ifPresent(this::logEndedRuns);
                 result.listing()
                         .ifPresent(listing -> scheduler.onHostListing(host, listing, sentAtMilliseconds, term.now()));
-                delay = hasEndedRuns ? DELAY_AFTER_ENDED_RUNS_MILLISECONDS : 1;
                 updateReachability(true);
+                return hasEndedRuns ? DELAY_AFTER_ENDED_RUNS_MILLISECONDS : 1;
             }
-            case FENCED -> {
-                scheduler.onFenced();
-                delay = DELAY_AFTER_FAILURE_MILLISECONDS;
-            }
-            case OTHER_HOST -> {
-                scheduler.onHostReplaced(host);
-                delay = DELAY_AFTER_FAILURE_MILLISECONDS;
-            }
+            case FENCED -> scheduler.onFenced();
+            case OTHER_HOST -> scheduler.onHostReplaced(host);
             default -> {
-                delay = DELAY_AFTER_FAILURE_MILLISECONDS;
                 scheduler.onPollFailed(host);
                 updateReachability(false);
             }
         }
-        term.executor()
-                .schedule(
-                        () -> {
-                            if (!term.isClosed()) {
-                                poll();
-                            }
-                        },
-                        delay,
-                        TimeUnit.MILLISECONDS);
+        return DELAY_AFTER_FAILURE_MILLISECONDS;
     }
 
     private void logEndedRuns(HostListing listing) {
--- a/src/main/java/org/cicadalead/adapters/work/LeaderElection.java
+++ b/src/main/java/org/cicadalead/adapters/work/LeaderElection.java
@@ -137,10 +137,12 @@
     private void run() {
         try {
             while (!closing) {
-                if (leadingEpoch > 0) {
-                    lead();
-                } else {
-                    follow();
+                try {
+                    participate();
+                } catch (RuntimeException failure) {
+                    // A process without its election neither leads nor learns who does, until it restarts.
+                    log.emit(EventKind.INTERNAL_FAILURE, EventDetail.of("election", failure));
+                    Thread.sleep(RETRY_DELAY.toMillis());
                 }
             }
         } catch (InterruptedException interrupted) {
@@ -148,6 +150,14 @@
         }
     }
 
+    private void participate() throws InterruptedException {
+        if (leadingEpoch > 0) {
+            lead();
+        } else {
+            follow();
+        }
+    }
+
     private void lead() throws InterruptedException {
         long sentAt = clock.elapsedMilliseconds();
         heartbeatRequests.drainPermits();
--- a/src/main/java/org/cicadalead/adapters/work/SchedulingTerm.java
+++ b/src/main/java/org/cicadalead/adapters/work/SchedulingTerm.java
@@ -231,7 +231,8 @@
         WorkTime now = now();
         boolean canStart = canStartRuns();
         List<WorkOrder> orders = scheduler.get().decide(now, canStart);
-        dispatcher.ifPresent(orderDispatcher -> orders.forEach(orderDispatcher::execute));
+        dispatcher.ifPresent(
+                orderDispatcher -> orders.forEach(order -> runLoggingFailure(() -> orderDispatcher.execute(order))));
         if (pacing.startMachineDecisions(now.monotonic())) {
             machineController.ifPresent(machineController -> machineController.runCycle(now, canStart));
         }
--- a/src/test/java/org/cicadalead/adapters/work/LeaderElectionTest.java
+++ b/src/test/java/org/cicadalead/adapters/work/LeaderElectionTest.java
@@ -14,6 +14,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
 import org.cicadalead.adapters.time.SystemTimerService;
 import org.cicadalead.logic.work.EarlierTerm;
@@ -43,6 +44,7 @@
             new DecisionLog(OutputStream.nullOutputStream(), "process", new WorkMetrics(new SimpleMeterRegistry()));
     private volatile boolean hostsKnown = true;
     private volatile boolean losesRepliesOfStoredHeartbeats;
+    private final AtomicInteger failingCalls = new AtomicInteger();
     private final List<String> startedTerms = new CopyOnWriteArrayList<>();
     private final List<Long> storedGenerations = new CopyOnWriteArrayList<>();
     private final List<LeaderElection> elections = new ArrayList<>();
@@ -137,6 +139,18 @@
         assertEquals(List.of("a 1"), startedTerms);
     }
 
+    @Test
+    void continuesElectionAfterFailureInIt() throws InterruptedException {
+        failingCalls.set(3);
+        createCandidate("a").start();
+        await(() -> startedTerms.contains("a 1"));
+        failingCalls.set(2);
+        await(() -> failingCalls.get() == 0);
+        long heartbeats = storedGenerations.size();
+        await(() -> storedGenerations.size() > heartbeats + 1);
+        assertEquals(List.of("a 1"), startedTerms);
+    }
+
     @Test
     void reportsAnnouncementThatItReadsBackAsStored() throws InterruptedException {
         losesRepliesOfStoredHeartbeats = true;
@@ -151,6 +165,9 @@
     private RecordStore createStoreView() {
         return (RecordStore) Proxy.newProxyInstance(
                 RecordStore.class.getClassLoader(), new Class<?>[] {RecordStore.class}, (proxy, method, arguments) -> {
+                    if (failingCalls.getAndUpdate(calls -> Math.max(0, calls - 1)) > 0) {
+                        return CompletableFuture.failedFuture(new IllegalStateException("a call failed"));
+                    }
                     Object reply = method.invoke(store, arguments);
                     if (losesRepliesOfStoredHeartbeats
                             && method.getName().equals("append")
--- a/src/test/java/org/cicadalead/adapters/work/SchedulingTermTest.java
+++ b/src/test/java/org/cicadalead/adapters/work/SchedulingTermTest.java
@@ -12,12 +12,19 @@
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
+import org.cicadalead.logic.work.EarlierHosts;
 import org.cicadalead.logic.work.SchedulingTerms;
+import org.cicadalead.logic.work.WorkScheduler;
+import org.cicadalead.model.work.ActiveRun;
 import org.cicadalead.model.work.FleetPlan;
+import org.cicadalead.model.work.HostCapacity;
 import org.cicadalead.model.work.HostEntry;
+import org.cicadalead.model.work.HostListing;
 import org.cicadalead.model.work.MachineEntry;
 import org.cicadalead.model.work.MachineOutcome;
 import org.cicadalead.model.work.MaintenanceWave;
@@ -101,13 +108,49 @@
         }
     }
 
+    /** A host that replies with a list that cannot be applied. */
+    private static final class UnusableHosts extends UnreachableHosts {
+        private final CountDownLatch polls = new CountDownLatch(3);
+
+        @Override
+        public CompletableFuture<PollResult> poll(
+                Target target, OptionalLong deadline, long acknowledged, Duration wait) {
+            polls.countDown();
+            HostListing listing = new HostListing(1, 1, List.of(new ActiveRun(null, "", 100, 0)), List.of());
+            return CompletableFuture.completedFuture(new PollResult(OrderOutcome.CONFIRMED, Optional.of(listing)));
+        }
+    }
+
+    @Test
+    void pollsHostAgainAfterItsListCouldNotBeApplied() throws InterruptedException {
+        ScheduledExecutorService executor = Executors.newSingleThreadScheduledExecutor();
+        try {
+            UnusableHosts hosts = new UnusableHosts();
+            SchedulingPorts ports = createPorts(store, hosts);
+            SchedulingTerms terms = new SchedulingTerms(5_700, 2_500, 6_000, 200, 2_000, 1);
+            SchedulingTerm term = new SchedulingTerm(ports, executor, terms, 2, Optional.empty(), hostsInUse -> {});
+            WorkScheduler scheduler = new WorkScheduler(terms, 2, EarlierHosts.NONE, 0);
+            HostEntry host = new HostEntry(
+                    "host", "service", "host:1", "zone", false, 1, 0, new HostCapacity(1, 1, 0), List.of());
+            scheduler.updateHosts(List.of(host), term.now());
+            executor.execute(() -> new HostPoller(term, ports, scheduler, "host", 2, () -> {}).poll());
+            assertTrue(hosts.polls.await(20, TimeUnit.SECONDS));
+        } finally {
+            executor.shutdownNow();
+        }
+    }
+
     static SchedulingPorts createPorts(RecordStore store) {
+        return createPorts(store, new UnreachableHosts());
+    }
+
+    static SchedulingPorts createPorts(RecordStore store, HostOrders hostOrders) {
         ManualTimerService timers = new ManualTimerService();
         DecisionLog log =
                 new DecisionLog(OutputStream.nullOutputStream(), "process", new WorkMetrics(new SimpleMeterRegistry()));
         return new SchedulingPorts(
                 store,
-                new UnreachableHosts(),
+                hostOrders,
                 new UnreachableMachines(),
                 (step, hosts) -> new CompletableFuture<>(),
                 new EmptyRegistry(),
@@ -120,7 +163,7 @@
                 () -> {});
     }
 
-    private static final class UnreachableHosts implements HostOrders {
+    private static class UnreachableHosts implements HostOrders {
         @Override
         public CompletableFuture<StartOutcome> start(StartOrder order) {
             return new CompletableFuture<>();
