Read the machine list after a move that did not arrive

Seen: read and shown by a test. A host whose machine was ordered to move gets no work until a list shows the machine up and not moving. An order without an answer counts as a move for 4 s; after that the list was read every 4 s only, so that the host stayed without work for up to 8 s and the call, beyond the 7 s that a lasting task may wait after the last disruption if that host alone has room.

Evidence: PoolBalancerTest.requestsMachineListAfterMoveThatDidNotArrive failed before.

Change: a move that has expired asks for a list at the interval of 0.8 s until there is one. By arithmetic the wait is 4 s, 0.8 s and the call, 1.5 s at most. The 4 s stay: the order may be carried out late.

--- a/src/main/java/org/cicadalead/logic/work/PoolBalancer.java
+++ b/src/main/java/org/cicadalead/logic/work/PoolBalancer.java
@@ -43,10 +43,13 @@
     private final Map<String, PendingMove> pendingMoves = new HashMap<>();
     private final Map<String, Long> retryAt = new HashMap<>();
     private boolean hasMachineList;
+    /** Whether a move came to no end that the newest list shows; the next list tells whether its host stays. */
+    private boolean hasExpiredMoves;
 
     /** Updates the machines from the complete list of the platform. */
     public void updateMachines(List<MachineEntry> entries) {
         hasMachineList = true;
+        hasExpiredMoves = false;
         machines.clear();
         entries.forEach(entry -> machines.put(entry.machine(), entry));
         pendingMoves.entrySet().removeIf(pendingMove -> hasArrived(pendingMove.getKey(), pendingMove.getValue()));
@@ -64,6 +67,7 @@
     public boolean isMachineListNeeded(PoolView pools, long now) {
         return !hasMachineList
                 || !pendingMoves.isEmpty()
+                || hasExpiredMoves
                 || pools.demands().stream().anyMatch(demand -> countMissingHosts(demand, 0) > 0);
     }
 
@@ -78,7 +82,8 @@
         if (!hasMachineList) {
             return List.of();
         }
-        pendingMoves.values().removeIf(pendingMove -> now - pendingMove.orderedAt() > ARRIVAL_MILLISECONDS);
+        hasExpiredMoves |=
+                pendingMoves.values().removeIf(pendingMove -> now - pendingMove.orderedAt() > ARRIVAL_MILLISECONDS);
         List<MachineEntry> idleMachines = updateIdleMachines(pools, reserved, now);
         List<Move> moves = new ArrayList<>();
         List<PoolView.Demand> poweredPools = pools.demands().stream()
--- a/src/test/java/org/cicadalead/logic/work/PoolBalancerTest.java
+++ b/src/test/java/org/cicadalead/logic/work/PoolBalancerTest.java
@@ -1,11 +1,13 @@
 package org.cicadalead.logic.work;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
+import java.util.stream.Collectors;
 import org.cicadalead.model.work.EndedRun;
 import org.cicadalead.model.work.HostEntry;
 import org.cicadalead.model.work.MachineCondition;
@@ -173,6 +175,25 @@
         assertEquals(List.of(move), decide(scheduler, 1_200));
     }
 
+    @Test
+    void requestsMachineListAfterMoveThatDidNotArrive() {
+        addPool(WorkFixtures.QUIET, 3);
+        WorkScheduler scheduler = createScheduler();
+        decide(scheduler, 100);
+        long orderedAt = 10_000;
+        hosts.forEach(host -> WorkFixtures.replyToPoll(scheduler, host.identifier(), orderedAt, List.of(), List.of()));
+        decide(scheduler, orderedAt).forEach(move -> balancer.onMoveReply(move, MachineOutcome.UNKNOWN, orderedAt + 1));
+        long expiredAt = orderedAt + 4_001;
+        balancer.decide(viewPools(scheduler, expiredAt), scheduler.createMachineView(), reserveAll(), expiredAt);
+        assertTrue(balancer.isMachineListNeeded(viewPools(scheduler, expiredAt), expiredAt));
+        balancer.updateMachines(machines);
+        assertFalse(balancer.isMachineListNeeded(viewPools(scheduler, expiredAt), expiredAt));
+    }
+
+    private Set<String> reserveAll() {
+        return machines.stream().map(MachineEntry::machine).collect(Collectors.toSet());
+    }
+
     @Test
     void switchesOffIdleMachinesButKeepsOne() {
         addPool(WorkFixtures.QUIET, 3);
