Resolve an order to start that has no outcome

Seen: read and shown by a test. A run whose order to start got neither a reply nor a failure counted as ordered for the rest of the term, also when its host replied again and again without it; its task waited as long.

Evidence: RunLedgerTest.stopsRunWhoseOrderHasNoOutcomeAndThatHostDoesNotList failed before.

Change: such a run is stopped 2 s after the order, longer than any time limit of an order, once a list that was requested later does not have it. It is the way of an order without a reply, so a start that arrives late is rejected, and the task waits for the confirmed stop: no second run.

--- a/src/main/java/org/cicadalead/logic/work/RunLedger.java
+++ b/src/main/java/org/cicadalead/logic/work/RunLedger.java
@@ -25,6 +25,9 @@
     /** Pause after a host reported that it is unhealthy. */
     private static final long UNHEALTHY_PAUSE_MILLISECONDS = 1_000;
 
+    /** Time after which an order to start counts as one without a reply; longer than any time limit of an order. */
+    private static final long MAX_ORDER_MILLISECONDS = 2_000;
+
     private final WorkState state;
 
     RunLedger(WorkState state) {
@@ -176,8 +179,13 @@
                     run.transitionTo(WorkRun.State.STOPPING, now);
                 }
             }
+            case ORDERED -> {
+                if (pollIsNewer && now - run.changedAt >= MAX_ORDER_MILLISECONDS) {
+                    run.transitionTo(WorkRun.State.STOPPING, now);
+                }
+            }
             default -> {
-                // An order is in flight.
+                // An order to stop is in flight.
             }
         }
     }
--- a/src/test/java/org/cicadalead/logic/work/RunLedgerTest.java
+++ b/src/test/java/org/cicadalead/logic/work/RunLedgerTest.java
@@ -48,6 +48,23 @@
                         .size());
     }
 
+    @Test
+    void stopsRunWhoseOrderHasNoOutcomeAndThatHostDoesNotList() {
+        scheduler.addJob(WorkFixtures.job("job", WorkFixtures.BUSY, 0, WorkFixtures.longRunningStep(1, 0)), at(100));
+        WorkOrder.Start start = WorkFixtures.startsIn(WorkFixtures.decide(scheduler, at(100), true))
+                .get(0);
+        WorkFixtures.replyToPoll(scheduler, "host", 2_100, List.of(), List.of());
+        assertEquals(
+                List.of(new WorkOrder.Stop(start.target(), start.run())),
+                WorkFixtures.decide(scheduler, at(2_101), true));
+        scheduler.onStopConfirmed("host", start.run(), at(2_110));
+        WorkFixtures.replyToPoll(scheduler, "host", 2_120, List.of(), List.of());
+        assertEquals(
+                1,
+                WorkFixtures.startsIn(WorkFixtures.decide(scheduler, at(2_121), true))
+                        .size());
+    }
+
     @Test
     void ordersNothingOnHostThatMayHaveRestartedUntilItReplies() {
         scheduler.onPollFailed("host");
