Keep the room that is freed for a long-running task

Seen: read, then shown by tests. A long-running task that finds no host has short tasks stopped for it. What kept it waiting beyond any bound: - Each short task that had stopped was started again, or another one was, in the room it left, before the last of them had stopped, so that a task that needs more than one of them never got its room. - Short tasks were stopped where the step's label or its limit per host does not allow the task; a host that it may use was never the cheapest one while others are filled with new tasks. - One task of a step was served at a time, so that five tasks of one lost host waited for up to five stops of 0.9 s one after another. - While the stops were under way, further hosts were cleared each cycle. - A step with a preferred single rack waited for that rack though others had room.

No rule of safety is touched: a stopped task starts again only after its end is listed.

--- a/src/main/java/org/cicadalead/logic/work/HostChoice.java
+++ b/src/main/java/org/cicadalead/logic/work/HostChoice.java
@@ -90,7 +90,8 @@
         return hosts;
     }
 
-    private HostCapacity freeCapacityOf(WorkHost host) {
+    /** Returns the capacity that neither a run takes nor a task was reserved for in this cycle. */
+    HostCapacity freeCapacityOf(WorkHost host) {
         HostCapacity afterReservations = reservedFreeCapacities.get(host);
         return afterReservations == null ? host.freeCapacity() : afterReservations;
     }
@@ -138,12 +139,13 @@
     }
 
     private boolean canRun(WorkStep step, WorkHost host) {
+        return step.requiredCapacity.fitsInto(freeCapacityOf(host)) && permits(step, host);
+    }
+
+    /** Returns whether the requirements of a step, apart from capacity, permit a host. */
+    static boolean permits(WorkStep step, WorkHost host) {
         StepSpecification specification = step.specification;
-        return step.requiredCapacity.fitsInto(freeCapacityOf(host))
-                && specification
-                        .requiredLabel()
-                        .map(host.entry.labels()::contains)
-                        .orElse(true)
+        return specification.requiredLabel().map(host.entry.labels()::contains).orElse(true)
                 && (specification.maximumPerHost() == 0 || step.countTasksOn(host) < specification.maximumPerHost());
     }
 
--- a/src/main/java/org/cicadalead/logic/work/TaskPlacement.java
+++ b/src/main/java/org/cicadalead/logic/work/TaskPlacement.java
@@ -95,10 +95,18 @@
                 continue;
             }
             WorkHost host = choice.findHost(task, filterPermitted(step, filterByRack(step, choice), now.monotonic()));
-            if (host == null) {
-                if (step.specification.longRunning()) {
-                    Preemption.stopShortTasksFor(task, filterPermitted(step, choice.hosts(), now.monotonic()), now);
+            if (host == null && step.specification.longRunning()) {
+                host = findHostOfAnyRack(task, choice, now.monotonic());
+            }
+            if (host == null && step.specification.longRunning()) {
+                WorkHost cleared = Preemption.makeRoomFor(
+                        task, choice, filterPermitted(step, choice.hosts(), now.monotonic()), now);
+                if (cleared != null) {
+                    choice.reserve(cleared, step.specification);
+                    continue;
                 }
+            }
+            if (host == null) {
                 return;
             }
             choice.reserve(host, step.specification);
@@ -108,6 +116,13 @@
         }
     }
 
+    /** Finds a host for a long-running task: it is better to run on another rack, and slower, than to wait. */
+    private static @Nullable WorkHost findHostOfAnyRack(WorkTask task, HostChoice choice, long now) {
+        return task.step.specification.sameRack()
+                ? choice.findHost(task, filterPermitted(task.step, choice.hosts(), now))
+                : null;
+    }
+
     /**
      * Returns whether a stored announcement tells a successor that tasks of a job may run, so that they may be started.
      * Otherwise includes the job in the next announcement.
