Use excluded hosts for long-running tasks that find no other

Seen: read, then shown by tests. A long-running task waited although a host had room, for up to 8 s each time: - Runs that are to last never end as done, so nothing but short tasks reset the failures of a host. On a host that runs only such tasks, failures minutes apart added up to a back-off of 8 s. - A host that was unhealthy was excluded for up to 8 s after its last rejection, beyond the 7 s that are left after a disruption. - A host stays cordoned for up to 8 s while its machine may not go down for maintenance, also when that is because of the task that waits for room on it, and begins anew after 0.7 s. - A host that was cleared takes nothing for 2 s, anew in each cycle.

Change: a run that failed after 5 s counts as a success of its host first. Where neither a host has room nor stopping short tasks makes any, a long-running task uses a cordoned or cleared host, or one whose last failure is 2 s ago; not one that leaves, drains, does not reply or has just rejected a run. Short tasks keep to the exclusions.

By arithmetic: 6 s until a lost host's end is certain, 2 s, one cycle and the order are below 9 s.

Safety: whether a machine may go down is decided after the start, with the new run counted as not at work, so a step's limit holds; an order for a machine is given only with the host marked as leaving, which takes no work.

--- a/src/main/java/org/cicadalead/logic/work/HostChoice.java
+++ b/src/main/java/org/cicadalead/logic/work/HostChoice.java
@@ -29,6 +29,8 @@
 
     private final List<WorkHost> hosts = new ArrayList<>();
 
+    private final List<WorkHost> lastResorts = new ArrayList<>();
+
     /** Free capacities of the hosts for which a task was reserved in this cycle. */
     private final Map<WorkHost, HostCapacity> reservedFreeCapacities = new HashMap<>();
 
@@ -45,6 +47,8 @@
             if (host.canAcceptWork(now)) {
                 this.hosts.add(host);
                 addIfLargest(host.freeCapacity());
+            } else if (host.canAcceptWorkAsLastResort(now)) {
+                lastResorts.add(host);
             }
         }
     }
@@ -83,13 +87,18 @@
     }
 
     boolean isEmpty() {
-        return hosts.isEmpty();
+        return hosts.isEmpty() && lastResorts.isEmpty();
     }
 
     Collection<WorkHost> hosts() {
         return hosts;
     }
 
+    /** Returns the hosts for long-running tasks that find no host otherwise. */
+    Collection<WorkHost> lastResorts() {
+        return lastResorts;
+    }
+
     /** Returns the capacity that neither a run takes nor a task was reserved for in this cycle. */
     HostCapacity freeCapacityOf(WorkHost host) {
         HostCapacity afterReservations = reservedFreeCapacities.get(host);
@@ -114,6 +123,11 @@
         return best;
     }
 
+    /** Finds a host among the given last resorts for a long-running task that finds no host otherwise. */
+    @Nullable WorkHost findLastResort(WorkTask task, Collection<WorkHost> candidates) {
+        return findBest(task, candidates, true);
+    }
+
     private @Nullable WorkHost findBest(WorkTask task, Collection<WorkHost> candidates, boolean allowsAvoided) {
         WorkHost best = null;
         double bestScore = Double.POSITIVE_INFINITY;
--- a/src/main/java/org/cicadalead/logic/work/MachineView.java
+++ b/src/main/java/org/cicadalead/logic/work/MachineView.java
@@ -66,7 +66,7 @@
         if (host == null) {
             return;
         }
-        host.excludeUntil(now + CLEARED_PAUSE_MILLISECONDS);
+        host.keepClearedUntil(now + CLEARED_PAUSE_MILLISECONDS);
         for (WorkRun run : host.runs.values()) {
             if (run.state == WorkRun.State.RUNNING && !run.task.step.specification.longRunning()) {
                 run.transitionTo(WorkRun.State.STOPPING, now);
--- a/src/main/java/org/cicadalead/logic/work/RunLedger.java
+++ b/src/main/java/org/cicadalead/logic/work/RunLedger.java
@@ -25,6 +25,12 @@
     /** Pause after a host reported that it is unhealthy. */
     private static final long UNHEALTHY_PAUSE_MILLISECONDS = 1_000;
 
+    /**
+     * Time after which a run that was to last counts as a success of its host although it has failed; such runs end in
+     * no other way, so that their failures would add up over days. Longer than a broken host takes to fail.
+     */
+    private static final long LASTING_SUCCESS_MILLISECONDS = 5_000;
+
     /** Time after which an order to start counts as one without a reply; longer than any time limit of an order. */
     private static final long MAX_ORDER_MILLISECONDS = 2_000;
 
@@ -131,6 +137,11 @@
             finishTask(task);
         } else if (end.ending() == RunEnding.FAILED
                 && task.failedAttempts.add(end.run().attempt())) {
+            if (run != null
+                    && task.step.specification.longRunning()
+                    && now - run.orderedAt >= LASTING_SUCCESS_MILLISECONDS) {
+                host.countSuccess();
+            }
             countFailure(host, task, now);
         }
     }
--- a/src/main/java/org/cicadalead/logic/work/TaskPlacement.java
+++ b/src/main/java/org/cicadalead/logic/work/TaskPlacement.java
@@ -105,6 +105,7 @@
                     choice.reserve(cleared, step.specification);
                     continue;
                 }
+                host = choice.findLastResort(task, filterPermitted(step, choice.lastResorts(), now.monotonic()));
             }
             if (host == null) {
                 return;
--- a/src/main/java/org/cicadalead/logic/work/WorkHost.java
+++ b/src/main/java/org/cicadalead/logic/work/WorkHost.java
@@ -28,6 +28,12 @@
     private static final long INITIAL_BACKOFF_MILLISECONDS = 1_000;
     private static final int MAX_BACKOFF_EXPONENT = 3;
 
+    /**
+     * Time after a failure from which a long-running task without another host uses this one. A long-running task must
+     * run again 9 seconds after its last run ended, of which up to 6 pass until the end of a lost host is certain.
+     */
+    private static final long LAST_RESORT_BACKOFF_MILLISECONDS = 2_000;
+
     final String identifier;
     HostEntry entry;
     boolean registered = true;
@@ -53,6 +59,9 @@
     private int spareCapacityRuns;
     private int consecutiveFailures;
     private long excludedUntil = Long.MIN_VALUE;
+    private long clearedUntil = Long.MIN_VALUE;
+    private long backoffStartedAt = NEVER;
+    private long backoffUntil = Long.MIN_VALUE;
 
     /**
      * Creates a host that has not replied yet.
@@ -135,11 +144,22 @@
      * has expired here.
      */
     boolean canAcceptWork(long now) {
+        return isUsable(now) && !cordoned && now >= clearedUntil && now >= backoffUntil;
+    }
+
+    /**
+     * Returns whether runs of long-running tasks may be ordered that find no other host. Then a cordon, the pause of a
+     * cleared host and a long back-off give way, as they only say that other hosts are better.
+     */
+    boolean canAcceptWorkAsLastResort(long now) {
+        return isUsable(now) && now >= Math.min(backoffUntil, backoffStartedAt + LAST_RESORT_BACKOFF_MILLISECONDS);
+    }
+
+    private boolean isUsable(long now) {
         return registered
                 && !incarnationUnknown
                 && canReceiveLease(now)
                 && !entry.draining()
-                && !cordoned
                 && !leaving
                 && now >= excludedUntil;
     }
@@ -187,7 +207,8 @@
         consecutiveFailures++;
         if (consecutiveFailures >= FAILURES_BEFORE_BACKOFF) {
             int exponent = Math.min(MAX_BACKOFF_EXPONENT, consecutiveFailures - FAILURES_BEFORE_BACKOFF);
-            excludeUntil(now + (INITIAL_BACKOFF_MILLISECONDS << exponent));
+            backoffStartedAt = now;
+            backoffUntil = Math.max(backoffUntil, now + (INITIAL_BACKOFF_MILLISECONDS << exponent));
         }
     }
 
@@ -195,7 +216,13 @@
         consecutiveFailures = 0;
     }
 
+    /** Excludes a host that has rejected a run. */
     void excludeUntil(long time) {
         excludedUntil = Math.max(excludedUntil, time);
     }
+
+    /** Keeps the capacity free of which runs were cleared, so that the machine of the host can leave. */
+    void keepClearedUntil(long time) {
+        clearedUntil = Math.max(clearedUntil, time);
+    }
 }
