--- a/src/main/java/org/cicadalead/adapters/work/SchedulingTerm.java
+++ b/src/main/java/org/cicadalead/adapters/work/SchedulingTerm.java
@@ -242,7 +242,8 @@
         long unconfirmedMilliseconds = unconfirmedMilliseconds();
         boolean canStart = unconfirmedMilliseconds < terms.startLimitMilliseconds();
         List<WorkOrder> orders = scheduler.get().decide(now, unconfirmedMilliseconds);
-        dispatcher.ifPresent(orderDispatcher -> orders.forEach(orderDispatcher::execute));
+        dispatcher.ifPresent(
+                orderDispatcher -> orders.forEach(order -> runLoggingFailure(() -> orderDispatcher.execute(order))));
         if (pacing.startMachineDecisions(now.monotonic())) {
             machineController.ifPresent(machineController -> machineController.runCycle(now, canStart));
         }
--- a/src/test/java/org/cicadalead/logic/work/RunLedgerTest.java
+++ b/src/test/java/org/cicadalead/logic/work/RunLedgerTest.java
@@ -66,6 +66,23 @@
                         .size());
     }
 
+    @Test
+    void stopsRunWhoseOrderHasNoOutcomeAndThatHostDoesNotList() {
+        scheduler.addJob(WorkFixtures.job("job", WorkFixtures.BUSY, 0, WorkFixtures.longRunningStep(1, 0)), at(100));
+        WorkOrder.Start start = WorkFixtures.startsIn(WorkFixtures.decide(scheduler, at(100), 0))
+                .get(0);
+        WorkFixtures.replyToPoll(scheduler, "host", 2_100, List.of(), List.of());
+        assertEquals(
+                List.of(new WorkOrder.Stop(start.target(), start.run())),
+                WorkFixtures.decide(scheduler, at(2_101), 0));
+        scheduler.onStopConfirmed("host", start.run(), at(2_110));
+        WorkFixtures.replyToPoll(scheduler, "host", 2_120, List.of(), List.of());
+        assertEquals(
+                1,
+                WorkFixtures.startsIn(WorkFixtures.decide(scheduler, at(2_121), 0))
+                        .size());
+    }
+
     @Test
     void ordersNothingOnHostThatMayHaveRestartedUntilItReplies() {
         scheduler.onPollFailed("host");
--- a/src/test/java/org/cicadalead/logic/work/WaitingTasksTest.java
+++ b/src/test/java/org/cicadalead/logic/work/WaitingTasksTest.java
@@ -57,7 +57,7 @@
     }
 
     private static List<WorkOrder.Start> start(WorkScheduler scheduler, long now) {
-        return WorkFixtures.startsIn(WorkFixtures.decide(scheduler, at(now), true));
+        return WorkFixtures.startsIn(WorkFixtures.decide(scheduler, at(now), 0));
     }
 
     private static void listAll(WorkScheduler scheduler, List<WorkOrder.Start> starts, String host, long now) {
@@ -187,7 +187,7 @@
         long now = 1 + OVERDUE;
         WorkFixtures.replyToPoll(scheduler, "host", now, List.of(), List.of());
         assertEquals(WaitingReason.Cause.PLACEABLE, findReason(scheduler, now).cause());
-        assertEquals(List.of(), WorkFixtures.startsIn(scheduler.decide(at(now), true)));
+        assertEquals(List.of(), WorkFixtures.startsIn(scheduler.decide(at(now), 0)));
         assertEquals(
                 WaitingReason.Cause.START_INTENT_PENDING,
                 findReason(scheduler, now).cause());
@@ -234,7 +234,7 @@
         assertEquals("3000", input(silent.reason(), "hostSilentMilliseconds"));
         long expiresAfter = Long.parseLong(input(silent.reason(), "leaseExpiresAfterMilliseconds"));
         long expiry = 4_000 + expiresAfter;
-        scheduler.decide(at(expiry), true);
+        scheduler.decide(at(expiry), 0);
         WaitingTasks.WaitingTask dropped = onlyWaiting(tasks.evaluate(at(expiry + 10), true, 0));
         assertEquals(expiry + 10 - 1_000, dropped.waitedMilliseconds());
         assertTrue(dropped.lastRun().orElseThrow().contains("on host ran, LEASE_EXPIRED, 10 ms ago"));
