--- a/src/main/java/org/cicadalead/adapters/work/SchedulingTerm.java
+++ b/src/main/java/org/cicadalead/adapters/work/SchedulingTerm.java
@@ -246,8 +246,6 @@
             machineController.ifPresent(machineController -> machineController.runCycle(now, canStart));
         }
         takeoverReport.ifPresent(report -> report.logChanges(now));
-        waitingTaskReport.ifPresent(report ->
-                report.logChanges(now, canStart, ports.unconfirmedMilliseconds().getAsLong()));
         boolean startsWait = scheduler.get().hasPendingStartIntents();
         boolean hostsWait = scheduler.get().hasHostsWaitingForAnnouncement(now);
         if (pacing.startAnnouncement(now.monotonic(), startsWait, hostsWait)) {
@@ -256,6 +254,9 @@
                 ports.requestHeartbeat().run();
             }
         }
+        // Last, so that a fault in the report can hold up neither orders nor announcements.
+        waitingTaskReport.ifPresent(report ->
+                report.logChanges(now, canStart, ports.unconfirmedMilliseconds().getAsLong()));
         pacing.onCycleEnded(ports.timers().nanoTime() - startNanoseconds);
     }
 
