Renew no lease of a host that may have restarted

After a poll without a reply the host may be a new process under the same identifier.

Now such a poll renews nothing; it is answered at once, and the one after its reply renews again.

Test: RunLedgerTest.renewsNoLeaseOfHostThatMayHaveRestartedUntilItReplies (the deadline was 5878 before).

--- a/src/main/java/org/cicadalead/logic/work/WorkScheduler.java
+++ b/src/main/java/org/cicadalead/logic/work/WorkScheduler.java
@@ -170,7 +170,8 @@
         }
         boolean isBusy = !host.runs.isEmpty();
         state.updateConfirmation(now.monotonic(), unconfirmedMilliseconds);
-        boolean renewsLease = state.isAnnounced() && isBusy && host.canReceiveLease(now.monotonic());
+        boolean renewsLease =
+                state.isAnnounced() && isBusy && !host.incarnationUnknown && host.canReceiveLease(now.monotonic());
         OptionalLong deadline = renewsLease ? state.grantLease(host, now.monotonic()) : OptionalLong.empty();
         // A restarted host numbers its ended runs from the beginning. An acknowledgement of numbers of the previous
         // incarnation would discard ends that are not stored yet.
--- a/src/test/java/org/cicadalead/logic/work/RunLedgerTest.java
+++ b/src/test/java/org/cicadalead/logic/work/RunLedgerTest.java
@@ -6,6 +6,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.cicadalead.model.work.ActiveRun;
 import org.cicadalead.model.work.HostEntry;
 import org.cicadalead.model.work.HostListing;
@@ -78,6 +79,23 @@
                         .size());
     }
 
+    /** A deadline by the clock of the former process lies far ahead on a new one, where a run may be about to start. */
+    @Test
+    void renewsNoLeaseOfHostThatMayHaveRestartedUntilItReplies() {
+        WorkOrder.Start start = startTask(100);
+        scheduler.onPollFailed("host");
+        assertEquals(
+                OptionalLong.empty(),
+                scheduler.createPoll("host", at(200), 0).orElseThrow().deadline());
+        List<ActiveRun> active = List.of(new ActiveRun(start.run(), "", WorkRun.FULL_SPEED_PERCENT, 0));
+        WorkFixtures.replyToPoll(scheduler, "host", 210, active, List.of());
+        assertTrue(scheduler
+                .createPoll("host", at(211), 0)
+                .orElseThrow()
+                .deadline()
+                .isPresent());
+    }
+
     @Test
     void keepsRunOfHostThatRepliedAfterTheListOfItsMachineWasRequested() {
         startTask(100);
