Count the longest lease of the platform on a host that has restarted

A run that was ordered before the restart was known may run on the new process. The deadline of its order is a time of the former clock, which the new process shortens to 6,000 ms from its arrival; the leader recorded 5,700 ms (read; no second run was seen).

--- a/src/main/java/org/cicadalead/logic/work/RunLedger.java
+++ b/src/main/java/org/cicadalead/logic/work/RunLedger.java
@@ -53,7 +53,7 @@
         }
         if (restarted && !host.runs.isEmpty()) {
             // Runs that were ordered before the restart was known have a lease on the new process.
-            host.recordLease(state.terms.leaseMilliseconds());
+            host.recordLease(state.terms.maximumLeaseMilliseconds());
         }
         host.orphanedRuns.retainAll(listed);
     }
--- a/src/main/java/org/cicadalead/logic/work/SchedulingTerms.java
+++ b/src/main/java/org/cicadalead/logic/work/SchedulingTerms.java
@@ -4,6 +4,7 @@
  * Limits of the platform that scheduling depends on. Immutable.
  *
  * @param leaseMilliseconds time for which a host continues its runs without contact to the leader
+ * @param maximumLeaseMilliseconds longest lease of the platform; a host shortens a longer one to it
  * @param startLimitMilliseconds maximum time for which a leader starts work without a confirmed heartbeat
  * @param leaseHorizonMilliseconds time by which every lease of a leader has expired for certain after the sending of
  *     its last confirmed record, and every lease of a host after its last reply
@@ -13,6 +14,7 @@
  */
 public record SchedulingTerms(
         long leaseMilliseconds,
+        long maximumLeaseMilliseconds,
         long startLimitMilliseconds,
         long leaseHorizonMilliseconds,
         long stopTimeoutMilliseconds,
--- a/src/main/java/org/cicadalead/platform/PlatformEntry.java
+++ b/src/main/java/org/cicadalead/platform/PlatformEntry.java
@@ -156,6 +156,7 @@
     private static SchedulingTerms createSchedulingTerms(PlatformSettings settings) {
         return new SchedulingTerms(
                 Math.round(settings.maximumLeaseMilliseconds() * LEASE_SHARE),
+                settings.maximumLeaseMilliseconds(),
                 MAX_UNCONFIRMED_START_MILLISECONDS,
                 LEASE_HORIZON_MILLISECONDS,
                 settings.stopTimeoutMilliseconds(),
--- a/src/test/java/org/cicadalead/adapters/work/JobRequestServiceTest.java
+++ b/src/test/java/org/cicadalead/adapters/work/JobRequestServiceTest.java
@@ -36,7 +36,7 @@
     private final DecisionLog log =
             new DecisionLog(OutputStream.nullOutputStream(), "process", new WorkMetrics(new SimpleMeterRegistry()));
     private final SchedulingService scheduling = new SchedulingService(
-            SchedulingTermTest.createPorts(store), new SchedulingTerms(5_700, 2_500, 6_000, 200, 2, 1));
+            SchedulingTermTest.createPorts(store), new SchedulingTerms(5_700, 6_000, 2_500, 6_000, 200, 2, 1));
     private final JobRequestService service = new JobRequestService(
             store,
             timers,
--- a/src/test/java/org/cicadalead/adapters/work/SchedulingTermTest.java
+++ b/src/test/java/org/cicadalead/adapters/work/SchedulingTermTest.java
@@ -79,7 +79,7 @@
             SchedulingTerm term = new SchedulingTerm(
                     createPorts(store),
                     executor,
-                    new SchedulingTerms(5_700, 2_500, 6_000, 200, 2_000, 1),
+                    new SchedulingTerms(5_700, 6_000, 2_500, 6_000, 200, 2_000, 1),
                     2,
                     Optional.empty(),
                     hostsInUse -> {});
--- a/src/test/java/org/cicadalead/logic/work/RunLedgerTest.java
+++ b/src/test/java/org/cicadalead/logic/work/RunLedgerTest.java
@@ -57,6 +57,17 @@
         assertTrue(remaining >= longest, "remaining lease is " + remaining);
     }
 
+    /** Its new process shortens a deadline by the clock of the former one to the longest lease of the platform. */
+    @Test
+    void countsLongestLeaseOfThePlatformOnRestartedHostThatMayHaveStartedTheRun() {
+        startTask(100);
+        listNoRunsAfterRestart(99, 106);
+        double longest = WorkFixtures.TERMS.maximumLeaseMilliseconds() / SchedulingTerms.SLOWEST_CLOCK_RATE;
+        long remaining =
+                scheduler.announceHostsInUse(at(106)).claims().get("host").remainingLease();
+        assertTrue(remaining >= longest, "remaining lease is " + remaining);
+    }
+
     @Test
     void restartsTaskOfRestartedHostOnceItsListingWasRequestedLater() {
         startTask(100);
--- a/src/test/java/org/cicadalead/logic/work/SimulatedFleet.java
+++ b/src/test/java/org/cicadalead/logic/work/SimulatedFleet.java
@@ -28,7 +28,7 @@
  * start and all waiting work against the true state of the hosts.
  */
 final class SimulatedFleet {
-    static final SchedulingTerms TERMS = new SchedulingTerms(5_700, 2_500, 6_000, 200, 2_000, 3);
+    static final SchedulingTerms TERMS = new SchedulingTerms(5_700, 6_000, 2_500, 6_000, 200, 2_000, 3);
     private static final HostCapacity CAPACITY = new HostCapacity(4_000, 8_000, 0);
     private static final int TICK_MILLISECONDS = 10;
     private static final long FAULT_INTERVAL_MILLISECONDS = 400;
