--- a/src/test/java/org/cicadalead/adapters/work/SchedulingTermTest.java
+++ b/src/test/java/org/cicadalead/adapters/work/SchedulingTermTest.java
@@ -131,7 +131,7 @@
         try {
             UnusableHosts hosts = new UnusableHosts();
             SchedulingPorts ports = createPorts(store, hosts);
-            SchedulingTerms terms = new SchedulingTerms(5_700, 2_500, 6_000, 200, 2_000, 1);
+            SchedulingTerms terms = new SchedulingTerms(5_700, 6_000, 2_500, 6_000, 200, 2_000, 1);
             SchedulingTerm term = new SchedulingTerm(ports, executor, terms, 2, Optional.empty(), hostsInUse -> {});
             WorkScheduler scheduler = new WorkScheduler(terms, 2, EarlierHosts.NONE, 0);
             HostEntry host = new HostEntry(
@@ -160,7 +160,7 @@
             SchedulingTerm term = new SchedulingTerm(
                     createPorts(store, new UnreachableHosts(), timers, log),
                     executor,
-                    new SchedulingTerms(5_700, 2_500, 6_000, 200, 2_000, 1),
+                    new SchedulingTerms(5_700, 6_000, 2_500, 6_000, 200, 2_000, 1),
                     2,
                     Optional.empty(),
                     hostsInUse -> {});
--- a/src/test/java/org/cicadalead/adapters/work/WaitingTaskReportTest.java
+++ b/src/test/java/org/cicadalead/adapters/work/WaitingTaskReportTest.java
@@ -49,8 +49,8 @@
                 0,
                 false,
                 0);
-        WorkScheduler scheduler =
-                new WorkScheduler(new SchedulingTerms(5_700, 2_500, 6_000, 200, 2_000, 1), 3, EarlierHosts.NONE, 0);
+        WorkScheduler scheduler = new WorkScheduler(
+                new SchedulingTerms(5_700, 6_000, 2_500, 6_000, 200, 2_000, 1), 3, EarlierHosts.NONE, 0);
         QueueTerms terms = new QueueTerms(0, 3, 1.6, 600, Optional.empty());
         scheduler.addJob(
                 new WorkSubmission("job", "queue", "service", terms, "run", List.of(step), 0, 0, 0, 0),
--- a/src/test/java/org/cicadalead/logic/work/LastingTaskExclusionTest.java
+++ b/src/test/java/org/cicadalead/logic/work/LastingTaskExclusionTest.java
@@ -114,7 +114,6 @@
         addLastingJob(scheduler);
         assertEquals(
                 1,
-                WorkFixtures.startsIn(WorkFixtures.decide(scheduler, at(2), 0))
-                        .size());
+                WorkFixtures.startsIn(WorkFixtures.decide(scheduler, at(2), 0)).size());
     }
 }
