Clear as many hosts as a step's limit per host requires

Waiting tasks of a step with a limit per host were all given the room of one host, and waited for further stops one after another. LastingTaskRoomTest.makesRoomOnAsManyHostsAsLimitPerHostRequires; not run on the code before.

--- a/src/main/java/org/cicadalead/logic/work/TaskPlacement.java
+++ b/src/main/java/org/cicadalead/logic/work/TaskPlacement.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -90,6 +91,7 @@
         if (step.waitingTasks == 0) {
             return;
         }
+        List<WorkHost> clearedHosts = new ArrayList<>();
         for (WorkTask task : step.tasks) {
             if (!task.isWaiting()) {
                 continue;
@@ -99,10 +101,12 @@
                 host = findHostOfAnyRack(task, choice, now.monotonic());
             }
             if (host == null && step.specification.longRunning()) {
-                WorkHost cleared = Preemption.makeRoomFor(
-                        task, choice, filterPermitted(step, choice.hosts(), now.monotonic()), now);
+                Collection<WorkHost> permitted = filterPermitted(step, choice.hosts(), now.monotonic());
+                WorkHost cleared =
+                        Preemption.makeRoomFor(task, choice, filterBelowLimit(step, permitted, clearedHosts), now);
                 if (cleared != null) {
                     choice.reserve(cleared, step.specification);
+                    clearedHosts.add(cleared);
                     continue;
                 }
                 host = choice.findLastResort(task, filterPermitted(step, choice.lastResorts(), now.monotonic()));
@@ -117,6 +121,17 @@
         }
     }
 
+    /** Returns the hosts that have not reached a step's limit per host, with the tasks for which they are cleared. */
+    private static Collection<WorkHost> filterBelowLimit(
+            WorkStep step, Collection<WorkHost> hosts, List<WorkHost> clearedHosts) {
+        int limit = step.specification.maximumPerHost();
+        return limit == 0
+                ? hosts
+                : hosts.stream()
+                        .filter(host -> step.countTasksOn(host) + Collections.frequency(clearedHosts, host) < limit)
+                        .toList();
+    }
+
     /** Finds a host for a long-running task: it is better to run on another rack, and slower, than to wait. */
     private static @Nullable WorkHost findHostOfAnyRack(WorkTask task, HostChoice choice, long now) {
         return task.step.specification.sameRack()
--- a/src/test/java/org/cicadalead/logic/work/LastingTaskRoomTest.java
+++ b/src/test/java/org/cicadalead/logic/work/LastingTaskRoomTest.java
@@ -24,6 +24,11 @@
 
     private static StepSpecification lastingStep(
             int tasks, long milliCores, boolean sameRack, Optional<String> requiredLabel) {
+        return lastingStep(tasks, milliCores, sameRack, requiredLabel, 0);
+    }
+
+    private static StepSpecification lastingStep(
+            int tasks, long milliCores, boolean sameRack, Optional<String> requiredLabel, int maximumPerHost) {
         return new StepSpecification(
                 tasks,
                 milliCores,
@@ -36,7 +41,7 @@
                 sameRack,
                 requiredLabel,
                 Optional.empty(),
-                0,
+                maximumPerHost,
                 false,
                 true,
                 Optional.empty(),
@@ -136,6 +141,19 @@
                 10, stopsOn("first", orders).size() + stopsOn("second", orders).size());
     }
 
+    @Test
+    void makesRoomOnAsManyHostsAsLimitPerHostRequires() {
+        WorkScheduler scheduler = WorkFixtures.scheduler(first, second);
+        fillWithShortTasks(scheduler, 2 * CORES_PER_HOST, NOW);
+        scheduler.addJob(
+                WorkFixtures.job("lasting", WorkFixtures.BUSY, NOW, lastingStep(2, 1_000, false, Optional.empty(), 1)),
+                at(NOW));
+        WorkFixtures.decide(scheduler, at(NOW + 10), true);
+        List<WorkOrder> orders = WorkFixtures.decide(scheduler, at(NOW + 20), true);
+        assertEquals(1, stopsOn("first", orders).size());
+        assertEquals(1, stopsOn("second", orders).size());
+    }
+
     @Test
     void stopsNoMoreShortTasksWhileRoomIsBeingFreed() {
         WorkScheduler scheduler = WorkFixtures.scheduler(first, second);
