Keep a host without work by leaving, not by a cordon, in a test

SuccessionReviewTest.waitsForHostThatWasIdleInTheLastRecordAndIsMissingInTheRegistry needs a host that takes no work until after a record. Since long-running tasks without another host use a cordoned one, a cordon does not ensure that; leaving does. What the test asserts is unchanged.

--- a/src/test/java/org/cicadalead/logic/work/SuccessionReviewTest.java
+++ b/src/test/java/org/cicadalead/logic/work/SuccessionReviewTest.java
@@ -126,13 +126,13 @@
         SuccessiveTerms.replyWithoutRuns(idle, 1, "second");
         HostsInUse announced = null;
         for (int announcement = 0; announcement < 3; announcement++) {
-            // The host has no room until after the last record.
-            idle.createMachineView().setCordoned("second", true);
+            // The host takes no work until after the last record.
+            idle.createMachineView().setLeaving("second", true);
             idle.decide(at(2), true);
             announced = idle.announceHostsInUse(at(3));
             idle.onAnnouncementStored(announced.generation());
         }
-        idle.createMachineView().setCordoned("second", false);
+        idle.createMachineView().setLeaving("second", false);
         idle.decide(at(4), true);
         HostsInUse intent = idle.announceHostsInUse(at(5));
         idle.onAnnouncementStored(intent.generation());
