Ask for lists at short intervals after an order without an outcome

A start without a reply kept its task for up to 4.7 s on a host that replies, as two lists were awaited behind polls that wait 1 s each. Such polls wait 100 ms now. RunLedgerTest.asksForListsAtShortIntervalsUntilStartWithoutReplyIsResolved; not run on the code before.

--- a/src/main/java/org/cicadalead/logic/work/RunLedger.java
+++ b/src/main/java/org/cicadalead/logic/work/RunLedger.java
@@ -56,7 +56,8 @@
             }
         }
         for (WorkRun run : List.copyOf(host.runs.values())) {
-            if (!listed.contains(run.key)) {
+            run.missing = !listed.contains(run.key);
+            if (run.missing) {
                 handleMissingRun(run, sentAt, now);
             }
         }
--- a/src/main/java/org/cicadalead/logic/work/WorkHost.java
+++ b/src/main/java/org/cicadalead/logic/work/WorkHost.java
@@ -198,6 +198,11 @@
         return spareCapacityRuns > 0;
     }
 
+    /** Returns whether a task waits for the next list, to run elsewhere after an order without an outcome. */
+    boolean hasRunWaitingForList() {
+        return runs.values().stream().anyMatch(WorkRun::isWaitingForList);
+    }
+
     /** Returns the capacity that no run takes. */
     HostCapacity freeCapacity() {
         return entry.capacity().minus(takenCapacity);
--- a/src/main/java/org/cicadalead/logic/work/WorkRun.java
+++ b/src/main/java/org/cicadalead/logic/work/WorkRun.java
@@ -16,6 +16,9 @@
 
     State state = State.ORDERED;
     long changedAt;
+    /** Whether the last list of the host does not have the run. */
+    boolean missing;
+
     int percentage;
     long sample;
     int pacedPercentage = FULL_SPEED_PERCENT;
@@ -35,6 +38,11 @@
         changedAt = now;
     }
 
+    /** Returns whether only a later list of the host tells that the run has not started and will not. */
+    boolean isWaitingForList() {
+        return state == State.UNCERTAIN || (missing && (state == State.STOPPING || state == State.STOPPED));
+    }
+
     /** Returns whether the run is at work for certain: a run on a host that does not reply may have ended with it. */
     boolean isAvailable(long now) {
         return state == State.RUNNING && percentage >= FULL_SPEED_PERCENT && !host.leaving && !host.isUnreachable(now);
--- a/src/main/java/org/cicadalead/logic/work/WorkScheduler.java
+++ b/src/main/java/org/cicadalead/logic/work/WorkScheduler.java
@@ -30,6 +30,9 @@
     /** Wait of a poll while the host has runs, so that leases are renewed well before they expire. */
     private static final long BUSY_POLL_WAIT_MILLISECONDS = 1_000;
 
+    /** Wait of a poll while a task waits for the list that tells that its run did not start. */
+    private static final long OUTCOME_POLL_WAIT_MILLISECONDS = 100;
+
     /** Wait of a poll while the host has no runs: the maximum that a host accepts, less the network delay. */
     private static final long IDLE_POLL_WAIT_MILLISECONDS = 1_500;
 
@@ -176,7 +179,11 @@
         // incarnation would discard ends that are not stored yet.
         long acknowledged = host.incarnationUnknown ? 0 : host.acknowledgedEndNumber;
         boolean isReplyUrgent = !host.repliedThisTerm || host.incarnationUnknown;
-        long wait = isReplyUrgent ? 0 : isBusy ? BUSY_POLL_WAIT_MILLISECONDS : IDLE_POLL_WAIT_MILLISECONDS;
+        long wait = isReplyUrgent
+                ? 0
+                : host.hasRunWaitingForList()
+                        ? OUTCOME_POLL_WAIT_MILLISECONDS
+                        : isBusy ? BUSY_POLL_WAIT_MILLISECONDS : IDLE_POLL_WAIT_MILLISECONDS;
         return Optional.of(new HostPollRequest(WorkState.targetOf(host), deadline, acknowledged, wait));
     }
 
--- a/src/test/java/org/cicadalead/logic/work/RunLedgerTest.java
+++ b/src/test/java/org/cicadalead/logic/work/RunLedgerTest.java
@@ -65,6 +65,29 @@
                         .size());
     }
 
+    private long pollWait(long now) {
+        return scheduler.createPoll("host", at(now), true).orElseThrow().waitMilliseconds();
+    }
+
+    @Test
+    void asksForListsAtShortIntervalsUntilStartWithoutReplyIsResolved() {
+        scheduler.addJob(WorkFixtures.job("job", WorkFixtures.BUSY, 0, WorkFixtures.longRunningStep(1, 0)), at(100));
+        WorkOrder.Start start = WorkFixtures.startsIn(WorkFixtures.decide(scheduler, at(100), true))
+                .get(0);
+        assertEquals(1_000, pollWait(101));
+        scheduler.onStartReply("host", start.run(), StartOutcome.UNKNOWN, at(700));
+        assertEquals(100, pollWait(701));
+        WorkFixtures.replyToPoll(scheduler, "host", 710, List.of(), List.of());
+        assertEquals(100, pollWait(711));
+        scheduler.onStopConfirmed("host", start.run(), at(720));
+        assertEquals(100, pollWait(721));
+        WorkFixtures.replyToPoll(scheduler, "host", 730, List.of(), List.of());
+        assertEquals(
+                1,
+                WorkFixtures.startsIn(WorkFixtures.decide(scheduler, at(731), true))
+                        .size());
+    }
+
     @Test
     void ordersNothingOnHostThatMayHaveRestartedUntilItReplies() {
         scheduler.onPollFailed("host");
