--- a/src/test/java/org/cicadalead/logic/work/SuccessionReviewTest.java
+++ b/src/test/java/org/cicadalead/logic/work/SuccessionReviewTest.java
@@ -194,8 +194,7 @@
         assertEquals(List.of(), startedHosts(successor.decide(at(5_003), 0)));
     }
 
-    /** A host that joined and never replied has no lease of the term; a successor need not wait for it. */
-    @Tag("known-red")
+    /** A host that joined and never replied has no lease of the term; the wait for it ends with the horizon. */
     @Test
     void successorDoesNotWaitForHostThatJoinedAndNeverReplied() {
         WorkScheduler first = beginFirstTerm(12);
