--- a/src/test/java/org/cicadalead/logic/work/RunLedgerTest.java
+++ b/src/test/java/org/cicadalead/logic/work/RunLedgerTest.java
@@ -6,9 +6,12 @@
 
 import java.util.List;
 import java.util.Optional;
+import org.cicadalead.model.work.ActiveRun;
 import org.cicadalead.model.work.HostEntry;
 import org.cicadalead.model.work.HostListing;
+import org.cicadalead.model.work.RunKey;
 import org.cicadalead.model.work.StartOutcome;
+import org.cicadalead.model.work.TaskKey;
 import org.junit.jupiter.api.Test;
 
 class RunLedgerTest {
@@ -18,7 +21,7 @@
 
     private WorkOrder.Start startTask(long now) {
         scheduler.addJob(WorkFixtures.job("job", WorkFixtures.BUSY, 0, WorkFixtures.step(1, 1_000, 500)), at(now));
-        WorkOrder.Start start = WorkFixtures.startsIn(WorkFixtures.decide(scheduler, at(now), true))
+        WorkOrder.Start start = WorkFixtures.startsIn(WorkFixtures.decide(scheduler, at(now), 0))
                 .get(0);
         scheduler.onStartReply("host", start.run(), StartOutcome.STARTED, at(now + 4));
         return start;
@@ -32,19 +35,34 @@
     void keepsRunThatRestartedHostStartedAfterItsListingWasRequested() {
         startTask(100);
         listNoRunsAfterRestart(99, 106);
-        assertEquals(List.of(), WorkFixtures.startsIn(WorkFixtures.decide(scheduler, at(107), true)));
+        assertEquals(List.of(), WorkFixtures.startsIn(WorkFixtures.decide(scheduler, at(107), 0)));
         long remaining =
                 scheduler.announceHostsInUse(at(107)).claims().get("host").remainingLease();
         assertTrue(remaining >= WorkFixtures.TERMS.leaseMilliseconds() - 1, "remaining lease is " + remaining);
     }
 
+    /**
+     * An earlier term may have granted its lease by a reading of a slow clock that was as old as a host may be silent.
+     */
+    @Test
+    void countsLeaseOfAdoptedRunAsLongAsAnEarlierTermMayHaveGrantedIt() {
+        scheduler.addJob(WorkFixtures.job("job", WorkFixtures.BUSY, 0, WorkFixtures.longRunningStep(1, 0)), at(100));
+        RunKey run = new RunKey(new TaskKey("job", 0, 0, 0), 1);
+        WorkFixtures.replyToPoll(scheduler, "host", 100, List.of(new ActiveRun(run, "", 100, 0)), List.of());
+        double clockLag = WorkHost.UNREACHABLE_AFTER_MILLISECONDS * (1 - SchedulingTerms.SLOWEST_CLOCK_RATE);
+        double longest = (WorkFixtures.TERMS.leaseMilliseconds() + clockLag) / SchedulingTerms.SLOWEST_CLOCK_RATE;
+        long remaining =
+                scheduler.announceHostsInUse(at(100)).claims().get("host").remainingLease();
+        assertTrue(remaining >= longest, "remaining lease is " + remaining);
+    }
+
     @Test
     void restartsTaskOfRestartedHostOnceItsListingWasRequestedLater() {
         startTask(100);
         listNoRunsAfterRestart(105, 106);
         assertEquals(
                 1,
-                WorkFixtures.startsIn(WorkFixtures.decide(scheduler, at(107), true))
+                WorkFixtures.startsIn(WorkFixtures.decide(scheduler, at(107), 0))
                         .size());
     }
 
@@ -52,11 +70,11 @@
     void ordersNothingOnHostThatMayHaveRestartedUntilItReplies() {
         scheduler.onPollFailed("host");
         scheduler.addJob(WorkFixtures.job("job", WorkFixtures.BUSY, 0, WorkFixtures.step(1, 1_000, 500)), at(100));
-        assertEquals(List.of(), WorkFixtures.startsIn(WorkFixtures.decide(scheduler, at(100), true)));
+        assertEquals(List.of(), WorkFixtures.startsIn(WorkFixtures.decide(scheduler, at(100), 0)));
         WorkFixtures.replyToPoll(scheduler, "host", 200, List.of(), List.of());
         assertEquals(
                 1,
-                WorkFixtures.startsIn(WorkFixtures.decide(scheduler, at(201), true))
+                WorkFixtures.startsIn(WorkFixtures.decide(scheduler, at(201), 0))
                         .size());
     }
 
@@ -64,13 +82,13 @@
     void keepsRunOfHostThatRepliedAfterTheListOfItsMachineWasRequested() {
         startTask(100);
         scheduler.createMachineView().onHostDown("host", -1);
-        assertTrue(scheduler.createPoll("host", at(107), true).isPresent());
+        assertTrue(scheduler.createPoll("host", at(107), 0).isPresent());
     }
 
     @Test
     void dropsRunOfHostThatHasNotRepliedSinceTheListOfItsMachineWasRequested() {
         startTask(100);
         scheduler.createMachineView().onHostDown("host", 101);
-        assertEquals(Optional.empty(), scheduler.createPoll("host", at(107), true));
+        assertEquals(Optional.empty(), scheduler.createPoll("host", at(107), 0));
     }
 }
