Count on expired leases only with a record confirmed after the expiry

Cause: a term that has lost the store may start work for 2.5 s. Within that time it counted the leases of a lost host as expired, and started the host's tasks, while its successor had adopted and renewed the same runs on the other side of the cut.

Change: expiry is compared with the sending of the last confirmed record instead of the present time, for leases of earlier terms (TakeoverGate) and of the term itself. No later term existed when that record was sent, so none can have renewed an expired lease. It costs at most one heartbeat of waiting.

--- a/src/main/java/org/cicadalead/logic/work/TakeoverGate.java
+++ b/src/main/java/org/cicadalead/logic/work/TakeoverGate.java
@@ -62,11 +62,16 @@
         return !machine.host().isEmpty() && !machine.host().equals(host);
     }
 
-    /** Returns whether a job may start: no earlier term can have started it, or its service is open. */
-    boolean canStart(WorkJob job, long now) {
+    /**
+     * Returns whether a job may start: no earlier term can have started it, or its service is open.
+     *
+     * @param confirmedAt monotonic time in milliseconds at which the last confirmed record of this term was sent; a
+     *     later term may have renewed leases that had not expired by then
+     */
+    boolean canStart(WorkJob job, long confirmedAt) {
         return !mayHaveStarted(job.identifier())
                 || job.receivedAt > earlierStartsEndAt
-                || isOpen(job.submission.service(), now);
+                || isOpen(job.submission.service(), confirmedAt);
     }
 
     /** Returns whether an earlier term may have started tasks of a job, by the start intents that it stored. */
@@ -74,9 +79,9 @@
         return earlier.mayHaveStarted(job);
     }
 
-    private boolean isOpen(String service, long now) {
+    private boolean isOpen(String service, long confirmedAt) {
         for (UnresolvedHost host : unresolved.values()) {
-            if (host.service().equals(service) && now < host.leaseExpiresAt()) {
+            if (host.service().equals(service) && confirmedAt < host.leaseExpiresAt()) {
                 return false;
             }
         }
--- a/src/main/java/org/cicadalead/logic/work/WorkScheduler.java
+++ b/src/main/java/org/cicadalead/logic/work/WorkScheduler.java
@@ -442,7 +442,7 @@
 
     private void expireLeases(long now) {
         for (WorkHost host : state.hosts.values()) {
-            if (host.isUnreachable(now) && !host.runs.isEmpty() && now >= host.leaseExpiresAt()) {
+            if (host.isUnreachable(now) && !host.runs.isEmpty() && state.confirmedAt() >= host.leaseExpiresAt()) {
                 ledger.dropAll(host);
             }
         }
--- a/src/main/java/org/cicadalead/logic/work/WorkState.java
+++ b/src/main/java/org/cicadalead/logic/work/WorkState.java
@@ -59,6 +59,14 @@
         confirmedAt = now - unconfirmedMilliseconds;
     }
 
+    /**
+     * Returns the monotonic time in milliseconds at which the last confirmed record of the leader was sent. No later
+     * term existed then, so a lease that had expired by then cannot have been renewed by one.
+     */
+    long confirmedAt() {
+        return confirmedAt;
+    }
+
     /** Grants a lease on a host, as {@link WorkHost#grantLease} does. */
     OptionalLong grantLease(WorkHost host, long now) {
         return host.grantLease(terms, confirmedAt, now);
