--- a/src/main/java/org/cicadalead/logic/work/WaitingReasonFinder.java
+++ b/src/main/java/org/cicadalead/logic/work/WaitingReasonFinder.java
@@ -77,7 +77,7 @@
                     "",
                     List.of(EventDetail.of("unconfirmedMilliseconds", unconfirmedMilliseconds)));
         }
-        if (!takeoverGate.canStart(step.job, now)) {
+        if (!takeoverGate.canStart(step.job, state.confirmedAt())) {
             return describeClosedService(step.job.submission.service());
         }
         if (step.specification.gang() && step.waitingTasks < step.tasks.size()) {
