--- a/src/test/java/org/cicadalead/logic/work/SimulatedFleetTest.java
+++ b/src/test/java/org/cicadalead/logic/work/SimulatedFleetTest.java
@@ -17,7 +17,6 @@
 import org.junit.jupiter.params.provider.MethodSource;
 
 class SimulatedFleetTest {
-    private static final String TAKEOVERS = "takeovers";
     private static final long FIRST_SEED = Long.getLong("cicadalead.work.seed", 1);
     private static final int RUNS = Integer.getInteger("cicadalead.work.runs", 60);
     private static final int BURST_RUNS = Integer.getInteger("cicadalead.work.runs", 15);
@@ -104,7 +103,7 @@
 
     static List<String> kinds() {
         return List.of(
-                TAKEOVERS,
+                "takeovers",
                 "hosts",
                 "orders",
                 "store",
@@ -128,24 +127,13 @@
         assertEquals(List.of(), simulateSeeds("losses", fleet -> fleet.oracle.violations));
     }
 
-    @Tag("known-red")
     @Test
     void runsWaitingWorkAfterHostsAreLostForGood() {
         assertEquals(List.of(), simulateSeeds("losses", fleet -> fleet.oracle.lostWork));
     }
 
-    @Tag("known-red")
-    @Test
-    void runsWaitingWorkAfterTakeovers() {
-        assertEquals(List.of(), simulateSeeds(TAKEOVERS, fleet -> fleet.oracle.lostWork));
-    }
-
-    static List<String> kindsButTakeovers() {
-        return kinds().stream().filter(kind -> !kind.equals(TAKEOVERS)).toList();
-    }
-
     @ParameterizedTest
-    @MethodSource("kindsButTakeovers")
+    @MethodSource("kinds")
     void runsWaitingWorkAfterFaults(String kind) {
         assertEquals(List.of(), simulateSeeds(kind, fleet -> fleet.oracle.lostWork));
     }
@@ -156,13 +144,19 @@
         assertEquals(List.of(), simulateBurstSeeds(FleetFaults.of(fault), fleet -> fleet.oracle.violations));
     }
 
-    @Tag("known-red")
     @ParameterizedTest
-    @EnumSource
+    @EnumSource(mode = EnumSource.Mode.EXCLUDE, names = "ALL_PROCESSES_KILLED")
     void runsWaitingWorkAfterCombinedFaults(CombinedFault fault) {
         assertEquals(List.of(), simulateBurstSeeds(FleetFaults.of(fault), fleet -> fleet.oracle.lostWork));
     }
 
+    @Tag("known-red")
+    @Test
+    void runsWaitingWorkAfterAllProcessesAreKilled() {
+        FleetFaults faults = FleetFaults.of(CombinedFault.ALL_PROCESSES_KILLED);
+        assertEquals(List.of(), simulateBurstSeeds(faults, fleet -> fleet.oracle.lostWork));
+    }
+
     private static List<String> simulateSeeds(String kind, Function<SimulatedFleet, List<String>> findings) {
         FleetFaults faults = FleetFaults.of(kind);
         return FleetFaults.isBurst(kind)
