Count a lease as expired only by the time of a confirmed record

Term 9 waited for the end of a lease of term 7 at 55,541 ms and started the task; term 10, claimed at 54,861 ms, had reached the host and renewed the lease. Term 9 was within its 2.5 s without a confirmed record.

Cause: a lease that is to expire by a time may be renewed before by a later term that this one has not read of.

Change: a service opens, and the runs of a silent host are dropped, only when a record that was sent after the expiry is confirmed: no later term had begun by then. It costs up to one heartbeat (0.3 s) of the wait.

Tests: two of SuccessiveTermsTest failed before.

--- a/src/main/java/org/cicadalead/logic/work/TakeoverGate.java
+++ b/src/main/java/org/cicadalead/logic/work/TakeoverGate.java
@@ -62,11 +62,15 @@
         return !machine.host().isEmpty() && !machine.host().equals(host);
     }
 
-    /** Returns whether a job may start: no earlier term can have started it, or its service is open. */
-    boolean canStart(WorkJob job, long now) {
+    /**
+     * Returns whether a job may start: no earlier term can have started it, or its service is open.
+     *
+     * @param expiryTime time up to which leases count as expired
+     */
+    boolean canStart(WorkJob job, long expiryTime) {
         return !mayHaveStarted(job.identifier())
                 || job.receivedAt > earlierStartsEndAt
-                || isOpen(job.submission.service(), now);
+                || isOpen(job.submission.service(), expiryTime);
     }
 
     /** Returns whether an earlier term may have started tasks of a job, by the start intents that it stored. */
@@ -74,9 +78,9 @@
         return earlier.mayHaveStarted(job);
     }
 
-    private boolean isOpen(String service, long now) {
+    private boolean isOpen(String service, long expiryTime) {
         for (UnresolvedHost host : unresolved.values()) {
-            if (host.service().equals(service) && now < host.leaseExpiresAt()) {
+            if (host.service().equals(service) && expiryTime < host.leaseExpiresAt()) {
                 return false;
             }
         }
--- a/src/main/java/org/cicadalead/logic/work/TaskPlacement.java
+++ b/src/main/java/org/cicadalead/logic/work/TaskPlacement.java
@@ -64,7 +64,7 @@
         }
         List<WorkJob> placeableJobs = new ArrayList<>();
         for (WorkJob job : jobs) {
-            if (isPlaceable(job, choice) && takeoverGate.canStart(job, now.monotonic())) {
+            if (isPlaceable(job, choice) && takeoverGate.canStart(job, state.findExpiryTime(now.monotonic()))) {
                 placeableJobs.add(job);
             }
         }
--- a/src/main/java/org/cicadalead/logic/work/WorkScheduler.java
+++ b/src/main/java/org/cicadalead/logic/work/WorkScheduler.java
@@ -415,7 +415,7 @@
         }
         state.updateConfirmation(now.monotonic(), unconfirmedMilliseconds);
         countArrivals(now);
-        expireLeases(now.monotonic());
+        expireLeases(now.monotonic(), state.findExpiryTime(now.monotonic()));
         state.retireEndedJobs(now.monotonic());
         openDueOccurrences(now);
         stopUnwantedRuns(orders, now.monotonic());
@@ -440,9 +440,9 @@
         arrivedJobs.clear();
     }
 
-    private void expireLeases(long now) {
+    private void expireLeases(long now, long expiryTime) {
         for (WorkHost host : state.hosts.values()) {
-            if (host.isUnreachable(now) && !host.runs.isEmpty() && now >= host.leaseExpiresAt()) {
+            if (host.isUnreachable(now) && !host.runs.isEmpty() && expiryTime >= host.leaseExpiresAt()) {
                 ledger.dropAll(host);
             }
         }
--- a/src/main/java/org/cicadalead/logic/work/WorkState.java
+++ b/src/main/java/org/cicadalead/logic/work/WorkState.java
@@ -59,6 +59,14 @@
         confirmedAt = now - unconfirmedMilliseconds;
     }
 
+    /**
+     * Returns the time up to which leases count as expired. A later term may renew a lease before it expires; no later
+     * term had begun when the last confirmed record was sent.
+     */
+    long findExpiryTime(long now) {
+        return Math.min(now, confirmedAt);
+    }
+
     /** Grants a lease on a host, as {@link WorkHost#grantLease} does. */
     OptionalLong grantLease(WorkHost host, long now) {
         return host.grantLease(terms, confirmedAt, now);
--- a/src/test/java/org/cicadalead/logic/work/SuccessiveTermsTest.java
+++ b/src/test/java/org/cicadalead/logic/work/SuccessiveTermsTest.java
@@ -283,6 +283,37 @@
                         .collect(Collectors.toSet()));
     }
 
+    /** A later term, of which the leader has not read yet, may have reached the host and renewed the lease. */
+    @Test
+    void startsNothingForAnExpiredLeaseThatALaterTermMayHaveRenewed() {
+        beginFirstTerm();
+        terms.claim(1_000 + CLAIM_DELAY);
+        WorkScheduler successor = terms.load(1_000 + CLAIM_DELAY + LOAD_DELAY);
+        long expiredAt = 1_000 + waitOfFirstSuccession();
+        SuccessiveTerms.replyWithoutRuns(successor, expiredAt + 10, "first", "second");
+        terms.announce(successor, expiredAt + 11);
+        assertEquals(List.of(), WorkFixtures.startsIn(successor.decide(at(expiredAt + 100), 101)));
+        assertEquals(
+                TASKS_OF_TWO_HOSTS,
+                WorkFixtures.startsIn(successor.decide(at(expiredAt + 101), 90)).size());
+    }
+
+    @Test
+    void keepsRunsOfSilentHostWhoseLeaseALaterTermMayHaveRenewed() {
+        WorkScheduler leader = beginFirstTerm();
+        long expiredAt = 11 + waitOfFirstSuccession();
+        WorkFixtures.replyToPoll(leader, "first", expiredAt, activeRuns(starts, "first"), List.of());
+        WorkFixtures.replyToPoll(leader, "second", expiredAt, activeRuns(starts, "second"), List.of());
+        terms.announce(leader, expiredAt);
+        leader.decide(at(expiredAt + 10), 2_000);
+        assertFalse(leader.createPoll("third", at(expiredAt + 11), 2_000).isEmpty());
+        assertEquals(
+                leader.createMachineView().countLongRunning("third"),
+                activeRuns(starts, "third").size());
+        leader.decide(at(expiredAt + 12), 0);
+        assertEquals(0, leader.createMachineView().countLongRunning("third"));
+    }
+
     /** Returns the time from the last record of the first term until each of its leases has expired for certain. */
     private static long waitOfFirstSuccession() {
         return WorkFixtures.TERMS.earlierLeaseExpiryMilliseconds();
