--- a/src/main/java/org/cicadalead/adapters/http/BoundedExchanges.java
+++ b/src/main/java/org/cicadalead/adapters/http/BoundedExchanges.java
@@ -13,8 +13,11 @@
  * and thread-safe.
  */
 public final class BoundedExchanges {
-    /** Time limit of the body, in addition to the timeout of the request. */
-    private static final Duration BODY_TIMEOUT = Duration.ofMillis(600);
+    /**
+     * Time limit of the body, in addition to the timeout of the request; a full page of the store takes 1.2 s at 7
+     * Mbit/s.
+     */
+    private static final Duration BODY_TIMEOUT = Duration.ofMillis(1_500);
 
     private BoundedExchanges() {}
 
