Clear room for a long-running task before its service opens

Callers would see: a lasting task of a full service that waits for the leases of a lost host starts up to 1.4 s after the lease horizon (LOST), as short tasks are stopped only when the service opens. Cause: the gate was asked before room was made. Now room is cleared from 1.5 s before on and kept, and the start waits for the gate.

--- a/src/main/java/org/cicadalead/logic/work/TaskPlacement.java
+++ b/src/main/java/org/cicadalead/logic/work/TaskPlacement.java
@@ -20,6 +20,12 @@
      */
     private static final int MAX_PENDING_ADVISOR_REQUESTS = 16;
 
+    /**
+     * Time before a long-running task may start from which room is cleared for it: the stops and the list that shows
+     * their ends take about as long.
+     */
+    private static final long ROOM_LEAD_MILLISECONDS = 1_500;
+
     private final WorkState state;
     private final RunLedger ledger;
     private final TakeoverGate takeoverGate;
@@ -65,23 +71,31 @@
         }
         List<WorkJob> placeableJobs = new ArrayList<>();
         for (WorkJob job : jobs) {
-            if (isPlaceable(job, choice) && takeoverGate.canStart(job, state.confirmedAt())) {
+            if (isPlaceable(job, choice) && (canStart(job) || canStartSoon(job, now.monotonic()))) {
                 placeableJobs.add(job);
             }
         }
         for (WorkJob job : WorkOrdering.sort(placeableJobs, now.wall())) {
             for (WorkStep step : job.openSteps()) {
                 requestTickets(step, choice, orders, now.monotonic());
-                if (step.specification.gang()) {
-                    placeGang(step, choice, orders, now.monotonic());
-                } else {
+                if (!step.specification.gang()) {
                     placeTasks(step, choice, orders, now);
+                } else if (canStart(job)) {
+                    placeGang(step, choice, orders, now.monotonic());
                 }
             }
         }
         evaluatedHosts += choice.evaluatedHosts();
     }
 
+    private boolean canStart(WorkJob job) {
+        return takeoverGate.canStart(job, state.confirmedAt());
+    }
+
+    private boolean canStartSoon(WorkJob job, long now) {
+        return job.longRunning && takeoverGate.canStart(job, now + ROOM_LEAD_MILLISECONDS);
+    }
+
     /** Returns how many times a host was compared with the requirements of a task so far. */
     long evaluatedHosts() {
         return evaluatedHosts;
@@ -91,6 +105,7 @@
         if (step.waitingTasks == 0) {
             return;
         }
+        boolean mayStart = canStart(step.job);
         List<WorkHost> clearedHosts = new ArrayList<>();
         for (WorkTask task : step.tasks) {
             if (!task.isWaiting()) {
@@ -115,7 +130,7 @@
                 return;
             }
             choice.reserve(host, step.specification);
-            if (ensureAnnounced(step.job)) {
+            if (mayStart && ensureAnnounced(step.job)) {
                 startTask(task, host, state.nextAttempt(task), orders, now.monotonic());
             }
         }
