--- a/src/main/java/org/cicadalead/logic/work/WorkHost.java
+++ b/src/main/java/org/cicadalead/logic/work/WorkHost.java
@@ -244,9 +244,11 @@
         consecutiveFailures = 0;
     }
 
-    /** Returns the monotonic time in milliseconds until which the host gets no work after failures. */
+    /**
+     * Returns the monotonic time in milliseconds until which the host gets no work after failures, or to keep it clear.
+     */
     long excludedUntil() {
-        return excludedUntil;
+        return Math.max(excludedUntil, Math.max(backoffUntil, clearedUntil));
     }
 
     /** Excludes a host that has rejected a run. */
