Count an adopted run's lease up to the platform's maximum

Callers would see: two runs of a task for up to 0.3 s, after a host restarted under its identifier, got a run by the clock of its former process, was adopted by a successor and then cut off. Found by the review. Cause: adoption recorded 5,750 ms, but the new process may hold the platform's 6,000. Now the larger of both is recorded.

--- a/src/main/java/org/cicadalead/logic/work/RunLedger.java
+++ b/src/main/java/org/cicadalead/logic/work/RunLedger.java
@@ -99,7 +99,7 @@
         WorkRun run = new WorkRun(active.run(), task, host, now);
         run.transitionTo(WorkRun.State.RUNNING, now);
         attach(run);
-        host.recordLease(state.terms.longestEarlierLeaseMilliseconds());
+        host.recordLease(state.terms.longestAdoptedLeaseMilliseconds());
         return run;
     }
 
--- a/src/main/java/org/cicadalead/logic/work/SchedulingTerms.java
+++ b/src/main/java/org/cicadalead/logic/work/SchedulingTerms.java
@@ -67,6 +67,15 @@
                 + 1;
     }
 
+    /**
+     * Returns the longest lease, counted from a new reading of the host's clock, that a run of an earlier term may
+     * have. A host that restarted before the run was ordered has shortened a deadline by the clock of its former
+     * process to the maximum of the platform.
+     */
+    long longestAdoptedLeaseMilliseconds() {
+        return Math.max(maximumLeaseMilliseconds, longestEarlierLeaseMilliseconds());
+    }
+
     /**
      * Returns the longest lease, counted from a new reading of the host's clock, that an earlier term may have given
      * the host before that reading. It counted from an older reading, since which the clock may have fallen behind.
