--- a/src/main/java/org/cicadalead/logic/work/HostExclusion.java
+++ b/src/main/java/org/cicadalead/logic/work/HostExclusion.java
@@ -28,14 +28,12 @@
     MAXIMUM_PER_HOST,
     /** The external policy has given no valid ticket for it. */
     NO_TICKET,
-    /** The step runs on another rack. */
-    OTHER_RACK,
     /** Too little of its capacity is free. */
     NO_ROOM,
     /** Nothing excludes it. */
     NONE;
 
-    /** Finds why a host that accepts work gets no task of a step, disregarding racks. */
+    /** Finds why a host that accepts work gets no task of a step. */
     static HostExclusion findForStep(WorkStep step, WorkHost host, long now) {
         StepSpecification specification = step.specification;
         if (!specification.requiredLabel().map(host.entry.labels()::contains).orElse(true)) {
--- a/src/main/java/org/cicadalead/logic/work/WaitingReasonFinder.java
+++ b/src/main/java/org/cicadalead/logic/work/WaitingReasonFinder.java
@@ -188,30 +188,13 @@
 
     private Map<HostExclusion, List<WorkHost>> groupForStep(WorkStep step, List<WorkHost> usable) {
         Map<HostExclusion, List<WorkHost>> hosts = new EnumMap<>(HostExclusion.class);
-        Optional<Optional<String>> stepRack = findRackOfStep(step, usable);
         for (WorkHost host : usable) {
-            boolean isOnOtherRack = stepRack.isPresent() && !stepRack.get().equals(host.entry.rack());
-            hosts.computeIfAbsent(
-                            isOnOtherRack ? HostExclusion.OTHER_RACK : HostExclusion.findForStep(step, host, now),
-                            key -> new ArrayList<>())
+            hosts.computeIfAbsent(HostExclusion.findForStep(step, host, now), key -> new ArrayList<>())
                     .add(host);
         }
         return hosts;
     }
 
-    /** Returns the rack to which the placement restricts a step; empty when it may use all. */
-    private static Optional<Optional<String>> findRackOfStep(WorkStep step, List<WorkHost> usable) {
-        if (!step.specification.sameRack()) {
-            return Optional.empty();
-        }
-        return step.tasks.stream()
-                .flatMap(task -> Optional.ofNullable(task.run).stream())
-                .findFirst()
-                .map(run -> run.host.entry.rack())
-                .filter(rack ->
-                        usable.stream().anyMatch(host -> host.entry.rack().equals(rack)));
-    }
-
     private static Optional<WorkHost> findLargestFree(List<WorkHost> hosts) {
         return hosts.stream()
                 .max(Comparator.comparingLong(
