Log runs that are lost with their host

RUN_LOST names the run, the host, the evidence, whether the host was known to have outlived the start, and how many runs and starts were lost with it. It decides nothing.

--- a/src/main/java/org/cicadalead/adapters/work/SchedulingTerm.java
+++ b/src/main/java/org/cicadalead/adapters/work/SchedulingTerm.java
@@ -21,6 +21,7 @@
 import org.cicadalead.logic.work.EarlierHosts;
 import org.cicadalead.logic.work.EarlierTerm;
 import org.cicadalead.logic.work.HostsInUse;
+import org.cicadalead.logic.work.LostRun;
 import org.cicadalead.logic.work.SchedulingTerms;
 import org.cicadalead.logic.work.WorkOrder;
 import org.cicadalead.logic.work.WorkScheduler;
@@ -249,6 +250,7 @@
                     machineController -> machineController.runCycle(now, canStart, unconfirmedMilliseconds));
         }
         takeoverReport.ifPresent(report -> report.logChanges(now));
+        scheduler.get().takeLostRuns().forEach(this::logLostRun);
         boolean startsWait = scheduler.get().hasPendingStartIntents();
         boolean hostsWait = scheduler.get().hasHostsWaitingForAnnouncement(now);
         if (pacing.startAnnouncement(now.monotonic(), startsWait, hostsWait)) {
@@ -262,6 +264,21 @@
         pacing.onCycleEnded(ports.timers().nanoTime() - startNanoseconds);
     }
 
+    private void logLostRun(LostRun lost) {
+        ports.log()
+                .emit(
+                        EventKind.RUN_LOST,
+                        EventDetail.of("task", lost.run().task()),
+                        EventDetail.of("attempt", lost.run().attempt()),
+                        EventDetail.of("host", lost.host()),
+                        EventDetail.of("evidence", lost.evidence()),
+                        EventDetail.of("confirmed", lost.wasConfirmed()),
+                        EventDetail.of("starting", lost.wasStarting()),
+                        EventDetail.of("orderedMilliseconds", lost.orderedMilliseconds()),
+                        EventDetail.of("runsLost", lost.runsLost()),
+                        EventDetail.of("startsLost", lost.startsLost()));
+    }
+
     /** Returns what this term has still to read before it can schedule. */
     private Set<LoadingReport.Data> findMissingData() {
         Set<LoadingReport.Data> missing = EnumSet.noneOf(LoadingReport.Data.class);
--- a/src/main/java/org/cicadalead/logic/work/RunLedger.java
+++ b/src/main/java/org/cicadalead/logic/work/RunLedger.java
@@ -43,6 +43,9 @@
     /** Applies the reply of a host to a poll that was sent at the given time. */
     void applyListing(WorkHost host, HostListing listing, long sentAt, long now) {
         boolean restarted = host.applyListing(listing, now);
+        if (restarted) {
+            reportLoss(host, LastRun.Evidence.NOT_LISTED, now);
+        }
         Set<RunKey> listed = new HashSet<>();
         for (ActiveRun active : listing.active()) {
             listed.add(active.run());
@@ -80,6 +83,7 @@
         if (run.state == WorkRun.State.ORDERED || run.state == WorkRun.State.UNCERTAIN) {
             run.transitionTo(WorkRun.State.RUNNING, now);
         }
+        run.onListedActive(now);
         run.percentage = active.percentage();
         run.sample = active.sample();
         if (!active.checkpoint().isEmpty()) {
@@ -263,10 +267,28 @@
 
     /** Drops all runs of a host on which nothing can run any more. */
     void dropAll(WorkHost host, LastRun.Evidence evidence, long now) {
+        reportLoss(host, evidence, now);
         new ArrayList<>(host.runs.values()).forEach(run -> drop(run, evidence, "", now));
         host.orphanedRuns.clear();
     }
 
+    /** Reports the runs of a host that are lost with it, or with its former process. */
+    private void reportLoss(WorkHost host, LastRun.Evidence evidence, long now) {
+        int startsLost =
+                (int) host.runs.values().stream().filter(WorkRun::isStarting).count();
+        for (WorkRun run : host.runs.values()) {
+            state.reportLostRun(new LostRun(
+                    run.key,
+                    host.identifier,
+                    evidence.name(),
+                    run.task.runningSince >= run.orderedAt,
+                    run.isStarting(),
+                    now - run.orderedAt,
+                    host.runs.size(),
+                    startsLost));
+        }
+    }
+
     private static void drop(WorkRun run, LastRun.Evidence evidence, String detail, long now) {
         run.host.removeRun(run.key);
         run.task.detach(run);
--- a/src/main/java/org/cicadalead/logic/work/WorkRun.java
+++ b/src/main/java/org/cicadalead/logic/work/WorkRun.java
@@ -7,6 +7,12 @@
     /** Speed of a run that is not slowed down, in percent. */
     static final int FULL_SPEED_PERCENT = 100;
 
+    /**
+     * Time after the confirmation of a start from which a host that lists the run has outlived its start; a few times
+     * what a process needs to load a task.
+     */
+    private static final long START_MILLISECONDS = 200;
+
     final RunKey key;
     final WorkTask task;
     final WorkHost host;
@@ -19,6 +25,8 @@
     /** Whether the last list of the host does not have the run. */
     boolean missing;
 
+    private boolean outlivedStart;
+
     int percentage;
     long sample;
     int pacedPercentage = FULL_SPEED_PERCENT;
@@ -41,6 +49,16 @@
         }
     }
 
+    /** Records that the host lists the run as active. */
+    void onListedActive(long now) {
+        outlivedStart |= state != State.ORDERED && state != State.UNCERTAIN && now - changedAt >= START_MILLISECONDS;
+    }
+
+    /** Returns whether the host is not known to have outlived the start of this run. */
+    boolean isStarting() {
+        return !outlivedStart;
+    }
+
     /** Returns whether only a later list of the host tells that the run has not started and will not. */
     boolean isWaitingForList() {
         return state == State.UNCERTAIN || (missing && (state == State.STOPPING || state == State.STOPPED));
--- a/src/main/java/org/cicadalead/logic/work/WorkScheduler.java
+++ b/src/main/java/org/cicadalead/logic/work/WorkScheduler.java
@@ -214,6 +214,11 @@
         ledger.applyListing(host, listing, sentAt, now.monotonic());
     }
 
+    /** Returns the runs that were lost with their hosts since the last call. */
+    public List<LostRun> takeLostRuns() {
+        return state.takeLostRuns();
+    }
+
     /** Records that a poll got no reply, so that the host may have restarted. */
     public void onPollFailed(String identifier) {
         WorkHost host = state.hosts.get(identifier);
--- a/src/main/java/org/cicadalead/logic/work/WorkState.java
+++ b/src/main/java/org/cicadalead/logic/work/WorkState.java
@@ -20,6 +20,9 @@
     /** Limit of the runs of any task in one term. Attempt numbers of a term start above those of the previous term. */
     static final long MAX_ATTEMPTS_PER_TERM = 10_000;
 
+    /** Maximum number of lost runs that wait to be reported; further ones are not reported. */
+    private static final int MAX_LOST_RUNS = 1_000;
+
     final SchedulingTerms terms;
     final long epoch;
     final Map<String, WorkJob> jobs = new LinkedHashMap<>();
@@ -33,6 +36,7 @@
     final Set<WorkJob> unsavedJobs = new LinkedHashSet<>();
 
     final Map<String, WorkHost> hosts = new HashMap<>();
+    private final List<LostRun> lostRuns = new ArrayList<>();
     final ArrivalRates arrivals = new ArrivalRates();
     /** Monotonic time in milliseconds of the last decision, or of the start of the term. */
     long decidedAt;
@@ -61,6 +65,20 @@
         return storedGeneration > 0;
     }
 
+    /** Keeps a lost run for the next report. */
+    void reportLostRun(LostRun run) {
+        if (lostRuns.size() < MAX_LOST_RUNS) {
+            lostRuns.add(run);
+        }
+    }
+
+    /** Returns the lost runs since the last call. */
+    List<LostRun> takeLostRuns() {
+        List<LostRun> taken = List.copyOf(lostRuns);
+        lostRuns.clear();
+        return taken;
+    }
+
     /** Records the age of the last confirmed record, from which the horizon of leases counts. */
     void updateConfirmation(long now, long unconfirmedMilliseconds) {
         confirmedAt = now - unconfirmedMilliseconds;
--- a/src/main/java/org/cicadalead/model/event/EventKind.java
+++ b/src/main/java/org/cicadalead/model/event/EventKind.java
@@ -232,6 +232,8 @@
             8031, EventSeverity.INFORMATION, "All machines of a maintenance wave have started their maintenance"),
     /** More lasting tasks wait than one second's lines tell of. */
     TASKS_LEFT_OUT(8032, EventSeverity.WARNING, "Lasting tasks wait or run again that no line tells of yet"),
+    /** A run ended with its host, or on a host that does not reply. */
+    RUN_LOST(8033, EventSeverity.WARNING, "A run ended with its host, or on a host that does not reply"),
     /** The settings were reloaded. */
     SETTINGS_READ_AGAIN(8040, EventSeverity.INFORMATION, "The settings were reloaded");
 
