--- a/src/test/java/org/cicadalead/logic/work/FaultInjector.java
+++ b/src/test/java/org/cicadalead/logic/work/FaultInjector.java
@@ -132,6 +132,15 @@
         crash(machine, milliseconds, () -> fleet.replaceHost(machine));
     }
 
+    /** Ends a host that runs a task which crashes it; it is back after some seconds. */
+    void crashByTask(SimulatedHost host) {
+        for (SimulatedMachine machine : fleet.machines()) {
+            if (machine.host == host) {
+                crash(machine, 3_000L + random.nextInt(600));
+            }
+        }
+    }
+
     private void restart(SimulatedMachine machine) {
         machine.host.restart(fleet.now());
         machine.condition = MachineCondition.UP;
@@ -142,6 +151,7 @@
         if (!host.up || machine.condition != MachineCondition.UP) {
             return;
         }
+        fleet.oracle.onCrash(host);
         host.crash();
         machine.condition = MachineCondition.DOWN;
         fleet.oracle.onHostLost();
--- a/src/test/java/org/cicadalead/logic/work/FleetOracle.java
+++ b/src/test/java/org/cicadalead/logic/work/FleetOracle.java
@@ -19,7 +19,9 @@
  * Checks a simulated fleet against the true state of its hosts, which no term knows.
  *
  * <p>Safety: a task has one run at a time, starts after its dependencies and not after its end is acknowledged or its
- * attempts are used up, and a job is completed only with all its tasks.
+ * attempts are used up, and a job is completed only with all its tasks. A task that crashes hosts does not start three
+ * times more after three hosts have crashed under it, and a job fails only for a task that has failed, or under which
+ * two hosts have crashed.
  *
  * <p>Liveness: waiting work runs when it can. A job of short tasks has something running whenever a task's turn has
  * come. For a task that lasts, the rule looks at each window of 3 s that begins 6 s after its last run has ended, for
@@ -46,9 +48,20 @@
     private static final long REQUIRED_MILLICORES = 2 * SimulatedHost.TASK_MILLICORES;
     private static final int MAXIMUM_ATTEMPTS = 3;
 
+    /** Crashes under a task after which it must not be started that many times more. */
+    private static final int CRASHES_BEFORE_LAST_STARTS = 3;
+
+    private static final int FORBIDDEN_STARTS = 3;
+
+    /** Crashes under a task after which it may be given up. */
+    private static final int CRASHES_BEFORE_GIVING_UP = 2;
+
     /** Broken promises of safety. */
     final List<String> violations = new ArrayList<>();
 
+    /** Jobs that are shown as failed although none of their tasks fails or crashes hosts. */
+    final List<String> wronglyFailed = new ArrayList<>();
+
     /** Work that waited although it could run. */
     final List<String> lostWork = new ArrayList<>();
 
@@ -56,9 +69,15 @@
     private final Set<TaskKey> acknowledgedDone = new HashSet<>();
     private final Map<TaskKey, Set<RunKey>> finishedRuns = new HashMap<>();
     private final Map<TaskKey, Integer> acknowledgedFailures = new HashMap<>();
+    /** Hosts that have crashed with a run of a task, by task. */
+    private final Map<TaskKey, Integer> crashes = new HashMap<>();
+
+    private final Map<TaskKey, Integer> startsAfterCrashes = new HashMap<>();
     private final Map<TaskKey, Long> lastRunAt = new HashMap<>();
     private final Map<String, Long> lastActiveAt = new HashMap<>();
     private final Map<String, Long> roomSince = new HashMap<>();
+    private final Set<TaskKey> failedRuns = new HashSet<>();
+    private final Set<String> reportedFailures = new HashSet<>();
     private final Set<Object> reported = new HashSet<>();
     private long disruptedUntil;
     private long hostLostAt = -CALM_AFTER_HOST_LOSS_MILLISECONDS;
@@ -84,6 +103,36 @@
         disruptedUntil = Math.max(disruptedUntil, fleet.now() + milliseconds);
     }
 
+    /** Records that a host crashes now, with the runs that it has. */
+    void onCrash(SimulatedHost host) {
+        host.running().forEach(run -> crashes.merge(run.task(), 1, Integer::sum));
+    }
+
+    /** Returns how many hosts have crashed with a run of a task. */
+    int countCrashes(TaskKey task) {
+        return crashes.getOrDefault(task, 0);
+    }
+
+    /** Checks that a job fails only with a task that has failed or crashed its hosts. */
+    void checkFailure(String job) {
+        if (!reportedFailures.add(job)) {
+            return;
+        }
+        boolean hasCause = false;
+        boolean crashesHosts = false;
+        for (TaskKey task : crashes.keySet()) {
+            hasCause |= task.job().equals(job) && countCrashes(task) >= CRASHES_BEFORE_GIVING_UP;
+            crashesHosts |= task.job().equals(job) && fleet.crashingTasks().contains(task);
+        }
+        boolean hasFailed = failedRuns.stream().anyMatch(task -> task.job().equals(job));
+        if (!hasCause && !hasFailed) {
+            report(job + " is shown as failed without cause");
+        }
+        if (!crashesHosts && !hasFailed) {
+            wronglyFailed.add(fleet.now() + ": " + job);
+        }
+    }
+
     /** Records an acknowledged end, which is final from now on. */
     void onAcknowledged(EndedRun end) {
         TaskKey task = end.run().task();
@@ -91,6 +140,7 @@
             acknowledgedDone.add(task);
         } else if (end.ending() == RunEnding.FAILED) {
             acknowledgedFailures.merge(task, 1, Integer::sum);
+            failedRuns.add(task);
         }
     }
 
@@ -120,6 +170,12 @@
                 }
             }
         }
+        boolean hasUsedUpCrashes = countCrashes(task) >= CRASHES_BEFORE_LAST_STARTS;
+        if (fleet.crashingTasks().contains(task)
+                && hasUsedUpCrashes
+                && startsAfterCrashes.merge(task, 1, Integer::sum) >= FORBIDDEN_STARTS) {
+            report(run + " starts although its task has crashed " + countCrashes(task) + " hosts");
+        }
         if (acknowledgedFailures.getOrDefault(task, 0) >= MAXIMUM_ATTEMPTS) {
             report(run + " starts although its task has used up its attempts");
         }
--- a/src/test/java/org/cicadalead/logic/work/SimulatedFleet.java
+++ b/src/test/java/org/cicadalead/logic/work/SimulatedFleet.java
@@ -1,6 +1,7 @@
 package org.cicadalead.logic.work;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -15,6 +16,7 @@
 import org.cicadalead.model.work.MachineCondition;
 import org.cicadalead.model.work.MachineEntry;
 import org.cicadalead.model.work.QueueTerms;
+import org.cicadalead.model.work.RunKey;
 import org.cicadalead.model.work.StepSpecification;
 import org.cicadalead.model.work.TaskKey;
 import org.cicadalead.model.work.WorkPhase;
@@ -40,6 +42,9 @@
     final FleetOracle oracle = new FleetOracle(this);
     final Map<String, WorkSubmission> submissions = new LinkedHashMap<>();
     final Set<String> cancelled = new HashSet<>();
+    /** Tasks that crash every host, with the milliseconds from their start to the crash. */
+    private final Map<TaskKey, Long> crashingTasks = new HashMap<>();
+
     final Set<String> completed = new TreeSet<>();
     private final List<String> services;
     private final FleetFaults faults;
@@ -95,6 +100,27 @@
                 .forEach(term -> term.whenRead(randomDelay(), scheduler -> scheduler.addJob(submission, time())));
     }
 
+    /** Makes a task crash every host a time after its start there. */
+    void letCrashHosts(TaskKey task, long millisecondsAfterStart) {
+        crashingTasks.put(task, millisecondsAfterStart);
+    }
+
+    Set<TaskKey> crashingTasks() {
+        return crashingTasks.keySet();
+    }
+
+    /** Handles that a host has started a run. */
+    void onStarted(RunKey run, SimulatedHost host) {
+        Long delay = crashingTasks.get(run.task());
+        if (delay != null) {
+            after(delay, () -> {
+                if (host.running().contains(run)) {
+                    injector.crashByTask(host);
+                }
+            });
+        }
+    }
+
     void cancel(String job) {
         cancelled.add(job);
         election.terms().forEach(term -> term.whenRead(randomDelay(), scheduler -> scheduler.cancelJob(job, time())));
@@ -218,6 +244,9 @@
 
     void storeProgress(WorkProgress stored) {
         store.progress.put(stored.job(), stored);
+        if (stored.phase() == WorkPhase.FAILED) {
+            oracle.checkFailure(stored.job());
+        }
         if (stored.phase() == WorkPhase.COMPLETED) {
             completed.add(stored.job());
             oracle.checkCompletion(stored.job());
--- a/src/test/java/org/cicadalead/logic/work/SimulatedFleetTest.java
+++ b/src/test/java/org/cicadalead/logic/work/SimulatedFleetTest.java
@@ -30,7 +30,7 @@
         return stepOf(tasks, 1_000, dependsOn, false);
     }
 
-    private static StepSpecification lastingStep(int tasks) {
+    static StepSpecification lastingStep(int tasks) {
         return stepOf(tasks, 0, List.of(), true);
     }
 
--- a/src/test/java/org/cicadalead/logic/work/SimulatedScheduling.java
+++ b/src/test/java/org/cicadalead/logic/work/SimulatedScheduling.java
@@ -128,6 +128,7 @@
         StartOutcome outcome = host.start(order, term.epoch, duration, fleet.now());
         if (outcome == StartOutcome.STARTED && !wasRunning) {
             fleet.oracle.checkStart(order.run(), host);
+            fleet.onStarted(order.run(), host);
         }
         boolean isLost = fleet.isReplyLost();
         if (!isLate) {
