Count hosts that crash under tasks, and give tasks up that crash them

Cause: only listed ends counted as failed attempts. A run that ended with its host counted nothing, so nothing stopped its restarts; and all tasks of a lost host became free at the same moment and started together, on the same host as the cause.

Change (decision 0070): a crash counts against the runs that were starting on the host. The next start of such a task is made where nothing else is starting, and is stored before the order. After two such crashes, one of them without another possible cause, the task is given up and its job fails. Silence, partitions, planned ends and the loss of a rack do not count.

Four tests that expected a restart in the same cycle now expect none before the store has the start, and the restart after it.

--- a/src/main/java/org/cicadalead/adapters/work/SchedulingTerm.java
+++ b/src/main/java/org/cicadalead/adapters/work/SchedulingTerm.java
@@ -20,6 +20,7 @@
 import org.cicadalead.logic.work.CyclePacing;
 import org.cicadalead.logic.work.EarlierHosts;
 import org.cicadalead.logic.work.EarlierTerm;
+import org.cicadalead.logic.work.GivenUpTask;
 import org.cicadalead.logic.work.HostsInUse;
 import org.cicadalead.logic.work.LostRun;
 import org.cicadalead.logic.work.SchedulingTerms;
@@ -251,6 +252,7 @@
         }
         takeoverReport.ifPresent(report -> report.logChanges(now));
         scheduler.get().takeLostRuns().forEach(this::logLostRun);
+        scheduler.get().takeGivenUpTasks().forEach(this::logGivenUpTask);
         boolean startsWait = scheduler.get().hasPendingStartIntents();
         boolean hostsWait = scheduler.get().hasHostsWaitingForAnnouncement(now);
         if (pacing.startAnnouncement(now.monotonic(), startsWait, hostsWait)) {
@@ -264,6 +266,14 @@
         pacing.onCycleEnded(ports.timers().nanoTime() - startNanoseconds);
     }
 
+    private void logGivenUpTask(GivenUpTask givenUp) {
+        ports.log()
+                .emit(
+                        EventKind.TASK_GIVEN_UP,
+                        EventDetail.of("task", givenUp.task()),
+                        EventDetail.of("losses", givenUp.losses()));
+    }
+
     private void logLostRun(LostRun lost) {
         ports.log()
                 .emit(
--- a/src/main/java/org/cicadalead/logic/work/HostChoice.java
+++ b/src/main/java/org/cicadalead/logic/work/HostChoice.java
@@ -42,8 +42,12 @@
 
     private long evaluatedHosts;
 
+    /** Creates the choice among hosts; those with an isolated start get no other one. */
     HostChoice(Collection<WorkHost> hosts, long now) {
         for (WorkHost host : hosts) {
+            if (host.isolatedStart != null) {
+                continue;
+            }
             if (host.canAcceptWork(now)) {
                 this.hosts.add(host);
                 addIfLargest(host.freeCapacity());
--- a/src/main/java/org/cicadalead/logic/work/LastRun.java
+++ b/src/main/java/org/cicadalead/logic/work/LastRun.java
@@ -15,7 +15,7 @@
 record LastRun(RunKey key, String host, boolean ran, Evidence evidence, String detail, long endedAt) {
     /** Creates the value for a run that the leader drops without a listed end. */
     static LastRun ofDropped(WorkRun run, Evidence evidence, String detail, long now) {
-        boolean ran = run.task.runningSince >= run.orderedAt;
+        boolean ran = run.wasConfirmed();
         return new LastRun(run.key, run.host.identifier, ran, evidence, detail, now);
     }
 
--- a/src/main/java/org/cicadalead/logic/work/MachineView.java
+++ b/src/main/java/org/cicadalead/logic/work/MachineView.java
@@ -4,7 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.Consumer;
+import java.util.function.BiConsumer;
 import org.cicadalead.model.work.MachineEntry;
 import org.cicadalead.model.work.StepSpecification;
 
@@ -18,9 +18,9 @@
 
     private final WorkState state;
     private final TakeoverGate takeoverGate;
-    private final Consumer<String> onHostEnded;
+    private final BiConsumer<String, Boolean> onHostEnded;
 
-    MachineView(WorkState state, TakeoverGate takeoverGate, Consumer<String> onHostEnded) {
+    MachineView(WorkState state, TakeoverGate takeoverGate, BiConsumer<String, Boolean> onHostEnded) {
         this.state = state;
         this.takeoverGate = takeoverGate;
         this.onHostEnded = onHostEnded;
@@ -153,13 +153,13 @@
     public void onHostDown(String identifier, long requestedAt) {
         WorkHost host = state.hosts.get(identifier);
         if (host == null || !host.hasRepliedSince(requestedAt)) {
-            onHostEnded.accept(identifier);
+            onHostEnded.accept(identifier, true);
         }
     }
 
     /** Drops all runs of a host whose machine carries another host, and unregisters the host. */
     public void onHostReplaced(String identifier) {
-        onHostEnded.accept(identifier);
+        onHostEnded.accept(identifier, false);
     }
 
     /**
--- a/src/main/java/org/cicadalead/logic/work/ProgressBatches.java
+++ b/src/main/java/org/cicadalead/logic/work/ProgressBatches.java
@@ -33,6 +33,7 @@
     private boolean failed;
     private final Map<WorkHost, EndPosition> coveredEnds = new HashMap<>();
     private final Map<WorkJob, WorkPhase> writtenPhases = new HashMap<>();
+    private final Map<WorkJob, Long> writtenChanges = new HashMap<>();
 
     ProgressBatches(WorkState state) {
         this.state = state;
@@ -56,6 +57,7 @@
         List<WorkProgress> records = new ArrayList<>();
         for (WorkJob job : state.unsavedJobs) {
             writtenPhases.put(job, job.phase);
+            writtenChanges.put(job, job.changes);
             records.add(job.createProgress(version));
         }
         state.unsavedJobs.clear();
@@ -82,6 +84,7 @@
         failed = true;
         state.unsavedJobs.addAll(writtenPhases.keySet());
         writtenPhases.clear();
+        writtenChanges.clear();
         coveredEnds.clear();
     }
 
@@ -92,6 +95,8 @@
             }
         });
         writtenPhases.forEach((job, phase) -> job.durablePhase = phase);
+        writtenChanges.forEach((job, changes) -> job.storedChanges = changes);
+        writtenChanges.clear();
         coveredEnds.clear();
         writtenPhases.clear();
     }
--- a/src/main/java/org/cicadalead/logic/work/RunLedger.java
+++ b/src/main/java/org/cicadalead/logic/work/RunLedger.java
@@ -35,17 +35,21 @@
     private static final long MAX_ORDER_MILLISECONDS = 2_000;
 
     private final WorkState state;
+    private final CrashLedger crashes;
 
-    RunLedger(WorkState state) {
+    RunLedger(WorkState state, CrashLedger crashes) {
         this.state = state;
+        this.crashes = crashes;
     }
 
     /** Applies the reply of a host to a poll that was sent at the given time. */
     void applyListing(WorkHost host, HostListing listing, long sentAt, long now) {
-        boolean restarted = host.applyListing(listing, now);
-        if (restarted) {
+        if (host.hasOtherProcess(listing)) {
             reportLoss(host, LastRun.Evidence.NOT_LISTED, now);
+            crashes.onProcessEnded(host, host.isLeavingByPlan());
         }
+        boolean restarted = host.applyListing(listing, now);
+        crashes.onReply(host);
         Set<RunKey> listed = new HashSet<>();
         for (ActiveRun active : listing.active()) {
             listed.add(active.run());
@@ -83,7 +87,10 @@
         if (run.state == WorkRun.State.ORDERED || run.state == WorkRun.State.UNCERTAIN) {
             run.transitionTo(WorkRun.State.RUNNING, now);
         }
-        run.onListedActive(now);
+        crashes.onListedActive(run, now);
+        if (!run.isStarting()) {
+            host.endIsolation(run);
+        }
         run.percentage = active.percentage();
         run.sample = active.sample();
         if (!active.checkpoint().isEmpty()) {
@@ -125,6 +132,7 @@
         WorkTask task = state.findTask(end.run().task());
         if (run != null) {
             run.task.detach(run);
+            crashes.onRunEnded(run.task, host);
         }
         if (task == null || task.done) {
             return;
@@ -148,6 +156,7 @@
             finishTask(task);
         } else if (end.ending() == RunEnding.FAILED
                 && task.failedAttempts.add(end.run().attempt())) {
+            crashes.onRunFailed(task);
             if (run != null
                     && task.step.specification.longRunning()
                     && now - run.orderedAt >= LASTING_SUCCESS_MILLISECONDS) {
@@ -188,12 +197,12 @@
         switch (run.state) {
             case RUNNING -> {
                 if (pollIsNewer) {
-                    drop(run, LastRun.Evidence.NOT_LISTED, "", now);
+                    dropUnlisted(run, now);
                 }
             }
             case STOPPED -> {
                 if (pollIsNewer) {
-                    drop(run, LastRun.Evidence.NOT_LISTED, "", now);
+                    dropUnlisted(run, now);
                 }
             }
             case UNCERTAIN -> {
@@ -212,12 +221,20 @@
         }
     }
 
+    private void dropUnlisted(WorkRun run, long now) {
+        crashes.onRunEnded(run.task, run.host);
+        drop(run, LastRun.Evidence.NOT_LISTED, "", now);
+    }
+
     /** Applies the reply to an order to start a run. */
     void onStartReply(WorkHost host, RunKey key, StartOutcome outcome, long now) {
         WorkRun run = host.runs.get(key);
         if (run == null) {
             return;
         }
+        if (outcome == StartOutcome.STARTED || outcome == StartOutcome.NO_ROOM) {
+            host.onReply(now);
+        }
         switch (outcome) {
             case STARTED -> {
                 if (run.state == WorkRun.State.ORDERED) {
@@ -236,6 +253,7 @@
     }
 
     private void handleRejectedStart(WorkHost host, WorkRun run, StartOutcome outcome, long now) {
+        crashes.onRunEnded(run.task, host);
         drop(run, LastRun.Evidence.START_REJECTED, outcome.name(), now);
         switch (outcome) {
             case NO_TICKET -> {
@@ -281,7 +299,7 @@
                     run.key,
                     host.identifier,
                     evidence.name(),
-                    run.task.runningSince >= run.orderedAt,
+                    run.wasConfirmed(),
                     run.isStarting(),
                     now - run.orderedAt,
                     host.runs.size(),
--- a/src/main/java/org/cicadalead/logic/work/TaskPlacement.java
+++ b/src/main/java/org/cicadalead/logic/work/TaskPlacement.java
@@ -29,9 +29,11 @@
     private final WorkState state;
     private final RunLedger ledger;
     private final TakeoverGate takeoverGate;
+    private final IsolatedStarts isolatedStarts;
     private long evaluatedHosts;
 
-    TaskPlacement(WorkState state, RunLedger ledger, TakeoverGate takeoverGate) {
+    TaskPlacement(WorkState state, RunLedger ledger, TakeoverGate takeoverGate, CrashLedger crashes) {
+        this.isolatedStarts = new IsolatedStarts(state, crashes);
         this.state = state;
         this.ledger = ledger;
         this.takeoverGate = takeoverGate;
@@ -39,9 +41,24 @@
 
     /** Starts the waiting tasks for which a host has enough free capacity. */
     void place(List<WorkOrder> orders, WorkTime now) {
+        isolatedStarts.withdrawImpossible(now.monotonic());
+        startIsolated(orders, now.monotonic());
         findWaitingJobs().forEach((service, jobs) -> placeService(service, jobs, orders, now));
     }
 
+    private void startIsolated(List<WorkOrder> orders, long now) {
+        for (WorkHost host : state.hosts.values()) {
+            IsolatedStart planned = host.isolatedStart;
+            if (planned != null
+                    && planned.run == null
+                    && canStart(planned.task.step.job)
+                    && ensureAnnounced(planned.task.step.job)
+                    && isolatedStarts.canOrder(planned, now)) {
+                planned.run = startTask(planned.task, host, state.nextAttempt(planned.task), orders, now);
+            }
+        }
+    }
+
     private Map<String, List<WorkJob>> findWaitingJobs() {
         Map<String, List<WorkJob>> waiting = new HashMap<>();
         for (WorkJob job : state.liveJobs) {
@@ -111,6 +128,11 @@
             if (!task.isWaiting()) {
                 continue;
             }
+            if (task.crashes.isSuspect()
+                    && isolatedStarts.plan(
+                            task, choice, filterPermitted(step, choice.hosts(), now.monotonic()), now.monotonic())) {
+                continue;
+            }
             WorkHost host = choice.findHost(task, filterPermitted(step, filterByRack(step, choice), now.monotonic()));
             if (host == null && step.specification.longRunning()) {
                 host = findHostOfAnyRack(task, choice, now.monotonic());
@@ -259,9 +281,10 @@
     }
 
     /** Orders a run. The lease horizon leaves a lease whenever work may be started, as the terms have checked. */
-    private void startTask(WorkTask task, WorkHost host, long attempt, List<WorkOrder> orders, long now) {
+    private WorkRun startTask(WorkTask task, WorkHost host, long attempt, List<WorkOrder> orders, long now) {
         RunKey key = new RunKey(task.key, attempt);
-        ledger.attach(new WorkRun(key, task, host, now));
+        WorkRun run = new WorkRun(key, task, host, now);
+        ledger.attach(run);
         orders.add(new WorkOrder.Start(
                 WorkState.targetOf(host),
                 key,
@@ -269,5 +292,6 @@
                 state.grantLease(host, now).orElseThrow(),
                 task.checkpoint,
                 Optional.ofNullable(task.step.tickets).flatMap(tickets -> tickets.findTicket(host.identifier, now))));
+        return run;
     }
 }
--- a/src/main/java/org/cicadalead/logic/work/WorkHost.java
+++ b/src/main/java/org/cicadalead/logic/work/WorkHost.java
@@ -46,12 +46,21 @@
     /** The runs; changed only by {@link #addRun} and {@link #removeRun}. */
     final Map<RunKey, WorkRun> runs = new LinkedHashMap<>();
 
+    /** The start that excludes all others on this host for the time being; null when there is none. */
+    @Nullable IsolatedStart isolatedStart;
+
     final Set<RunKey> orphanedRuns = new LinkedHashSet<>();
     long processStartMilliseconds;
     long clockReading;
     long clockReadAt;
     long highestDeadline;
     long lastReplyAt;
+    /** Monotonic time in milliseconds of the last reply, which the end of the process leaves as it is. */
+    long lastHeardAt = NEVER;
+
+    /** Monotonic time in milliseconds of the first reply of its process; after all times before there is one. */
+    long heardSince = Long.MAX_VALUE;
+
     long highestEndNumber;
     long acknowledgedEndNumber;
     long announcedUnreachableIn = NOT_ANNOUNCED_UNREACHABLE;
@@ -91,9 +100,42 @@
         lastReplyAt = NEVER;
     }
 
+    /** Records that the host has replied to any order, so that it has outlived the starts of a while ago. */
+    void onReply(long now) {
+        lastHeardAt = now;
+        runs.values().forEach(run -> run.onHostReplied(now));
+    }
+
+    /** Replaces the registry entry; one of the present process shows that it still lives. */
+    void updateEntry(HostEntry newEntry) {
+        entry = newEntry;
+        registered = true;
+        if (repliedThisTerm && newEntry.bornMilliseconds() == processStartMilliseconds) {
+            runs.values().forEach(run -> run.onHostRegistered(newEntry.clockMilliseconds()));
+        }
+    }
+
+    /** Returns whether a reply comes from another process than the earlier ones of this term. */
+    boolean hasOtherProcess(HostListing listing) {
+        return repliedThisTerm && listing.bornMilliseconds() != processStartMilliseconds;
+    }
+
+    /** Returns whether its end is planned: its machine was ordered to go, or it has announced that it leaves. */
+    boolean isLeavingByPlan() {
+        return leaving || entry.draining();
+    }
+
+    /** Lets other starts use the host again, as it has outlived a run's start, unless the run needs it for itself. */
+    void endIsolation(WorkRun run) {
+        if (isolatedStart != null && isolatedStart.run == run && !run.task.crashes.needsOwnHost()) {
+            isolatedStart.task.isolatedStart = null;
+            isolatedStart = null;
+        }
+    }
+
     /** Records the clock and the incarnation in a reply; returns whether the host has restarted. */
     boolean applyListing(HostListing listing, long now) {
-        boolean restarted = repliedThisTerm && listing.bornMilliseconds() != processStartMilliseconds;
+        boolean restarted = hasOtherProcess(listing);
         if (restarted) {
             highestDeadline = 0;
             highestEndNumber = 0;
@@ -105,6 +147,8 @@
         clockReading = listing.clockMilliseconds();
         clockReadAt = now;
         lastReplyAt = now;
+        heardSince = restarted ? now : Math.min(heardSince, now);
+        onReply(now);
         return restarted;
     }
 
@@ -207,6 +251,10 @@
         WorkRun run = runs.remove(key);
         if (run != null) {
             takenCapacity = takenCapacity.minus(run.task.step.requiredCapacity);
+            if (isolatedStart != null && isolatedStart.run == run) {
+                isolatedStart.task.isolatedStart = null;
+                isolatedStart = null;
+            }
             longRunningRuns -= run.task.step.specification.longRunning() ? 1 : 0;
             spareCapacityRuns -= run.task.step.specification.usesSpareCapacity() ? 1 : 0;
         }
--- a/src/main/java/org/cicadalead/logic/work/WorkJob.java
+++ b/src/main/java/org/cicadalead/logic/work/WorkJob.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import org.cicadalead.model.work.HostLoss;
 import org.cicadalead.model.work.StepSpecification;
 import org.cicadalead.model.work.WorkPhase;
 import org.cicadalead.model.work.WorkProgress;
@@ -32,6 +33,12 @@
      */
     long announcedIn = NOT_ANNOUNCED;
 
+    /** Number of the newest change of the progress that has to be stored before something else may happen. */
+    long changes;
+
+    /** Number of the newest such change that is stored. */
+    long storedChanges;
+
     long endedAt;
     private boolean hasCurrentEstimates;
     private double remainingWork;
@@ -205,6 +212,7 @@
         Map<String, List<Long>> failedAttempts = new HashMap<>();
         Map<String, Long> attempts = new HashMap<>();
         Map<String, String> checkpoints = new HashMap<>();
+        Map<String, List<HostLoss>> hostLosses = new HashMap<>();
         for (WorkStep step : allSteps()) {
             List<Integer> finished = new ArrayList<>();
             for (WorkTask task : step.tasks) {
@@ -219,6 +227,9 @@
                 if (task.highestEndedAttempt > 0) {
                     attempts.put(name, task.highestEndedAttempt);
                 }
+                if (!task.crashes.isEmpty()) {
+                    hostLosses.put(name, task.crashes.losses());
+                }
                 if (!task.checkpoint.isEmpty()) {
                     checkpoints.put(name, task.checkpoint);
                 }
@@ -227,7 +238,7 @@
                 done.put(step.text(), finished);
             }
         }
-        return new WorkProgress(identifier(), version, phase, done, failedAttempts, attempts, checkpoints);
+        return new WorkProgress(identifier(), version, phase, done, failedAttempts, attempts, checkpoints, hostLosses);
     }
 
     /** Restores the progress that an earlier term stored. */
@@ -242,6 +253,7 @@
                     step.finish(task);
                 }
                 task.failedAttempts.addAll(progress.failedAttempts().getOrDefault(name, List.of()));
+                progress.hostLosses().getOrDefault(name, List.of()).forEach(task.crashes::add);
                 task.highestEndedAttempt = progress.attempts().getOrDefault(name, 0L);
                 task.lastAttempt = task.highestEndedAttempt;
                 task.checkpoint = progress.checkpoints().getOrDefault(name, "");
--- a/src/main/java/org/cicadalead/logic/work/WorkRun.java
+++ b/src/main/java/org/cicadalead/logic/work/WorkRun.java
@@ -8,15 +8,18 @@
     static final int FULL_SPEED_PERCENT = 100;
 
     /**
-     * Time after the confirmation of a start from which a host that lists the run has outlived its start; a few times
-     * what a process needs to load a task.
+     * Time after the confirmation of a start from which a host that still replies has outlived it; longer than a
+     * process needs to load a task.
      */
-    private static final long START_MILLISECONDS = 200;
+    private static final long START_MILLISECONDS = 100;
 
     final RunKey key;
     final WorkTask task;
     final WorkHost host;
     final long orderedAt;
+    /** Time of the order on the clock of the host, in milliseconds. */
+    private final long orderedAtHostClock;
+
     /** Monotonic time after which the run is stopped as too slow; set when it is attached to its host. */
     long overdueAfter = SlowRuns.NEVER;
 
@@ -38,6 +41,7 @@
         this.task = task;
         this.host = host;
         this.orderedAt = now;
+        this.orderedAtHostClock = host.clockReading + now - host.clockReadAt;
         this.changedAt = now;
     }
 
@@ -49,11 +53,21 @@
         }
     }
 
-    /** Records that the host lists the run as active. */
-    void onListedActive(long now) {
+    /** Records that the host has replied to any order. */
+    void onHostReplied(long now) {
         outlivedStart |= state != State.ORDERED && state != State.UNCERTAIN && now - changedAt >= START_MILLISECONDS;
     }
 
+    /** Records that the host has written its registry entry, which it also does while it is cut off from the leader. */
+    void onHostRegistered(long hostClock) {
+        outlivedStart |= wasConfirmed() && hostClock - orderedAtHostClock >= START_MILLISECONDS;
+    }
+
+    /** Returns whether the host has confirmed the order to start it, or has listed it. */
+    boolean wasConfirmed() {
+        return task.runningSince >= orderedAt;
+    }
+
     /** Returns whether the host is not known to have outlived the start of this run. */
     boolean isStarting() {
         return !outlivedStart;
--- a/src/main/java/org/cicadalead/logic/work/WorkScheduler.java
+++ b/src/main/java/org/cicadalead/logic/work/WorkScheduler.java
@@ -46,6 +46,7 @@
     private static final long RETENTION_MILLISECONDS = 300_000;
 
     private final WorkState state;
+    private final CrashLedger crashes;
     private final RunLedger ledger;
     private final TaskPlacement placement;
     private final ProgressBatches batches;
@@ -76,9 +77,10 @@
     public WorkScheduler(SchedulingTerms terms, long epoch, EarlierHosts earlier, long now) {
         this.state = new WorkState(terms, epoch);
         state.decidedAt = now;
-        this.ledger = new RunLedger(state);
+        this.crashes = new CrashLedger(state);
+        this.ledger = new RunLedger(state, crashes);
         this.takeoverGate = new TakeoverGate(earlier, now, now + terms.earlierStartWindowMilliseconds());
-        this.placement = new TaskPlacement(state, ledger, takeoverGate);
+        this.placement = new TaskPlacement(state, ledger, takeoverGate, crashes);
         this.batches = new ProgressBatches(state);
     }
 
@@ -105,6 +107,7 @@
         if (job != null) {
             job.restore(progress);
             job.endedAt = job.phase.isTerminal() ? now.monotonic() : 0;
+            job.allSteps().forEach(step -> step.tasks.forEach(crashes::restore));
         }
     }
 
@@ -134,8 +137,7 @@
             host.announcedUnreachableIn =
                     announcedUnreachable.getOrDefault(host.identifier, WorkHost.NOT_ANNOUNCED_UNREACHABLE);
             host.incarnationUnknown |= !host.registered;
-            host.entry = entry;
-            host.registered = true;
+            host.updateEntry(entry);
             registeredIdentifiers.add(entry.identifier());
             currentHostByAddress.merge(
                     entry.address(),
@@ -152,17 +154,24 @@
                 onHostEnded(host.identifier);
             }
             if (!host.registered && host.runs.isEmpty() && now.monotonic() >= host.leaseExpiresAt()) {
+                crashes.withdrawPlannedStart(host);
                 state.hosts.remove(host.identifier);
             }
         }
+        crashes.onRegistry(currentHostByAddress);
         state.updateCoresPerMegabyte();
     }
 
     /** Drops all runs of a host whose process has ended for certain. */
     public void onHostEnded(String identifier) {
+        onHostEnded(identifier, false);
+    }
+
+    private void onHostEnded(String identifier, boolean wasOrdered) {
         takeoverGate.resolve(identifier);
         WorkHost host = state.hosts.get(identifier);
         if (host != null) {
+            crashes.onProcessEnded(host, wasOrdered || host.isLeavingByPlan());
             ledger.dropAll(host, LastRun.Evidence.HOST_ENDED, state.decidedAt);
             host.end();
         }
@@ -195,7 +204,7 @@
         if (!host.repliedThisTerm || host.incarnationUnknown) {
             return 0;
         }
-        if (host.hasRunWaitingForList()) {
+        if (host.hasRunWaitingForList() || host.isolatedStart != null) {
             return OUTCOME_POLL_WAIT_MILLISECONDS;
         }
         if (host.hasShortRun()) {
@@ -219,11 +228,17 @@
         return state.takeLostRuns();
     }
 
+    /** Returns the tasks that were given up since the last call because hosts crashed under them. */
+    public List<GivenUpTask> takeGivenUpTasks() {
+        return state.takeGivenUpTasks();
+    }
+
     /** Records that a poll got no reply, so that the host may have restarted. */
     public void onPollFailed(String identifier) {
         WorkHost host = state.hosts.get(identifier);
         if (host != null) {
             host.incarnationUnknown = true;
+            crashes.onSilence(host);
         }
     }
 
@@ -477,6 +492,7 @@
     private void expireLeases(long now) {
         for (WorkHost host : state.hosts.values()) {
             if (host.isUnreachable(now) && !host.runs.isEmpty() && state.confirmedAt() >= host.leaseExpiresAt()) {
+                crashes.onSilence(host);
                 ledger.dropAll(host, LastRun.Evidence.LEASE_EXPIRED, now);
             }
         }
--- a/src/main/java/org/cicadalead/logic/work/WorkState.java
+++ b/src/main/java/org/cicadalead/logic/work/WorkState.java
@@ -36,6 +36,7 @@
     final Set<WorkJob> unsavedJobs = new LinkedHashSet<>();
 
     final Map<String, WorkHost> hosts = new HashMap<>();
+    private final List<GivenUpTask> givenUpTasks = new ArrayList<>();
     private final List<LostRun> lostRuns = new ArrayList<>();
     final ArrivalRates arrivals = new ArrivalRates();
     /** Monotonic time in milliseconds of the last decision, or of the start of the term. */
@@ -65,6 +66,24 @@
         return storedGeneration > 0;
     }
 
+    /** Records that the progress of a job has changed. */
+    void markChanged(WorkJob job) {
+        job.changes++;
+        unsavedJobs.add(job);
+    }
+
+    /** Keeps a task that was given up for the next report. */
+    void reportGivenUpTask(GivenUpTask task) {
+        givenUpTasks.add(task);
+    }
+
+    /** Returns the tasks that were given up since the last call. */
+    List<GivenUpTask> takeGivenUpTasks() {
+        List<GivenUpTask> taken = List.copyOf(givenUpTasks);
+        givenUpTasks.clear();
+        return taken;
+    }
+
     /** Keeps a lost run for the next report. */
     void reportLostRun(LostRun run) {
         if (lostRuns.size() < MAX_LOST_RUNS) {
--- a/src/main/java/org/cicadalead/logic/work/WorkTask.java
+++ b/src/main/java/org/cicadalead/logic/work/WorkTask.java
@@ -23,6 +23,12 @@
     /** The present run; changed only by {@link #attach} and {@link #detach}. */
     @Nullable WorkRun run;
 
+    /** The hosts that were lost with runs of this task. */
+    final CrashHistory crashes = new CrashHistory();
+
+    /** The planned or present start on a host without other starts; null when there is none. */
+    @Nullable IsolatedStart isolatedStart;
+
     final Set<String> avoidedHosts = new HashSet<>();
 
     /** Monotonic time in milliseconds at which a run was last confirmed as active; before all times without one. */
--- a/src/main/java/org/cicadalead/model/event/EventKind.java
+++ b/src/main/java/org/cicadalead/model/event/EventKind.java
@@ -234,6 +234,8 @@
     TASKS_LEFT_OUT(8032, EventSeverity.WARNING, "Lasting tasks wait or run again that no line tells of yet"),
     /** A run ended with its host, or on a host that does not reply. */
     RUN_LOST(8033, EventSeverity.WARNING, "A run ended with its host, or on a host that does not reply"),
+    /** A task was given up because hosts crashed under it. */
+    TASK_GIVEN_UP(8034, EventSeverity.WARNING, "A task was given up, as hosts crashed under it; its job has failed"),
     /** The settings were reloaded. */
     SETTINGS_READ_AGAIN(8040, EventSeverity.INFORMATION, "The settings were reloaded");
 
--- a/src/test/java/org/cicadalead/logic/work/SimulatedFleet.java
+++ b/src/test/java/org/cicadalead/logic/work/SimulatedFleet.java
@@ -115,6 +115,7 @@
         if (delay != null) {
             after(delay, () -> {
                 if (host.running().contains(run)) {
+                    oracle.onCrashCausedBy(run.task());
                     injector.crashByTask(host);
                 }
             });
--- a/src/test/java/org/cicadalead/logic/work/WorkFixtures.java
+++ b/src/test/java/org/cicadalead/logic/work/WorkFixtures.java
@@ -1,5 +1,7 @@
 package org.cicadalead.logic.work;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -121,6 +123,21 @@
         return orders;
     }
 
+    /**
+     * Returns the starts that follow once the store has confirmed the progress that isolated starts wait for; before
+     * that there must be none.
+     */
+    static List<WorkOrder.Start> startsAfterStoring(WorkScheduler scheduler, long now, long unconfirmedMilliseconds) {
+        List<WorkOrder> orders = decide(scheduler, at(now), unconfirmedMilliseconds);
+        assertEquals(List.of(), startsIn(orders), "starts before the progress is stored");
+        for (WorkOrder order : orders) {
+            if (order instanceof WorkOrder.Persist persist) {
+                scheduler.onBatchResult(persist.batch(), true);
+            }
+        }
+        return startsIn(decide(scheduler, at(now + 1), unconfirmedMilliseconds + 1));
+    }
+
     /** Creates the scheduler of a first term that is announced, with hosts that have all replied to a poll. */
     static WorkScheduler scheduler(HostEntry... hosts) {
         WorkScheduler scheduler = new WorkScheduler(TERMS, 1, EarlierHosts.NONE, 0);
