Count the capacity of runs that are being stopped for an earlier leader

Cause: after a change of the leader, active runs of jobs that were cancelled or had ended are stopped, but the new leader did not count their capacity until they had ended. A host that does not check its capacity was started over it (LIMIT); one that checks it rejected the run.

Ruled out: capacity that shrinks while a host runs, and orders that are carried out late.

--- a/src/main/java/org/cicadalead/logic/work/RunLedger.java
+++ b/src/main/java/org/cicadalead/logic/work/RunLedger.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 import org.cicadalead.model.work.ActiveRun;
 import org.cicadalead.model.work.EndedRun;
+import org.cicadalead.model.work.HostCapacity;
 import org.cicadalead.model.work.HostListing;
 import org.cicadalead.model.work.RunEnding;
 import org.cicadalead.model.work.RunKey;
@@ -73,6 +74,19 @@
             host.recordLease(state.terms.maximumLeaseMilliseconds());
         }
         host.orphanedRuns.retainAll(listed);
+        host.setOrphanedCapacity(sumOrphanedCapacity(host, listing));
+    }
+
+    /** Sums the capacity of the active runs without a known task as a whole host, as it is unknown. */
+    private HostCapacity sumOrphanedCapacity(WorkHost host, HostListing listing) {
+        HostCapacity sum = HostCapacity.NONE;
+        for (ActiveRun active : listing.active()) {
+            if (!host.runs.containsKey(active.run())) {
+                WorkTask task = state.findTask(active.run().task());
+                sum = sum.plus(task == null ? host.entry.capacity() : task.step.requiredCapacity);
+            }
+        }
+        return sum;
     }
 
     private void applyActiveRun(WorkHost host, ActiveRun active, long now) {
--- a/src/main/java/org/cicadalead/logic/work/WorkHost.java
+++ b/src/main/java/org/cicadalead/logic/work/WorkHost.java
@@ -65,6 +65,9 @@
     long acknowledgedEndNumber;
     long announcedUnreachableIn = NOT_ANNOUNCED_UNREACHABLE;
     private HostCapacity takenCapacity = HostCapacity.NONE;
+    /** Capacity of active runs that this term does not keep, until the host no longer lists them. */
+    private HostCapacity orphanedCapacity = HostCapacity.NONE;
+
     private int longRunningRuns;
     private int spareCapacityRuns;
     private int consecutiveFailures;
@@ -278,9 +281,14 @@
         return runs.values().stream().anyMatch(WorkRun::isWaitingForList);
     }
 
-    /** Returns the capacity that no run takes. */
+    /** Sets the capacity of the runs in the last list that this term does not keep; they take it until they end. */
+    void setOrphanedCapacity(HostCapacity capacity) {
+        orphanedCapacity = capacity;
+    }
+
+    /** Returns the capacity that no run takes, which is negative where the capacity has become smaller. */
     HostCapacity freeCapacity() {
-        return entry.capacity().minus(takenCapacity);
+        return entry.capacity().minus(takenCapacity).minus(orphanedCapacity);
     }
 
     void countFailure(long now) {
