--- a/src/test/java/org/cicadalead/logic/work/FleetOracle.java
+++ b/src/test/java/org/cicadalead/logic/work/FleetOracle.java
@@ -188,15 +188,20 @@
                 }
             }
         }
+        checkCrashesBeforeStart(run);
+        if (acknowledgedFailures.getOrDefault(task, 0) >= MAXIMUM_ATTEMPTS) {
+            report(run + " starts although its task has used up its attempts");
+        }
+    }
+
+    private void checkCrashesBeforeStart(RunKey run) {
+        TaskKey task = run.task();
         boolean hasUsedUpCrashes = countCrashes(task) >= CRASHES_BEFORE_LAST_STARTS;
         if (fleet.crashingTasks().contains(task)
                 && hasUsedUpCrashes
                 && startsAfterCrashes.merge(task, 1, Integer::sum) >= FORBIDDEN_STARTS) {
             report(run + " starts although its task has crashed " + countCrashes(task) + " hosts");
         }
-        if (acknowledgedFailures.getOrDefault(task, 0) >= MAXIMUM_ATTEMPTS) {
-            report(run + " starts although its task has used up its attempts");
-        }
     }
 
     private boolean hasFinished(TaskKey task) {
