Give up no task for later crashes beside others once it has outlived a start

What a caller would see: a job fails although its task only ran beside others that crash hosts.

Cause: a crash at the start of a run without another possible cause stayed marked as isolated after the task had outlived a later start, so it counted as a crash of a host of its own, and two crashes beside others completed the number.

Evidence: CrashHistoryTest.givesUpNoTaskBesideOthersAfterItOutlivedAStartThatACrashOnceFollowed failed before this change and passes with it, with the eight other tests of the class.

--- a/src/main/java/org/cicadalead/model/work/HostLoss.java
+++ b/src/main/java/org/cicadalead/model/work/HostLoss.java
@@ -42,7 +42,7 @@
 
     /** Returns this loss of a task that has outlived a start since, so that its starts do not crash hosts. */
     public HostLoss afterStart() {
-        return new HostLoss(attempt, host, address, bornMilliseconds, false, isolated, outcome);
+        return new HostLoss(attempt, host, address, bornMilliseconds, false, false, outcome);
     }
 
     /** What became of a host. */
--- a/src/test/java/org/cicadalead/logic/work/CrashHistoryTest.java
+++ b/src/test/java/org/cicadalead/logic/work/CrashHistoryTest.java
@@ -84,4 +84,13 @@
         addLoss(true, false, Outcome.CRASHED);
         assertTrue(history.mustGiveUp());
     }
+
+    @Test
+    void givesUpNoTaskBesideOthersAfterItOutlivedAStartThatACrashOnceFollowed() {
+        addLoss(true, true, Outcome.CRASHED);
+        history.onStartOutlived();
+        addLoss(false, false, Outcome.CRASHED);
+        addLoss(false, false, Outcome.CRASHED);
+        assertFalse(history.mustGiveUp());
+    }
 }
