Count a host that returns after its end as heard from its new process on

What it could do: the loss of a rack counted as a crash of the tasks that were starting there, as a host of the rack that had ended and come back under its identifier seemed to have lived through the loss.

Evidence: WorkHostTest.countsProcessThatFollowsAnEndedOneAsHeardFromItsOwnFirstReply failed before (10 instead of 100) and passes with it.

--- a/src/main/java/org/cicadalead/logic/work/WorkHost.java
+++ b/src/main/java/org/cicadalead/logic/work/WorkHost.java
@@ -101,6 +101,7 @@
         highestEndNumber = 0;
         acknowledgedEndNumber = 0;
         lastReplyAt = NEVER;
+        heardSince = Long.MAX_VALUE;
     }
 
     /** Records that the host has replied to any order, so that it has outlived the starts of a while ago. */
