Queries: log how long each waited and for which leader

JOB_ASKED and the new QUEUE_ASKED tell answered, waitedMilliseconds, repeats and leaderEpoch. Lines of details are now limited to 200 a second by themselves: up to now those of queries used up the 400 lines of a second, and the lines of a stop under load were left out. Warnings are written as before. No decision changes.

--- a/src/main/java/org/cicadalead/adapters/work/DecisionLog.java
+++ b/src/main/java/org/cicadalead/adapters/work/DecisionLog.java
@@ -23,6 +23,9 @@
     /** Lines per second above which only warnings are written, so that writing uses under a hundredth of a core. */
     private static final int MAX_LINES_PER_SECOND = 400;
 
+    /** Lines of details per second that are written, so that those of many requests leave room for other lines. */
+    private static final int MAX_DETAIL_LINES_PER_SECOND = 200;
+
     /** Queued to stop the writer thread; a new object, as it is compared by reference. */
     private static final String END_MARKER = new String("end");
 
@@ -34,6 +37,7 @@
     private final Thread writer;
     private long currentSecond;
     private int linesInSecond;
+    private int detailLinesInSecond;
 
     /** Creates the log of a process and starts its writer thread. */
     public DecisionLog(OutputStream output, String process, WorkMetrics metrics) {
@@ -85,6 +89,13 @@
         if (now != currentSecond) {
             currentSecond = now;
             linesInSecond = 0;
+            detailLinesInSecond = 0;
+        }
+        if (kind.severity() == EventSeverity.DETAIL) {
+            if (detailLinesInSecond == MAX_DETAIL_LINES_PER_SECOND) {
+                return false;
+            }
+            detailLinesInSecond++;
         }
         linesInSecond++;
         return linesInSecond <= MAX_LINES_PER_SECOND || kind.severity().compareTo(EventSeverity.WARNING) >= 0;
--- a/src/main/java/org/cicadalead/adapters/work/JobRequestService.java
+++ b/src/main/java/org/cicadalead/adapters/work/JobRequestService.java
@@ -194,19 +194,22 @@
      * @param timeout how long the caller waits for a response
      */
     public CompletableFuture<JobAnswer> findPhase(String job, JobAccess access, Duration timeout) {
+        LeaderQueryTrace trace = new LeaderQueryTrace(timers);
         return RepeatedQuery.run(
                         timers,
-                        () -> queryPhase(job, access),
+                        () -> queryPhase(job, access, trace),
                         JobAnswer::known,
                         JobAnswer.UNAVAILABLE,
                         limitWaitForLeader(timeout))
                 .thenApply(jobAnswer -> {
-                    log.emit(EventKind.JOB_ASKED, EventDetail.of("job", job), EventDetail.of("answer", jobAnswer));
+                    EventDetail answer = EventDetail.of("answer", jobAnswer);
+                    log.emit(EventKind.JOB_ASKED, trace.details(jobAnswer.known(), EventDetail.of("job", job), answer));
                     return jobAnswer;
                 });
     }
 
-    private CompletableFuture<JobAnswer> queryPhase(String job, JobAccess access) {
+    private CompletableFuture<JobAnswer> queryPhase(String job, JobAccess access, LeaderQueryTrace trace) {
+        trace.onAttempt(election.leader());
         return scheduling.askLater(jobs -> jobs.findPhase(job, access)).thenCompose(ownReply -> ownReply.map(
                         CompletableFuture::completedFuture)
                 .orElseGet(() -> election.leader()
@@ -225,15 +228,21 @@
      * @param timeout how long the caller waits for a response
      */
     public CompletableFuture<Optional<Integer>> waitingCount(String queue, Duration timeout) {
+        LeaderQueryTrace trace = new LeaderQueryTrace(timers);
         return RepeatedQuery.run(
-                timers,
-                () -> queryWaitingCount(queue),
-                Optional::isPresent,
-                Optional.empty(),
-                limitWaitForLeader(timeout));
+                        timers,
+                        () -> queryWaitingCount(queue, trace),
+                        Optional::isPresent,
+                        Optional.<Integer>empty(),
+                        limitWaitForLeader(timeout))
+                .thenApply(count -> {
+                    log.emit(EventKind.QUEUE_ASKED, trace.details(count.isPresent(), EventDetail.of("queue", queue)));
+                    return count;
+                });
     }
 
-    private CompletableFuture<Optional<Integer>> queryWaitingCount(String queue) {
+    private CompletableFuture<Optional<Integer>> queryWaitingCount(String queue, LeaderQueryTrace trace) {
+        trace.onAttempt(election.leader());
         return scheduling.askLater(jobs -> jobs.waitingCount(queue)).thenCompose(ownCount -> ownCount.map(
                         CompletableFuture::completedFuture)
                 .orElseGet(() -> election.leader()
--- a/src/main/java/org/cicadalead/adapters/work/WorkMetrics.java
+++ b/src/main/java/org/cicadalead/adapters/work/WorkMetrics.java
@@ -1,5 +1,6 @@
 package org.cicadalead.adapters.work;
 
+import io.micrometer.core.instrument.Gauge;
 import io.micrometer.core.instrument.MeterRegistry;
 import io.micrometer.core.instrument.MultiGauge;
 import io.micrometer.core.instrument.Tags;
@@ -12,6 +13,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Supplier;
 import org.cicadalead.logic.work.StopCause;
 import org.cicadalead.logic.work.account.AccountStatus;
 import org.cicadalead.logic.work.account.RejectionCause;
@@ -28,6 +30,10 @@
     private static final int MAX_ACCOUNTS = 100;
 
     private static final double CORES_PER_MILLICORE = 0.001;
+    private static final double SECONDS_PER_MILLISECOND = 0.001;
+
+    /** Methods with metrics of their own; callers may send any. */
+    private static final Set<String> METHODS = Set.of("GET", "POST", "DELETE");
 
     private final MeterRegistry registry;
     private final Set<String> accounts = new HashSet<>();
@@ -78,6 +84,28 @@
                 .record(duration);
     }
 
+    /** Shows the age of the oldest request of a caller that has no response yet; zero if there is none. */
+    void observeOldestOpenRequest(Supplier<Duration> age) {
+        observeAge("cicadalead.callers.oldest.open.seconds", Tags.empty(), age);
+    }
+
+    /** Shows the time since a topic of the store was last read. */
+    void observeLastRead(Topic topic, Supplier<Duration> age) {
+        observeAge("cicadalead.store.last.read.seconds", Tags.of("topic", labelOf(topic)), age);
+    }
+
+    private void observeAge(String name, Tags tags, Supplier<Duration> age) {
+        Gauge.builder(name, () -> age.get().toMillis() * SECONDS_PER_MILLISECOND)
+                .tags(tags)
+                .register(registry);
+    }
+
+    /** Counts a request that was received and whose caller got no response from this process. */
+    void countUnanswered(String method) {
+        registry.counter("cicadalead.callers.unanswered", "method", METHODS.contains(method) ? method : "other")
+                .increment();
+    }
+
     /**
      * Counts a request that was rejected by the rules of accounts. Accounts beyond a bounded number count as one.
      *
@@ -98,10 +126,14 @@
 
     /** Records the duration and the outcome of an append to the store. */
     void recordAppend(Topic topic, String outcome, Duration duration) {
-        timer("cicadalead.store.appends", "topic", topic.name().toLowerCase(Locale.ROOT), "outcome", outcome)
+        timer("cicadalead.store.appends", "topic", labelOf(topic), "outcome", outcome)
                 .record(duration);
     }
 
+    private static String labelOf(Topic topic) {
+        return topic.name().toLowerCase(Locale.ROOT);
+    }
+
     private Timer timer(String name, String... tags) {
         return Timer.builder(name)
                 .tags(tags)
--- a/src/main/java/org/cicadalead/model/event/EventKind.java
+++ b/src/main/java/org/cicadalead/model/event/EventKind.java
@@ -16,6 +16,8 @@
     PROCESS_STOPPED(1004, EventSeverity.INFORMATION, "An entry process completed its graceful shutdown"),
     /** A background task failed unexpectedly. */
     INTERNAL_FAILURE(1005, EventSeverity.ERROR, "A background task failed unexpectedly"),
+    /** A step of a graceful shutdown is complete. */
+    STOP_STEP_COMPLETED(1006, EventSeverity.INFORMATION, "A step of a graceful shutdown is complete"),
     /** A request was answered by an upstream. */
     REQUEST_ANSWERED(2001, EventSeverity.DETAIL, "A request was answered by an upstream"),
     /** A request was rejected and did not run. */
@@ -28,6 +30,8 @@
     REQUEST_RETRIED(2005, EventSeverity.DETAIL, "A request is retried on another host"),
     /** A resent request received the response of its first execution. */
     REQUEST_REPLAYED(2006, EventSeverity.DETAIL, "A resent request received the response of its first execution"),
+    /** A process closed its connections while a request that it had received was open. */
+    REQUEST_UNANSWERED(2007, EventSeverity.WARNING, "The process closed its connections before a request was answered"),
     /** A host failed too often and temporarily receives no requests. */
     HOST_EJECTED(2010, EventSeverity.WARNING, "A host failed too often and temporarily receives no requests"),
     /** An ejected host responded again. */
@@ -249,7 +253,11 @@
     /** Tasks of a client account wait because the account has reached its limit. */
     ACCOUNT_AT_LIMIT(8047, EventSeverity.WARNING, "Tasks of a client account wait, as it has reached its limit"),
     /** No task of a client account has waited for its limit for some time. */
-    ACCOUNT_BELOW_LIMIT(8048, EventSeverity.INFORMATION, "No task of a client account waits for its limit any more");
+    ACCOUNT_BELOW_LIMIT(8048, EventSeverity.INFORMATION, "No task of a client account waits for its limit any more"),
+    /** A caller asked for the number of waiting jobs of a queue. */
+    QUEUE_ASKED(8049, EventSeverity.DETAIL, "A caller asked for the number of waiting jobs of a queue"),
+    /** Reading a topic of the store, or handling what was read, failed unexpectedly. */
+    TOPIC_READER_FAILED(8050, EventSeverity.ERROR, "A reader of a topic of the store failed unexpectedly");
 
     private final int number;
     private final EventSeverity severity;
--- a/src/test/java/org/cicadalead/adapters/work/JobRequestServiceTest.java
+++ b/src/test/java/org/cicadalead/adapters/work/JobRequestServiceTest.java
@@ -5,9 +5,10 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
-import java.io.OutputStream;
+import java.io.ByteArrayOutputStream;
 import java.lang.reflect.Proxy;
 import java.net.http.HttpClient;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.EnumSet;
@@ -20,6 +21,7 @@
 import org.cicadalead.logic.work.EarlierTerm;
 import org.cicadalead.logic.work.HostsInUse;
 import org.cicadalead.logic.work.SchedulingTerms;
+import org.cicadalead.model.work.JobAccess;
 import org.cicadalead.model.work.QueueTerms;
 import org.cicadalead.model.work.WorkSubmission;
 import org.cicadalead.ports.RecordStore;
@@ -44,8 +46,8 @@
     private final MonitoredStore store =
             new MonitoredStore(createStoreView(), timers, new WorkMetrics(new SimpleMeterRegistry()));
     private final WorkCodec codec = new WorkCodec(problem -> {});
-    private final DecisionLog log =
-            new DecisionLog(OutputStream.nullOutputStream(), "process", new WorkMetrics(new SimpleMeterRegistry()));
+    private final ByteArrayOutputStream logOutput = new ByteArrayOutputStream();
+    private final DecisionLog log = new DecisionLog(logOutput, "process", new WorkMetrics(new SimpleMeterRegistry()));
     private final SchedulingService scheduling = new SchedulingService(
             SchedulingTermTest.createPorts(store), new SchedulingTerms(5_700, 6_000, 2_500, 6_000, 200, 2, 1));
     private final JobRequestService service = new JobRequestService(
@@ -294,6 +296,28 @@
         assertEquals(StoreOutcome.UNCERTAIN, outcome.getNow(StoreOutcome.REFUSED));
     }
 
+    /** A query that got no answer left a line that did not tell whether it had waited, and for whom. */
+    @Test
+    void logsHowLongQueriesWaitedForLeaderThatIsNotKnown() {
+        CompletableFuture<JobRequestService.JobAnswer> job =
+                service.findPhase("first", JobAccess.UNRESTRICTED, TIMEOUT);
+        CompletableFuture<Optional<Integer>> count = service.waitingCount("queue", Duration.ofMillis(500));
+        timers.advance(TIMEOUT);
+        assertFalse(job.join().known());
+        assertEquals(Optional.empty(), count.join());
+        log.close();
+        String lines = logOutput.toString(StandardCharsets.UTF_8);
+        assertTrue(
+                lines.contains("\"kind\":\"QUEUE_ASKED\",\"process\":\"process\",\"queue\":\"queue\","
+                        + "\"answered\":\"false\",\"waitedMilliseconds\":\"400\",\"repeats\":\"2\","
+                        + "\"leaderEpoch\":\"none\""),
+                lines);
+        assertTrue(
+                lines.contains("\"answered\":\"false\",\"waitedMilliseconds\":\"1800\",\"repeats\":\"9\","
+                        + "\"leaderEpoch\":\"none\""),
+                lines);
+    }
+
     private void call(Topic topic) {
         store.append(topic, List.of(KeyedRecord.of("key", new byte[] {1})), OptionalLong.empty());
     }
