Readers of topics: log an unexpected failure, show the age of the last read

An exception in a listener of TopicFollower, or in a read, stayed in a future that nobody looks at: the following of the topic ended without a line.

TOPIC_READER_FAILED names the topic and the failure, and cicadalead_store_last_read_seconds{topic} is the time since the last successful read. Whether the reader goes on is unchanged.

The cause was read in the code.

--- a/src/main/java/org/cicadalead/adapters/work/JobsFeed.java
+++ b/src/main/java/org/cicadalead/adapters/work/JobsFeed.java
@@ -35,13 +35,13 @@
     private final Listener listener;
     private boolean loaded;
 
-    JobsFeed(RecordStore store, TimerService timers, Listener listener) {
+    JobsFeed(RecordStore store, TimerService timers, DecisionLog log, Listener listener) {
         this.timers = timers;
         this.listener = listener;
         for (int index = 0; index < TOPICS.size(); index++) {
             lastReadNanoTime.set(index, NEVER_READ);
             followers.add(new TopicFollower(
-                    store, TOPICS.get(index), timers, MAX_READ_WAIT, Duration.ZERO, new TopicListener(index)));
+                    store, TOPICS.get(index), timers, log, MAX_READ_WAIT, Duration.ZERO, new TopicListener(index)));
         }
     }
 
--- a/src/main/java/org/cicadalead/adapters/work/MonitoredStore.java
+++ b/src/main/java/org/cicadalead/adapters/work/MonitoredStore.java
@@ -7,6 +7,8 @@
 import java.util.Objects;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
 import org.cicadalead.ports.RecordStore;
 import org.cicadalead.ports.TimerService;
 
@@ -30,6 +32,9 @@
     private final PathHealth storeHealth = new PathHealth(STORE_FAILURE_THRESHOLD, OUTAGE_MILLISECONDS);
     private final Map<Topic, PathHealth> healthByTopic = new EnumMap<>(Topic.class);
 
+    /** Monotonic times in nanoseconds of the last successful reads. */
+    private final Map<Topic, AtomicLong> lastReads = new ConcurrentHashMap<>();
+
     /** Creates a store that delegates to the given one. */
     public MonitoredStore(RecordStore store, TimerService timers, WorkMetrics metrics) {
         this.metrics = metrics;
@@ -65,6 +70,19 @@
         healthOf(topic).recordCall(answered, now);
     }
 
+    private void recordRead(Topic topic, boolean succeeded) {
+        recordCall(topic, succeeded);
+        if (succeeded) {
+            lastReads.computeIfAbsent(topic, this::observeLastRead).set(timers.nanoTime());
+        }
+    }
+
+    private AtomicLong observeLastRead(Topic topic) {
+        AtomicLong lastRead = new AtomicLong(timers.nanoTime());
+        metrics.observeLastRead(topic, () -> Duration.ofNanos(timers.nanoTime() - lastRead.get()));
+        return lastRead;
+    }
+
     @Override
     public CompletableFuture<AppendResult> append(Topic topic, List<KeyedRecord> records, OptionalLong expectedEnd) {
         long sentAt = timers.nanoTime();
@@ -89,7 +107,7 @@
     @Override
     public CompletableFuture<ReadResult> read(Topic topic, long fromOffset, Duration wait) {
         return store.read(topic, fromOffset, wait).thenApply(result -> {
-            recordCall(topic, result.outcome() != ReadOutcome.FAILED);
+            recordRead(topic, result.outcome() != ReadOutcome.FAILED);
             return result;
         });
     }
@@ -97,7 +115,7 @@
     @Override
     public CompletableFuture<Snapshot> snapshot(Topic topic) {
         return store.snapshot(topic).thenApply(snapshot -> {
-            recordCall(topic, snapshot.complete());
+            recordRead(topic, snapshot.complete());
             return snapshot;
         });
     }
--- a/src/main/java/org/cicadalead/adapters/work/OperatorFeed.java
+++ b/src/main/java/org/cicadalead/adapters/work/OperatorFeed.java
@@ -71,7 +71,7 @@
         this.freshness =
                 new ConfigurationFreshness(applyMilliseconds, stretchMilliseconds, clock.elapsedMilliseconds());
         this.follower = new TopicFollower(
-                store, Topic.OPERATOR, timers, MAX_READ_WAIT, Duration.ZERO, new TopicFollower.Listener() {
+                store, Topic.OPERATOR, timers, log, MAX_READ_WAIT, Duration.ZERO, new TopicFollower.Listener() {
                     @Override
                     public void onSnapshot(List<KeyedRecord> records) {
                         records.forEach(OperatorFeed.this::applyRecord);
--- a/src/main/java/org/cicadalead/adapters/work/SchedulingTerm.java
+++ b/src/main/java/org/cicadalead/adapters/work/SchedulingTerm.java
@@ -107,11 +107,12 @@
         this.accountReport = new AccountReport(ports.log());
         this.progressAppender =
                 new TermAppender(ports.store(), PROGRESS_TOPICS, ports.timers(), epoch, ports.onSuperseded());
-        this.jobsFeed = new JobsFeed(ports.store(), ports.timers(), new JobsListener());
+        this.jobsFeed = new JobsFeed(ports.store(), ports.timers(), ports.log(), new JobsListener());
         this.registryFollower = new TopicFollower(
                 ports.store(),
                 Topic.HOSTS,
                 ports.timers(),
+                ports.log(),
                 Duration.ZERO,
                 REGISTRY_READ_INTERVAL,
                 new RegistryListener());
--- a/src/main/java/org/cicadalead/adapters/work/TopicFollower.java
+++ b/src/main/java/org/cicadalead/adapters/work/TopicFollower.java
@@ -2,6 +2,8 @@
 
 import java.time.Duration;
 import java.util.List;
+import org.cicadalead.model.event.EventDetail;
+import org.cicadalead.model.event.EventKind;
 import org.cicadalead.ports.RecordStore;
 import org.cicadalead.ports.RecordStore.KeyedRecord;
 import org.cicadalead.ports.RecordStore.ReadResult;
@@ -19,6 +21,7 @@
     private final RecordStore store;
     private final Topic topic;
     private final TimerService timers;
+    private final DecisionLog log;
     private final Duration maximumReadWait;
     private final Duration readInterval;
     private final Listener listener;
@@ -34,12 +37,14 @@
             RecordStore store,
             Topic topic,
             TimerService timers,
+            DecisionLog log,
             Duration maximumReadWait,
             Duration readInterval,
             Listener listener) {
         this.store = store;
         this.topic = topic;
         this.timers = timers;
+        this.log = log;
         this.maximumReadWait = maximumReadWait;
         this.readInterval = readInterval;
         this.listener = listener;
@@ -58,7 +63,7 @@
             return;
         }
         listener.onReadSent();
-        store.snapshot(topic).thenAccept(this::onSnapshotRead);
+        store.snapshot(topic).thenAccept(this::onSnapshotRead).whenComplete(this::logFailure);
     }
 
     private void onSnapshotRead(Snapshot snapshot) {
@@ -87,7 +92,15 @@
     private void read(long offset) {
         if (!closed) {
             listener.onReadSent();
-            store.read(topic, offset, maximumReadWait).thenAccept(result -> onRead(offset, result));
+            store.read(topic, offset, maximumReadWait)
+                    .thenAccept(result -> onRead(offset, result))
+                    .whenComplete(this::logFailure);
+        }
+    }
+
+    private void logFailure(Void ignored, Throwable failure) {
+        if (failure != null) {
+            log.emit(EventKind.TOPIC_READER_FAILED, EventDetail.of("topic", topic), EventDetail.of("failure", failure));
         }
     }
 
--- a/src/test/java/org/cicadalead/adapters/work/JobsFeedTest.java
+++ b/src/test/java/org/cicadalead/adapters/work/JobsFeedTest.java
@@ -3,6 +3,8 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import java.io.OutputStream;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -12,6 +14,7 @@
 import org.cicadalead.ports.RecordStore;
 import org.cicadalead.support.InMemoryRecordStore;
 import org.cicadalead.support.ManualTimerService;
+import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
 class JobsFeedTest {
@@ -20,7 +23,9 @@
     private final List<String> loaded = new ArrayList<>();
     private final List<String> laterRecords = new ArrayList<>();
     private final SlowStore slowStore = new SlowStore(store);
-    private final JobsFeed feed = new JobsFeed(slowStore, timers, new JobsFeed.Listener() {
+    private final DecisionLog log =
+            new DecisionLog(OutputStream.nullOutputStream(), "process", new WorkMetrics(new SimpleMeterRegistry()));
+    private final JobsFeed feed = new JobsFeed(slowStore, timers, log, new JobsFeed.Listener() {
         @Override
         public void onLoaded(List<RecordStore.KeyedRecord> records) {
             records.forEach(stored -> loaded.add(stored.key()));
@@ -32,6 +37,11 @@
         }
     });
 
+    @AfterEach
+    void closeLog() {
+        log.close();
+    }
+
     private void store(RecordStore.Topic topic, String key) {
         store.append(topic, List.of(RecordStore.KeyedRecord.of(key, new byte[] {1})), OptionalLong.empty());
     }
