Stop: log its steps and the requests that get no answer

Callers saw requests that were read end without an answer; the process said only how many were in flight, not which, what they waited for, what the phases of the stop took, nor which leader it knew.

OpenRequests replaces the counter of JobServer: one object a request, no lock when one begins or ends, and the count stays exact, as the drain depends on it. PROCESS_STOPPING tells the grace period, the epoch that the process leads and the leader it knows; STOP_STEP_COMPLETED the duration of each step, that leader and the requests in flight; PROCESS_STOPPED the whole duration. The order and the limits of the stop are unchanged.

--- a/src/main/java/org/cicadalead/adapters/work/LeaderElection.java
+++ b/src/main/java/org/cicadalead/adapters/work/LeaderElection.java
@@ -110,6 +110,12 @@
         return newestRecord.filter(leader -> !leader.resigned());
     }
 
+    /** Returns the epoch of the term that this process leads; empty if it leads none. */
+    public OptionalLong leadingEpoch() {
+        long epoch = leadingEpoch;
+        return epoch > 0 ? OptionalLong.of(epoch) : OptionalLong.empty();
+    }
+
     /** Returns the milliseconds since the last heartbeat that the store has confirmed was sent. */
     public long unconfirmedMilliseconds() {
         return clock.elapsedMilliseconds() - lastConfirmedAt;
--- a/src/main/java/org/cicadalead/platform/JobServer.java
+++ b/src/main/java/org/cicadalead/platform/JobServer.java
@@ -10,10 +10,12 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutorService;
-import java.util.concurrent.atomic.AtomicInteger;
 import org.cicadalead.adapters.http.HttpServers;
 import org.cicadalead.adapters.work.DecisionLog;
 import org.cicadalead.adapters.work.JobRequestService;
+import org.cicadalead.adapters.work.OpenRequests;
+import org.cicadalead.adapters.work.OpenRequests.OpenRequest;
+import org.cicadalead.adapters.work.OpenRequests.WaitingFor;
 import org.cicadalead.adapters.work.OperatorFeed;
 import org.cicadalead.adapters.work.RejectionReport;
 import org.cicadalead.adapters.work.WorkMetrics;
@@ -75,7 +77,7 @@
     private final DecisionLog log;
     private final WorkMetrics metrics;
     private final RejectionReport rejections;
-    private final AtomicInteger inFlightRequests = new AtomicInteger();
+    private final OpenRequests openRequests;
     private volatile boolean draining;
 
     JobServer(
@@ -87,6 +89,7 @@
             DecisionLog log,
             WorkMetrics metrics) {
         this.metrics = metrics;
+        this.openRequests = new OpenRequests(timers, log);
         this.rejections = new RejectionReport(timers, log, metrics);
         this.server = HttpServers.bind(address.ip(), address.port());
         this.jobService = jobService;
@@ -104,17 +107,21 @@
     }
 
     int inFlightRequests() {
-        return inFlightRequests.get();
+        return openRequests.count();
+    }
+
+    /** Logs and counts the requests that are still open; call this after the connections are closed. */
+    void reportUnanswered() {
+        openRequests.reportUnanswered();
     }
 
     private void handle(HttpExchange exchange) throws IOException {
-        inFlightRequests.incrementAndGet();
-        long receivedAt = timers.nanoTime();
+        OpenRequest request = openRequests.begin(exchange.getRequestMethod(), pathOf(exchange));
         CompletableFuture<Response> response;
         try {
-            response = dispatch(exchange);
+            response = dispatch(exchange, request);
         } catch (IOException callerLeft) {
-            inFlightRequests.decrementAndGet();
+            openRequests.end(request);
             throw callerLeft;
         } catch (RuntimeException failure) {
             log.emit(EventKind.INTERNAL_FAILURE, EventDetail.of("request", failure.toString()));
@@ -123,18 +130,23 @@
         response.whenComplete((result, failure) -> {
             Response completed = failure == null ? result : Response.of(INTERNAL_ERROR);
             try {
-                send(exchange, completed);
+                request.waitFor(WaitingFor.CALLER);
+                send(exchange, request, completed);
             } finally {
-                inFlightRequests.decrementAndGet();
+                openRequests.end(request);
                 metrics.recordCallerRequest(
                         exchange.getRequestMethod(),
                         completed.status(),
-                        Duration.ofNanos(timers.nanoTime() - receivedAt));
+                        Duration.ofNanos(timers.nanoTime() - request.receivedAt()));
             }
         });
     }
 
-    private CompletableFuture<Response> dispatch(HttpExchange exchange) throws IOException {
+    private static String pathOf(HttpExchange exchange) {
+        return Optional.ofNullable(exchange.getRequestURI().getPath()).orElse("");
+    }
+
+    private CompletableFuture<Response> dispatch(HttpExchange exchange, OpenRequest request) throws IOException {
         Optional<FleetPlan> plan = operatorFeed.plan();
         int maximumBodyBytes = (int)
                 Math.min(MAX_BODY_BYTES, plan.map(FleetPlan::maximumBodyBytes).orElse(MAX_BODY_BYTES_WITHOUT_PLAN));
@@ -160,13 +172,17 @@
                     toResponse(decision.rejection().get()));
         }
         String job = path.substring(queue.get().pathPrefix().length());
+        request.waitFor(WaitingFor.LEADER);
         return switch (exchange.getRequestMethod()) {
-            case "POST" -> submit(job, queue.get(), decision, body, storeTimeoutOf(exchange, queue.get()));
+            case "POST" -> {
+                request.waitFor(WaitingFor.STORE);
+                yield submit(job, queue.get(), decision, body, storeTimeoutOf(exchange, queue.get()));
+            }
             case "GET" ->
                 job.isEmpty()
                         ? queryWaitingCount(queue.get(), storeTimeoutOf(exchange, queue.get()))
                         : queryState(job, decision.access(), storeTimeoutOf(exchange, queue.get()));
-            case "DELETE" -> cancel(job, decision.access(), storeTimeoutOf(exchange, queue.get()));
+            case "DELETE" -> cancel(job, decision.access(), storeTimeoutOf(exchange, queue.get()), request);
             default -> CompletableFuture.completedFuture(Response.of(METHOD_NOT_ALLOWED));
         };
     }
@@ -257,9 +273,10 @@
         });
     }
 
-    private CompletableFuture<Response> cancel(String job, JobAccess access, Duration timeout) {
+    private CompletableFuture<Response> cancel(String job, JobAccess access, Duration timeout, OpenRequest request) {
         long receivedAt = timers.nanoTime();
         return jobService.findPhase(job, access, timeout.dividedBy(LOOKUP_PART)).thenCompose(lookup -> {
+            request.waitFor(WaitingFor.STORE);
             boolean isUnknown = lookup.known() && lookup.phase().isEmpty();
             Duration storeTimeout = timeout.minusNanos(timers.nanoTime() - receivedAt);
             return isUnknown
@@ -274,7 +291,7 @@
                 .orElse(Response.RETRY_LATER));
     }
 
-    private void send(HttpExchange exchange, Response response) {
+    private void send(HttpExchange exchange, OpenRequest request, Response response) {
         try (exchange) {
             byte[] body = response.body().getBytes(StandardCharsets.UTF_8);
             if (body.length > 0) {
@@ -288,11 +305,13 @@
             }
             exchange.sendResponseHeaders(response.status(), body.length == 0 ? -1 : body.length);
             exchange.getResponseBody().write(body);
+            request.onAnswered();
             if (response.status() == TOO_LARGE) {
                 exchange.getResponseBody().flush();
                 HttpServers.discardRestOfBody(exchange);
             }
         } catch (IOException connectionLost) {
+            openRequests.onResponseLost(request);
             log.emit(
                     EventKind.REQUEST_ANSWER_CUT,
                     EventDetail.of("path", exchange.getRequestURI().getPath()),
@@ -302,6 +321,7 @@
 
     @Override
     public void close() {
+        openRequests.onConnectionsClosing();
         server.stop(0);
     }
 
--- a/src/main/java/org/cicadalead/platform/LoopbackPlatform.java
+++ b/src/main/java/org/cicadalead/platform/LoopbackPlatform.java
@@ -165,6 +165,11 @@
 
     /** Starts an entry process and returns its address for callers. */
     String startEntry(String name) throws IOException {
+        return startEntry(name, OutputStream.nullOutputStream());
+    }
+
+    /** Starts an entry process that writes its log to a stream, and returns its address for callers. */
+    String startEntry(String name, OutputStream logOutput) throws IOException {
         int frontend = freePort();
         Path file = folder.resolve(name + ".conf");
         Files.writeString(
@@ -182,8 +187,7 @@
                         "limits.cpuShare=0.75",
                         "bounds.holdMaxMs=6000",
                         "something.new=ignored"));
-        entries.add(new PlatformEntry(
-                PlatformSettings.read(file), OutputStream.nullOutputStream(), OptionalInt.of(freePort())));
+        entries.add(new PlatformEntry(PlatformSettings.read(file), logOutput, OptionalInt.of(freePort())));
         return ADDRESS + ":" + frontend;
     }
 
--- a/src/main/java/org/cicadalead/platform/PlatformEntry.java
+++ b/src/main/java/org/cicadalead/platform/PlatformEntry.java
@@ -10,6 +10,7 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.OptionalLong;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ThreadLocalRandom;
@@ -243,10 +244,17 @@
      */
     public void stopGracefully() {
         stopping = true;
-        log.emit(EventKind.PROCESS_STOPPING, EventDetail.of("inFlight", jobServer.inFlightRequests()));
+        long stoppingSince = System.nanoTime();
+        log.emit(
+                EventKind.PROCESS_STOPPING,
+                EventDetail.of("graceMilliseconds", settings.graceMilliseconds()),
+                EventDetail.of("leadingEpoch", toText(election.leadingEpoch())),
+                EventDetail.of("leader", knownLeader()),
+                EventDetail.of("inFlight", jobServer.inFlightRequests()));
         jobServer.startDraining();
         election.close();
         long startedAt = System.nanoTime();
+        logCompleted(StopStep.RESIGNATION, stoppingSince);
         long maximumDrainNanoseconds = Duration.ofMillis(settings.graceMilliseconds() - GRACE_RESERVE_MILLISECONDS)
                 .toNanos();
         try {
@@ -257,17 +265,55 @@
         } catch (InterruptedException interrupted) {
             Thread.currentThread().interrupt();
         }
+        logCompleted(StopStep.DRAIN, startedAt);
+        long closingSince = System.nanoTime();
         jobServer.close();
+        logCompleted(StopStep.CONNECTIONS_CLOSED, closingSince);
+        jobServer.reportUnanswered();
         peerServer.close();
         readinessServer.close();
         metricsServer.ifPresent(MetricsServer::close);
         configurations.close();
         operatorFeed.close();
         schedulingService.close();
-        log.emit(EventKind.PROCESS_STOPPED, EventDetail.of("inFlight", jobServer.inFlightRequests()));
+        log.emit(
+                EventKind.PROCESS_STOPPED,
+                EventDetail.of("durationMilliseconds", millisecondsSince(stoppingSince)),
+                EventDetail.of("inFlight", jobServer.inFlightRequests()));
         log.close();
     }
 
+    private void logCompleted(StopStep step, long startedAtNanoseconds) {
+        log.emit(
+                EventKind.STOP_STEP_COMPLETED,
+                EventDetail.of("step", step),
+                EventDetail.of("durationMilliseconds", millisecondsSince(startedAtNanoseconds)),
+                EventDetail.of("leader", knownLeader()),
+                EventDetail.of("inFlight", jobServer.inFlightRequests()));
+    }
+
+    private String knownLeader() {
+        return election.leader().map(LeaderHead::address).orElse("none");
+    }
+
+    private static String toText(OptionalLong epoch) {
+        return epoch.isPresent() ? Long.toString(epoch.getAsLong()) : "none";
+    }
+
+    private static long millisecondsSince(long nanoTime) {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - nanoTime);
+    }
+
+    /** Steps of a graceful stop, in their order. */
+    private enum StopStep {
+        /** The process has ended its term, if it led one, and its part in the election. */
+        RESIGNATION,
+        /** No request is in flight, or the grace period is nearly over. */
+        DRAIN,
+        /** The callers' connections are closed. */
+        CONNECTIONS_CLOSED
+    }
+
     private static Thread createClientThread(Runnable runnable) {
         Thread thread = new Thread(runnable, "client");
         thread.setDaemon(true);
