Loopback stand-ins: a public store and workers that follow the whole protocol

The store keeps the sequence of each writer, answers one of its last five appends again, rejects one out of sequence, and answers after a settable delay. Before, it knew the epoch of a topic only and held its lock while it sent. Settings and what callers send come from one place each, so that tests outside this package need none of the platform's names.

--- a/src/main/java/org/cicadalead/platform/LoopbackPlatform.java
+++ b/src/main/java/org/cicadalead/platform/LoopbackPlatform.java
@@ -13,7 +13,6 @@
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -24,6 +23,7 @@
 import java.util.concurrent.ThreadLocalRandom;
 import org.cicadalead.adapters.http.HttpServers;
 import org.cicadalead.adapters.http.PlaintextHttpClients;
+import org.cicadalead.platform.LoopbackWorker.RunListener;
 
 /**
  * A platform on the loopback interface: a store, workers, and entry processes that use them. Not safe for use by
@@ -31,6 +31,8 @@
  */
 final class LoopbackPlatform implements AutoCloseable {
     private static final String ADDRESS = "127.0.0.1";
+    private static final int WORKER_MILLICORES = 4_000;
+    private static final int WORKER_MEGABYTES = 8_000;
 
     /** First port for entry processes: above the ports of services. */
     private static final int MIN_PORT = 20_000;
@@ -62,40 +64,17 @@
         this.folder = folder;
         this.storePort = startServer(exchange -> store.handle(exchange));
         for (int number = 0; number < workerCount; number++) {
-            LoopbackWorker worker = new LoopbackWorker();
+            LoopbackWorker worker =
+                    new LoopbackWorker("worker-" + number, WORKER_MILLICORES, WORKER_MEGABYTES, RunListener.NONE);
             workers.add(worker);
-            int port = startServer(worker::handle);
-            store.put(
-                    "keyed.servers",
-                    "worker-" + number,
-                    "{\"service\":\"planning\",\"address\":\"" + ADDRESS + ":" + port
-                            + "\",\"zone\":\"zone\",\"state\":\"ready\",\"born\":1,\"clockMs\":1,"
-                            + "\"capacity\":{\"cpu\":4000,\"memMb\":8000,\"gpu\":0},\"labels\":[\"a\",\"r1\"]}");
+            store.putWorker(worker, ADDRESS + ":" + startServer(worker::handle));
         }
         putConfiguration(1, "");
     }
 
-    /**
-     * Puts a configuration as the operator does, with a queue under {@code /plan/} that needs a key if there are
-     * accounts, and one under {@code /public/} that doesn't.
-     *
-     * @param tenants the accounts as the platform's JSON; empty for a configuration without accounts
-     */
+    /** Puts a configuration into the store, as {@link LoopbackStore#putConfiguration} does. */
     void putConfiguration(long version, String tenants) {
-        store.put(
-                "keyed.op",
-                "config",
-                "{\"version\":" + version + ",\"routes\":["
-                        + queue("open", "/public/", true) + "," + queue("queue", "/plan/", false)
-                        + "],\"services\":[{\"name\":\"planning\",\"standby\":false}],"
-                        + "\"limits\":{\"maxBodyBytes\":262144}"
-                        + (tenants.isEmpty() ? "" : ",\"tenants\":" + tenants) + "}");
-    }
-
-    private static String queue(String name, String pathPrefix, boolean isPublic) {
-        return "{\"name\":\"" + name + "\",\"host\":\"jobs.example\",\"pathPrefix\":\"" + pathPrefix + "\","
-                + "\"public\":" + isPublic + ",\"service\":\"planning\",\"timeoutMs\":3000,"
-                + "\"targetDurationMs\":600,\"priority\":0,\"maxAttempts\":3,\"slackFactor\":1.6}";
+        store.putConfiguration(version, tenants);
     }
 
     private int startServer(HttpHandler handler) {
@@ -167,21 +146,16 @@
     String startEntry(String name) throws IOException {
         int frontend = freePort();
         Path file = folder.resolve(name + ".conf");
-        Files.writeString(
-                file,
-                String.join(
-                        "\n",
-                        "nodeName=" + name,
-                        "zone=zone",
-                        "ip=" + ADDRESS,
-                        "listenAddrs.frontend=" + ADDRESS + ":" + frontend,
-                        "listenAddrs.ready=" + ADDRESS + ":" + freePort(),
-                        "internalPortRange=" + freePort() + ",65000",
-                        "platform.address=" + ADDRESS + ":" + startServer(exchange -> handleStoreCall(name, exchange)),
-                        "cloudApi.address=" + ADDRESS + ":" + storePort,
-                        "limits.cpuShare=0.75",
-                        "bounds.holdMaxMs=6000",
-                        "something.new=ignored"));
+        new LoopbackSettings(
+                        name,
+                        ADDRESS,
+                        frontend,
+                        freePort(),
+                        freePort(),
+                        ADDRESS + ":" + startServer(exchange -> handleStoreCall(name, exchange)),
+                        ADDRESS + ":" + storePort,
+                        1)
+                .write(file);
         entries.add(new PlatformEntry(
                 PlatformSettings.read(file), OutputStream.nullOutputStream(), OptionalInt.of(freePort())));
         return ADDRESS + ":" + frontend;
--- a/src/main/java/org/cicadalead/platform/LoopbackStore.java
+++ b/src/main/java/org/cicadalead/platform/LoopbackStore.java
@@ -7,32 +7,51 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Base64;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.NavigableMap;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 
 /** Serves the platform's store over HTTP from memory. Safe for use by several threads. */
-final class LoopbackStore {
+public final class LoopbackStore {
     private static final int PAGE_SIZE = 50;
 
     private final Map<String, List<byte[]>> topics = new HashMap<>();
-    private final Map<String, Long> epochs = new HashMap<>();
+    private final Map<String, Writer> writers = new HashMap<>();
     private volatile boolean down;
+    private volatile long answerDelayMilliseconds;
 
     void setDown(boolean isDown) {
         down = isDown;
     }
 
+    /** Sets how long each answer to an entry process takes; no time at first. */
+    public void setAnswerDelay(Duration delay) {
+        answerDelayMilliseconds = delay.toMillis();
+    }
+
+    private void delay() {
+        try {
+            Thread.sleep(answerDelayMilliseconds);
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     private List<byte[]> recordsOf(String topic) {
         return topics.computeIfAbsent(topic, newTopic -> new ArrayList<>());
     }
 
     /** Appends a record with a key, as the operator and the workers do. */
-    synchronized void put(String topic, String key, String value) {
+    public synchronized void put(String topic, String key, String value) {
         byte[] encodedKey = key.getBytes(StandardCharsets.UTF_8);
         byte[] content = value.getBytes(StandardCharsets.UTF_8);
         recordsOf(topic)
@@ -44,6 +63,41 @@
         notifyAll();
     }
 
+    /**
+     * Puts a configuration as the operator does, with a queue under {@code /plan/} that needs a key if there are
+     * accounts, and one under {@code /public/} that doesn't.
+     *
+     * @param tenants the accounts as the platform's JSON; empty for a configuration without accounts
+     */
+    public void putConfiguration(long version, String tenants) {
+        put(
+                "keyed.op",
+                "config",
+                "{\"version\":" + version + ",\"routes\":["
+                        + queue("open", "/public/", true) + "," + queue("queue", "/plan/", false)
+                        + "],\"services\":[{\"name\":\"" + LoopbackWorker.SERVICE + "\",\"standby\":false}],"
+                        + "\"limits\":{\"maxBodyBytes\":262144}"
+                        + (tenants.isEmpty() ? "" : ",\"tenants\":" + tenants) + "}");
+    }
+
+    private static String queue(String name, String pathPrefix, boolean isPublic) {
+        return "{\"name\":\"" + name + "\",\"host\":\"jobs.example\",\"pathPrefix\":\"" + pathPrefix + "\","
+                + "\"public\":" + isPublic + ",\"service\":\"" + LoopbackWorker.SERVICE + "\",\"timeoutMs\":3000,"
+                + "\"targetDurationMs\":600,\"priority\":0,\"maxAttempts\":3,\"slackFactor\":1.6}";
+    }
+
+    /** Puts the entry of a worker, as the worker does with each of its heartbeats. */
+    public void putWorker(LoopbackWorker worker, String address) {
+        put("keyed.servers", worker.identifier(), worker.nextEntry(address));
+    }
+
+    /**
+     * Returns the newest record of the leader, in which the address of its process occurs; empty when there is none.
+     */
+    public String newestLeaderRecord() {
+        return newestValue("keyed.leader", "leader");
+    }
+
     synchronized String newestValue(String topic, String key) {
         StoredValue newest = newestValues(topic).get(key);
         return newest == null ? "" : newest.content();
@@ -67,7 +121,8 @@
     /** The newest value of a key, and its offset in the topic. */
     private record StoredValue(String content, int offset) {}
 
-    void handle(HttpExchange exchange) throws IOException {
+    /** Answers a call of an entry process. */
+    public void handle(HttpExchange exchange) throws IOException {
         try (exchange) {
             byte[] body = exchange.getRequestBody().readAllBytes();
             Map<String, String> query = LoopbackPlatform.parseQuery(exchange);
@@ -84,24 +139,24 @@
         }
     }
 
-    private synchronized void append(HttpExchange exchange, Map<String, String> query, byte[] body) throws IOException {
+    private void append(HttpExchange exchange, Map<String, String> query, byte[] body) throws IOException {
+        Answer answer = append(query, body);
+        delay();
+        LoopbackPlatform.send(exchange, answer.status(), PlatformHttpClient.encode(answer.body()));
+    }
+
+    private synchronized Answer append(Map<String, String> query, byte[] body) {
         List<byte[]> records = recordsOf(query.get("topic"));
-        long epoch = Long.parseLong(query.getOrDefault("epoch", "0"));
-        long highestEpoch = epochs.getOrDefault(query.get("topic"), 0L);
         ObjectNode response = PlatformHttpClient.JSON.createObjectNode();
-        if (query.containsKey("epoch") && epoch < highestEpoch) {
-            LoopbackPlatform.send(
-                    exchange, PlatformHttpClient.CONFLICT, PlatformHttpClient.encode(response.put("reason", "fenced")));
-            return;
+        Optional<Writer> writer = Optional.ofNullable(query.get("producer"))
+                .map(name -> writers.computeIfAbsent(query.get("topic") + "/" + name, key -> new Writer()));
+        Optional<Answer> known = writer.flatMap(present -> present.findAnswer(query, body.length == 0));
+        if (known.isPresent()) {
+            return known.get();
         }
         if (query.containsKey("at") && Long.parseLong(query.get("at")) != records.size()) {
-            LoopbackPlatform.send(
-                    exchange,
-                    PlatformHttpClient.PRECONDITION_FAILED,
-                    PlatformHttpClient.encode(response.put("endOffset", records.size())));
-            return;
+            return new Answer(PlatformHttpClient.PRECONDITION_FAILED, response.put("endOffset", records.size()));
         }
-        epochs.put(query.get("topic"), Math.max(epoch, highestEpoch));
         response.put("offset", records.size());
         ByteBuffer buffer = ByteBuffer.wrap(body);
         while (buffer.hasRemaining()) {
@@ -110,8 +165,64 @@
             records.add(content);
         }
         notifyAll();
-        LoopbackPlatform.send(
-                exchange, PlatformHttpClient.OK, PlatformHttpClient.encode(response.put("endOffset", records.size())));
+        Answer answer = new Answer(PlatformHttpClient.OK, response.put("endOffset", records.size()));
+        writer.ifPresent(present -> present.onAppended(query, body.length == 0, answer));
+        return answer;
+    }
+
+    /** An answer to an append; its body isn't changed once it was given. */
+    private record Answer(int status, ObjectNode body) {}
+
+    /** The position of a writer in a topic. Guarded by the lock of the store. */
+    private static final class Writer {
+        private static final int KEPT_ANSWERS = 5;
+
+        private final NavigableMap<Long, Answer> answers = new TreeMap<>();
+        private long epoch = -1;
+        private OptionalLong lastSequence = OptionalLong.empty();
+
+        private static long parse(Map<String, String> query, String name) {
+            return Long.parseLong(query.getOrDefault(name, "0"));
+        }
+
+        /** Returns the answer to an append that isn't carried out: it is fenced, repeated or out of sequence. */
+        Optional<Answer> findAnswer(Map<String, String> query, boolean isEmpty) {
+            long newEpoch = parse(query, "epoch");
+            long sequence = parse(query, "seqNo");
+            ObjectNode response = PlatformHttpClient.JSON.createObjectNode();
+            if (newEpoch < epoch) {
+                return Optional.of(new Answer(PlatformHttpClient.CONFLICT, response.put("reason", "fenced")));
+            }
+            if (newEpoch > epoch || isEmpty || lastSequence.isEmpty()) {
+                return Optional.empty();
+            }
+            if (answers.containsKey(sequence)) {
+                return Optional.ofNullable(answers.get(sequence));
+            }
+            long expected = lastSequence.getAsLong() + 1;
+            return sequence == expected
+                    ? Optional.empty()
+                    : Optional.of(new Answer(
+                            PlatformHttpClient.CONFLICT,
+                            response.put("reason", "seq").put("seqNo", expected)));
+        }
+
+        void onAppended(Map<String, String> query, boolean isEmpty, Answer answer) {
+            long newEpoch = parse(query, "epoch");
+            if (newEpoch > epoch) {
+                answers.clear();
+                epoch = newEpoch;
+                lastSequence = OptionalLong.empty();
+            }
+            if (!isEmpty) {
+                long sequence = parse(query, "seqNo");
+                lastSequence = OptionalLong.of(sequence);
+                answers.put(sequence, answer);
+                if (answers.size() > KEPT_ANSWERS) {
+                    answers.pollFirstEntry();
+                }
+            }
+        }
     }
 
     private void read(HttpExchange exchange, Map<String, String> query) throws IOException {
@@ -139,10 +250,17 @@
                 response.writeBytes(content);
             }
         }
+        delay();
         LoopbackPlatform.send(exchange, PlatformHttpClient.OK, response.toByteArray());
     }
 
-    private synchronized void readNewestPage(HttpExchange exchange, Map<String, String> query) throws IOException {
+    private void readNewestPage(HttpExchange exchange, Map<String, String> query) throws IOException {
+        ObjectNode page = createNewestPage(query);
+        delay();
+        LoopbackPlatform.send(exchange, PlatformHttpClient.OK, PlatformHttpClient.encode(page));
+    }
+
+    private synchronized ObjectNode createNewestPage(Map<String, String> query) {
         String topic = query.get("topic");
         String afterKey = query.getOrDefault("dependsOn", "");
         ObjectNode response = PlatformHttpClient.JSON.createObjectNode();
@@ -167,6 +285,6 @@
             isPastAfterKey |= entry.getKey().equals(afterKey);
         }
         response.put("hasMore", hasMore).put("endOffset", recordsOf(topic).size());
-        LoopbackPlatform.send(exchange, PlatformHttpClient.OK, PlatformHttpClient.encode(response));
+        return response;
     }
 }
