Let a second SIGTERM change nothing, and handle signals before the process listens

Cause: the handler of SIGTERM halted the virtual machine at the second signal. Also read in the code, and not seen: the handlers of SIGTERM and SIGHUP were installed after the process had begun to listen, so that a signal at that moment ended it.

Why this works: the platform sends SIGKILL when the grace period is over, so that a stop needs no second way; a further signal is ignored. The handlers stand before the process is created, and a stop waits for its creation.

--- a/src/main/java/org/cicadalead/cli/PlatformEntryCommand.java
+++ b/src/main/java/org/cicadalead/cli/PlatformEntryCommand.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.apache.commons.cli.CommandLine;
@@ -56,15 +57,23 @@
                 .orElseThrow(() -> new CicadaleadException(
                         ErrorKind.INVALID_SETTINGS,
                         "Neither --settings nor " + PlatformSettings.PATH_VARIABLE + " names a settings file"));
-        PlatformEntry entry =
-                new PlatformEntry(PlatformSettings.read(Path.of(settingsFile)), parseMetricsPort(arguments));
+        OptionalInt metricsPort = parseMetricsPort(arguments);
+        CompletableFuture<PlatformEntry> entry = new CompletableFuture<>();
+        // Before the process listens: without a handler each of these signals ends it at once.
+        ProcessSignals.handle(
+                "HUP", () -> entry.thenAccept(started -> started.onSettingsChanged(Path.of(settingsFile))));
         AtomicBoolean stopping = new AtomicBoolean();
-        ProcessSignals.handle("HUP", () -> entry.onSettingsChanged(Path.of(settingsFile)));
         ProcessSignals.handle("TERM", () -> stop(stopping));
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
-            entry.stopGracefully();
+            entry.join().stopGracefully();
             Runtime.getRuntime().halt(ExitCode.DONE.code());
         }));
+        try {
+            entry.complete(new PlatformEntry(PlatformSettings.read(Path.of(settingsFile)), metricsPort));
+        } catch (RuntimeException notStarted) {
+            entry.completeExceptionally(notStarted);
+            throw notStarted;
+        }
         EntryCommand.awaitForever(new CountDownLatch(1));
         return ExitCode.DONE;
     }
@@ -81,11 +90,12 @@
         }
     }
 
-    /** Stops the process gracefully at the first signal, and immediately at the second. */
+    /**
+     * Stops the process gracefully at the first signal; a further one changes nothing, as requests are still served.
+     */
     private static void stop(AtomicBoolean stopping) {
-        if (stopping.getAndSet(true)) {
-            Runtime.getRuntime().halt(ExitCode.FAILED.code());
+        if (!stopping.getAndSet(true)) {
+            new Thread(() -> Runtime.getRuntime().exit(ExitCode.DONE.code()), "stop").start();
         }
-        new Thread(() -> Runtime.getRuntime().exit(ExitCode.DONE.code()), "stop").start();
     }
 }
