Loopback store: pages of 500 keys in the order of the keys, reads up to maxKb

A page of the newest records held 50 keys, each page was computed from all records, and it continued after the last key's place in the log, so that a key that was replaced between two pages could hide others. The tests of platform and the architecture tests pass.

--- a/src/main/java/org/cicadalead/platform/LoopbackStore.java
+++ b/src/main/java/org/cicadalead/platform/LoopbackStore.java
@@ -9,9 +9,9 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Base64;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.NavigableMap;
@@ -22,9 +22,13 @@
 
 /** Serves the platform's store over HTTP from memory. Safe for use by several threads. */
 public final class LoopbackStore {
-    private static final int PAGE_SIZE = 50;
+    private static final int PAGE_SIZE = 500;
+    private static final int BYTES_PER_KILOBYTE = 1_024;
+    private static final int DEFAULT_READ_KILOBYTES = 1_024;
+    private static final int MAX_PAGE_BYTES = 1_000_000;
+    private static final int BYTE_MASK = 0xff;
 
-    private final Map<String, List<byte[]>> topics = new HashMap<>();
+    private final Map<String, Topic> topics = new HashMap<>();
     private final Map<String, Writer> writers = new HashMap<>();
     private volatile boolean down;
     private volatile long answerDelayMilliseconds;
@@ -46,15 +50,57 @@
         }
     }
 
-    private List<byte[]> recordsOf(String topic) {
-        return topics.computeIfAbsent(topic, newTopic -> new ArrayList<>());
+    private Topic topicOf(Map<String, String> query) {
+        return topicOf(query.get("topic"));
+    }
+
+    private Topic topicOf(String name) {
+        return topics.computeIfAbsent(name, newTopic -> new Topic());
+    }
+
+    /** The records of a topic, and the offset of the newest one of each key that has a value. Guarded by the store. */
+    private static final class Topic {
+        private final List<byte[]> records = new ArrayList<>();
+        private final NavigableMap<String, Integer> newestOffsets = new TreeMap<>();
+
+        int end() {
+            return records.size();
+        }
+
+        void add(byte[] stored) {
+            String key = keyOf(stored);
+            if (stored.length > 1 + keyLength(stored)) {
+                newestOffsets.put(key, records.size());
+            } else {
+                newestOffsets.remove(key);
+            }
+            records.add(stored);
+        }
+
+        /** Returns the newest value of a key; without a byte if there is none. */
+        byte[] newestValue(String key) {
+            Integer offset = newestOffsets.get(key);
+            return offset == null ? new byte[0] : valueOf(records.get(offset));
+        }
+
+        private static int keyLength(byte[] stored) {
+            return stored[0] & BYTE_MASK;
+        }
+
+        private static String keyOf(byte[] stored) {
+            return new String(stored, 1, keyLength(stored), StandardCharsets.UTF_8);
+        }
+
+        private static byte[] valueOf(byte[] stored) {
+            return Arrays.copyOfRange(stored, 1 + keyLength(stored), stored.length);
+        }
     }
 
     /** Appends a record with a key, as the operator and the workers do. */
     public synchronized void put(String topic, String key, String value) {
         byte[] encodedKey = key.getBytes(StandardCharsets.UTF_8);
         byte[] content = value.getBytes(StandardCharsets.UTF_8);
-        recordsOf(topic)
+        topicOf(topic)
                 .add(ByteBuffer.allocate(1 + encodedKey.length + content.length)
                         .put((byte) encodedKey.length)
                         .put(encodedKey)
@@ -99,28 +145,9 @@
     }
 
     synchronized String newestValue(String topic, String key) {
-        StoredValue newest = newestValues(topic).get(key);
-        return newest == null ? "" : newest.content();
+        return new String(topicOf(topic).newestValue(key), StandardCharsets.ISO_8859_1);
     }
 
-    private Map<String, StoredValue> newestValues(String topic) {
-        Map<String, StoredValue> values = new LinkedHashMap<>();
-        List<byte[]> records = recordsOf(topic);
-        for (int offset = 0; offset < records.size(); offset++) {
-            byte[] stored = records.get(offset);
-            String key = new String(stored, 1, stored[0], StandardCharsets.UTF_8);
-            String content =
-                    new String(stored, 1 + stored[0], stored.length - 1 - stored[0], StandardCharsets.ISO_8859_1);
-            values.remove(key);
-            values.put(key, new StoredValue(content, offset));
-        }
-        values.values().removeIf(value -> value.content().isEmpty());
-        return values;
-    }
-
-    /** The newest value of a key, and its offset in the topic. */
-    private record StoredValue(String content, int offset) {}
-
     /** Answers a call of an entry process. */
     public void handle(HttpExchange exchange) throws IOException {
         try (exchange) {
@@ -146,7 +173,7 @@
     }
 
     private synchronized Answer append(Map<String, String> query, byte[] body) {
-        List<byte[]> records = recordsOf(query.get("topic"));
+        Topic topic = topicOf(query);
         ObjectNode response = PlatformHttpClient.JSON.createObjectNode();
         Optional<Writer> writer = Optional.ofNullable(query.get("producer"))
                 .map(name -> writers.computeIfAbsent(query.get("topic") + "/" + name, key -> new Writer()));
@@ -154,18 +181,18 @@
         if (known.isPresent()) {
             return known.get();
         }
-        if (query.containsKey("at") && Long.parseLong(query.get("at")) != records.size()) {
-            return new Answer(PlatformHttpClient.PRECONDITION_FAILED, response.put("endOffset", records.size()));
+        if (query.containsKey("at") && Long.parseLong(query.get("at")) != topic.end()) {
+            return new Answer(PlatformHttpClient.PRECONDITION_FAILED, response.put("endOffset", topic.end()));
         }
-        response.put("offset", records.size());
+        response.put("offset", topic.end());
         ByteBuffer buffer = ByteBuffer.wrap(body);
         while (buffer.hasRemaining()) {
             byte[] content = new byte[buffer.getInt()];
             buffer.get(content);
-            records.add(content);
+            topic.add(content);
         }
         notifyAll();
-        Answer answer = new Answer(PlatformHttpClient.OK, response.put("endOffset", records.size()));
+        Answer answer = new Answer(PlatformHttpClient.OK, response.put("endOffset", topic.end()));
         writer.ifPresent(present -> present.onAppended(query, body.length == 0, answer));
         return answer;
     }
@@ -228,13 +255,13 @@
     private void read(HttpExchange exchange, Map<String, String> query) throws IOException {
         ByteArrayOutputStream response = new ByteArrayOutputStream();
         synchronized (this) {
-            List<byte[]> records = recordsOf(query.get("topic"));
+            Topic topic = topicOf(query);
             int fromOffset = Integer.parseInt(query.get("source"));
             long deadline = System.nanoTime()
                     + TimeUnit.MILLISECONDS.toNanos(Long.parseLong(query.getOrDefault("waitMs", "0")));
             try {
                 for (long remainingNanoseconds = deadline - System.nanoTime();
-                        records.size() <= fromOffset && remainingNanoseconds > 0; ) {
+                        topic.end() <= fromOffset && remainingNanoseconds > 0; ) {
                     TimeUnit.NANOSECONDS.timedWait(this, remainingNanoseconds);
                     remainingNanoseconds = deadline - System.nanoTime();
                 }
@@ -242,9 +269,11 @@
                 Thread.currentThread().interrupt();
             }
             response.writeBytes(
-                    ByteBuffer.allocate(16).putLong(records.size()).putLong(0).array());
-            for (int offset = fromOffset; offset < records.size(); offset++) {
-                byte[] content = records.get(offset);
+                    ByteBuffer.allocate(16).putLong(topic.end()).putLong(0).array());
+            int maximumBytes = BYTES_PER_KILOBYTE
+                    * Integer.parseInt(query.getOrDefault("maxKb", String.valueOf(DEFAULT_READ_KILOBYTES)));
+            for (int offset = fromOffset; offset < topic.end() && response.size() < maximumBytes; offset++) {
+                byte[] content = topic.records.get(offset);
                 response.writeBytes(
                         ByteBuffer.allocate(4).putInt(content.length).array());
                 response.writeBytes(content);
@@ -260,31 +289,27 @@
         LoopbackPlatform.send(exchange, PlatformHttpClient.OK, PlatformHttpClient.encode(page));
     }
 
+    /** Returns a page in the order of the keys, so that no key is left out when records come between two pages. */
     private synchronized ObjectNode createNewestPage(Map<String, String> query) {
-        String topic = query.get("topic");
+        Topic topic = topicOf(query);
         String afterKey = query.getOrDefault("dependsOn", "");
         ObjectNode response = PlatformHttpClient.JSON.createObjectNode();
         ArrayNode items = response.putArray("items");
-        boolean isPastAfterKey = afterKey.isEmpty();
         boolean hasMore = false;
-        for (Map.Entry<String, StoredValue> entry : newestValues(topic).entrySet()) {
-            if (isPastAfterKey && items.size() == PAGE_SIZE) {
-                hasMore = true;
+        int bytes = 0;
+        for (Map.Entry<String, Integer> entry :
+                topic.newestOffsets.tailMap(afterKey, false).entrySet()) {
+            hasMore = items.size() == PAGE_SIZE || bytes > MAX_PAGE_BYTES;
+            if (hasMore) {
                 break;
             }
-            if (isPastAfterKey) {
-                items.addObject()
-                        .put("key", entry.getKey())
-                        .put(
-                                "value",
-                                Base64.getEncoder()
-                                        .encodeToString(
-                                                entry.getValue().content().getBytes(StandardCharsets.ISO_8859_1)))
-                        .put("offset", entry.getValue().offset());
-            }
-            isPastAfterKey |= entry.getKey().equals(afterKey);
+            byte[] value = topic.newestValue(entry.getKey());
+            bytes += value.length;
+            items.addObject()
+                    .put("key", entry.getKey())
+                    .put("value", Base64.getEncoder().encodeToString(value))
+                    .put("offset", entry.getValue());
         }
-        response.put("hasMore", hasMore).put("endOffset", recordsOf(topic).size());
-        return response;
+        return response.put("hasMore", hasMore).put("endOffset", topic.end());
     }
 }
