Soak: a log of every request, and cuts, pauses and kills on request

A proxy between each process and the store delays, resets, cuts one way or silences; -Dcicadalead.soak.faults=all adds these, SIGSTOP and SIGKILL, which overlap with the stops and excuse missing answers from 3 s before a request.

--- a/src/test/java/org/cicadalead/soak/SoakFault.java
+++ b/src/test/java/org/cicadalead/soak/SoakFault.java
@@ -77,6 +77,44 @@
             });
         }
     },
+    /** What a process sends to the store, or what the store answers, or both, is held up for some seconds. */
+    CUT_STORE(false) {
+        @Override
+        void inject(SoakRun run, Random random) {
+            TcpProxy.Mode[] cuts = {TcpProxy.Mode.REQUESTS_HELD, TcpProxy.Mode.ANSWERS_HELD, TcpProxy.Mode.SILENT};
+            TcpProxy.Mode cut = cuts[random.nextInt(cuts.length)];
+            long milliseconds = (long) MIN_PAUSE_MILLISECONDS + random.nextInt(MAX_PAUSE_MILLISECONDS);
+            run.pickRunning(random, random.nextBoolean()).ifPresent(process -> {
+                run.timeline().disrupt(process.name() + " is cut from the store: " + cut, milliseconds);
+                run.storeProxyOf(process).setMode(cut);
+                run.pause(milliseconds);
+                run.storeProxyOf(process).setMode(TcpProxy.Mode.RELAYED);
+            });
+        }
+    },
+    /** Everything between a process and the store is late for some seconds. */
+    DELAY_STORE(false) {
+        @Override
+        void inject(SoakRun run, Random random) {
+            long milliseconds = (long) MIN_PAUSE_MILLISECONDS + random.nextInt(MAX_PAUSE_MILLISECONDS);
+            run.pickRunning(random, random.nextBoolean()).ifPresent(process -> {
+                run.timeline().disrupt(process.name() + " reaches the store late", milliseconds);
+                run.storeProxyOf(process).setDelay(random.nextInt(MAX_DELAY_MILLISECONDS));
+                run.pause(milliseconds);
+                run.storeProxyOf(process).setDelay(0);
+            });
+        }
+    },
+    /** The connections between a process and the store are reset. */
+    RESET_STORE(false) {
+        @Override
+        void inject(SoakRun run, Random random) {
+            run.pickRunning(random, random.nextBoolean()).ifPresent(process -> {
+                run.timeline().disrupt("the connections of " + process.name() + " to the store are reset", 0);
+                run.storeProxyOf(process).resetConnections();
+            });
+        }
+    },
     /** A process is killed. */
     KILL(false) {
         @Override
@@ -96,6 +134,7 @@
     private static final int SLOW_MILLISECONDS = 5_000;
     private static final int MIN_PAUSE_MILLISECONDS = 500;
     private static final int MAX_PAUSE_MILLISECONDS = 4_000;
+    private static final int MAX_DELAY_MILLISECONDS = 300;
     private static final int MAX_RESTART_MILLISECONDS = 500;
 
     private final boolean isPlanned;
--- a/src/test/java/org/cicadalead/soak/SoakTest.java
+++ b/src/test/java/org/cicadalead/soak/SoakTest.java
@@ -12,7 +12,9 @@
 
 /**
  * Plays seeded runs of real processes. By default these are the ones of the gate, with planned stops only; with
- * {@code -Dcicadalead.soak.faults=all}, processes are also suspended and killed.
+ * {@code -Dcicadalead.soak.faults=all}, processes are also suspended and killed. A process leaves out lines of its log
+ * under the load of the gate; {@code -Dcicadalead.soak.pause=200}, in milliseconds between two requests of a caller,
+ * keeps them all.
  */
 class SoakTest {
     private static final long FIRST_SEED = Long.getLong("cicadalead.soak.seed", 1);
@@ -32,6 +34,9 @@
             Path folder = Files.createTempDirectory(LOGS, "seed-" + seed + "-").toAbsolutePath();
             try (SoakRun run = new SoakRun(seed, PROCESSES, folder)) {
                 SoakRun.Report report = run.play(Duration.ofSeconds(SECONDS), IS_PLANNED_ONLY);
+                System.out.println(report.summary() + ", violations "
+                        + report.violations().size() + ", cut early "
+                        + report.cutEarly().size() + ", logs in " + folder);
                 if (!report.violations().isEmpty()) {
                     problems.add(report.summary() + ", logs in " + folder);
                     problems.addAll(report.violations());
