Read entries of the registry as checked values, and poll on after a poll that fails

What callers saw: with entries of another writer in the registry, jobs stayed queued although workers were there, and tasks ran twice.

Cause: an entry was checked by lenient getters. An address of another form, a capacity of 2^63 or -1 and a text for a number made a host of it. - A host whose address is no address, under the identifiers of workers in use: two entries with one address end one of the hosts, whose tasks start again elsewhere while they run on (read in updateHosts, not traced). - An identifier that cannot stand in a header made the client throw, which ended the polls of that host for the whole term, and the poll of each new host behind it until the next change of the registry.

A port out of range alone ends no poll: its request fails and is polled again.

A call that throws counts as one that fails, and the poll of a host always schedules the next one.

--- a/src/main/java/org/cicadalead/adapters/http/BoundedExchanges.java
+++ b/src/main/java/org/cicadalead/adapters/http/BoundedExchanges.java
@@ -26,11 +26,16 @@
 
     /**
      * Sends a request that has a timeout. The result fails with a {@link java.util.concurrent.TimeoutException} when
-     * the response is not complete in time, and the connection is closed.
+     * the response is not complete in time, and the connection is closed. Throws nothing: a request that the client
+     * cannot send, as its address is none, has a failed result.
      */
     public static CompletableFuture<HttpResponse<byte[]>> send(HttpClient client, HttpRequest request) {
-        CompletableFuture<HttpResponse<byte[]>> exchange =
-                client.sendAsync(request, HttpResponse.BodyHandlers.ofByteArray());
+        CompletableFuture<HttpResponse<byte[]>> exchange;
+        try {
+            exchange = client.sendAsync(request, HttpResponse.BodyHandlers.ofByteArray());
+        } catch (RuntimeException unusableRequest) {
+            return CompletableFuture.failedFuture(unusableRequest);
+        }
         Duration limit = request.timeout().orElse(Duration.ZERO).plus(BODY_TIMEOUT);
         return exchange.copy()
                 .orTimeout(limit.toMillis(), TimeUnit.MILLISECONDS)
@@ -42,11 +47,13 @@
     }
 
     /**
-     * Returns whether a failure of {@link #send} shows that no connection was made, so that nothing of the request was
-     * sent.
+     * Returns whether a failure of {@link #send} shows that no connection was made, or that the request is none, so
+     * that nothing of it was sent.
      */
     public static boolean showsNothingSent(Throwable failure) {
         Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
-        return cause instanceof ConnectException || cause instanceof HttpConnectTimeoutException;
+        return cause instanceof ConnectException
+                || cause instanceof HttpConnectTimeoutException
+                || cause instanceof IllegalArgumentException;
     }
 }
--- a/src/main/java/org/cicadalead/adapters/work/HostPoller.java
+++ b/src/main/java/org/cicadalead/adapters/work/HostPoller.java
@@ -48,7 +48,10 @@
         this.onEnded = onEnded;
     }
 
-    /** Sends one poll; its result schedules the next one. Ends when the scheduler no longer polls the host. */
+    /**
+     * Sends one poll; its result schedules the next one, also after a failure, as a host that is not polled any more
+     * gets no work until the term ends. Ends when the scheduler no longer polls the host.
+     */
     void poll() {
         WorkTime now = term.now();
         Optional<HostPollRequest> request = scheduler.createPoll(host, now, term.unconfirmedMilliseconds());
@@ -58,21 +61,26 @@
         }
         HostOrders.Target target =
                 new HostOrders.Target(host, request.get().target().address(), epoch);
-        ports.hosts()
-                .poll(
-                        target,
-                        request.get().deadline(),
-                        request.get().acknowledged(),
-                        Duration.ofMillis(request.get().waitMilliseconds()))
+        Calls.attempt(() -> ports.hosts()
+                        .poll(
+                                target,
+                                request.get().deadline(),
+                                request.get().acknowledged(),
+                                Duration.ofMillis(request.get().waitMilliseconds())))
+                .exceptionally(this::toFailedPoll)
                 .thenAccept(result -> term.enqueue(() -> onPollResult(result, now.monotonic())));
     }
 
+    private HostOrders.PollResult toFailedPoll(Throwable failure) {
+        ports.log().emit(EventKind.INTERNAL_FAILURE, EventDetail.of("host", host), EventDetail.of("failure", failure));
+        return new HostOrders.PollResult(HostOrders.OrderOutcome.UNKNOWN, Optional.empty());
+    }
+
     private void onPollResult(HostOrders.PollResult result, long sentAtMilliseconds) {
         long delay = DELAY_AFTER_FAILURE_MILLISECONDS;
         try {
             delay = applyPollResult(result, sentAtMilliseconds);
         } finally {
-            // Also after a failure: a host that is not polled any more gets no work until the term ends.
             term.executor()
                     .schedule(
                             () -> {
--- a/src/main/java/org/cicadalead/adapters/work/KnownPeers.java
+++ b/src/main/java/org/cicadalead/adapters/work/KnownPeers.java
@@ -1,14 +1,12 @@
 package org.cicadalead.adapters.work;
 
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.Collections;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Random;
 import java.util.Set;
-import java.util.regex.Matcher;
-import java.util.regex.Pattern;
+import org.cicadalead.model.work.SocketAddressText;
 
 /**
  * The addresses of other processes, those heard of last. Bounded, so that addresses of processes that have gone are
@@ -18,10 +16,6 @@
     /** Maximum number of addresses; those of a few rounds of requests, of which some processes may have gone. */
     private static final int MAX_ADDRESSES = 32;
 
-    private static final Pattern ADDRESS = Pattern.compile("((?:[0-9]{1,3}\\.){3}[0-9]{1,3}):([0-9]{1,5})");
-    private static final int MAX_PORT = 65_535;
-    private static final int MAX_OCTET = 255;
-
     private final String ownAddress;
     private final Set<String> addresses = new LinkedHashSet<>();
 
@@ -29,18 +23,9 @@
         this.ownAddress = ownAddress;
     }
 
-    private static boolean isAddress(String text) {
-        Matcher matcher = ADDRESS.matcher(text);
-        return matcher.matches()
-                && Integer.parseInt(matcher.group(2)) <= MAX_PORT
-                && Arrays.stream(matcher.group(1).split("\\.", -1))
-                        .mapToInt(Integer::parseInt)
-                        .allMatch(octet -> octet <= MAX_OCTET);
-    }
-
     /** Adds an address as the one heard of last; anything that is no address with a port is ignored. */
     synchronized void add(String address) {
-        if (address.equals(ownAddress) || !isAddress(address)) {
+        if (address.equals(ownAddress) || SocketAddressText.parse(address).isEmpty()) {
             return;
         }
         addresses.remove(address);
--- a/src/main/java/org/cicadalead/adapters/work/PeerClient.java
+++ b/src/main/java/org/cicadalead/adapters/work/PeerClient.java
@@ -109,18 +109,26 @@
         return send(address, request).exceptionally(failure -> Optional.empty());
     }
 
-    /** Sends a request; fails with a {@link ConnectException} without sending it if the peer is unavailable. */
+    /**
+     * Sends a request; the result fails without sending it with a {@link ConnectException} if the peer is unavailable,
+     * and with an {@link IllegalArgumentException} if the address is none.
+     */
     private CompletableFuture<Optional<PeerReply>> send(String address, PeerRequest peerRequest) {
         PathHealth path = healthOf(address);
         if (path.isUnavailable(timers.nanoTime())) {
             return CompletableFuture.failedFuture(
                     new ConnectException("The peer is unavailable: it has not replied to the latest requests"));
         }
+        HttpRequest request;
+        try {
+            request = HttpRequest.newBuilder(URI.create("http://" + address + PATH))
+                    .timeout(REQUEST_TIMEOUT)
+                    .POST(HttpRequest.BodyPublishers.ofByteArray(codec.encode(peerRequest)))
+                    .build();
+        } catch (IllegalArgumentException unusableAddress) {
+            return CompletableFuture.failedFuture(unusableAddress);
+        }
         path.recordStart(timers.nanoTime());
-        HttpRequest request = HttpRequest.newBuilder(URI.create("http://" + address + PATH))
-                .timeout(REQUEST_TIMEOUT)
-                .POST(HttpRequest.BodyPublishers.ofByteArray(codec.encode(peerRequest)))
-                .build();
         return BoundedExchanges.send(client, request)
                 .whenComplete((response, failure) -> path.recordCall(failure == null, timers.nanoTime()))
                 .thenApply(response -> response.statusCode() == OK
--- a/src/main/java/org/cicadalead/adapters/work/SchedulingTerm.java
+++ b/src/main/java/org/cicadalead/adapters/work/SchedulingTerm.java
@@ -87,6 +87,7 @@
     private long startedAt;
     private boolean cycleScheduled;
     private final AccountReport accountReport;
+    private final UnreadableRecords unreadableRecords;
     private OptionalLong accountsVersion = OptionalLong.empty();
     private volatile boolean closed;
 
@@ -105,6 +106,7 @@
         this.hostsInUseListener = hostsInUseListener;
         this.jobRecords = new JobRecords(ports.codec());
         this.accountReport = new AccountReport(ports.log());
+        this.unreadableRecords = new UnreadableRecords(ports.log());
         this.progressAppender =
                 new TermAppender(ports.store(), PROGRESS_TOPICS, ports.timers(), epoch, ports.onSuperseded());
         this.jobsFeed = new JobsFeed(ports.store(), ports.timers(), new JobsListener());
@@ -426,6 +428,8 @@
             } else {
                 hostEntries.remove(entry.key());
             }
+            unreadableRecords.onRead(
+                    entry.key(), host.isPresent() || entry.value().isEmpty());
         }
         scheduler.ifPresent(loadedScheduler -> {
             loadedScheduler.updateHosts(List.copyOf(hostEntries.values()), now());
--- a/src/main/java/org/cicadalead/model/work/HostEntry.java
+++ b/src/main/java/org/cicadalead/model/work/HostEntry.java
@@ -4,7 +4,8 @@
 import java.util.Optional;
 
 /**
- * Registry entry of a host, written by the host. Immutable.
+ * Registry entry of a host, written by the host. Immutable. The capacity is from 0 to {@link #MAX_CAPACITY} in each
+ * dimension, so that sums over all hosts stay in range.
  *
  * @param identifier identifier of this incarnation of the host; it changes with a restart
  * @param service the service that it works for
@@ -26,8 +27,18 @@
         long clockMilliseconds,
         HostCapacity capacity,
         List<String> labels) {
-    /** Copies the list. */
+    /** Maximum capacity in each dimension: more than any machine has, in thousandths of a core or in megabytes. */
+    public static final long MAX_CAPACITY = 1L << 40;
+
+    /** Copies the list; throws {@link IllegalArgumentException} for a value out of its range. */
     public HostEntry {
+        if (identifier.isEmpty() || service.isEmpty()) {
+            throw new IllegalArgumentException("a host without an identifier or a service");
+        }
+        if (!HostCapacity.NONE.isAtMost(capacity)
+                || !capacity.isAtMost(new HostCapacity(MAX_CAPACITY, MAX_CAPACITY, MAX_CAPACITY))) {
+            throw new IllegalArgumentException("a capacity out of range");
+        }
         labels = List.copyOf(labels);
     }
 
--- a/src/main/java/org/cicadalead/platform/PlatformHttpClient.java
+++ b/src/main/java/org/cicadalead/platform/PlatformHttpClient.java
@@ -42,22 +42,28 @@
     /** Sends a request; the result is empty when no complete response arrived in time. */
     CompletableFuture<Optional<Response>> send(
             String method, String address, String path, byte[] body, Map<String, String> headers, Duration timeout) {
-        HttpRequest.Builder request;
+        HttpRequest request;
         try {
-            request = HttpRequest.newBuilder(URI.create("http://" + address + path));
-        } catch (IllegalArgumentException unusableAddress) {
+            request = createRequest(method, address, path, body, headers, timeout);
+        } catch (IllegalArgumentException unusableAddressOrHeader) {
             return CompletableFuture.completedFuture(Optional.of(new Response(NOT_SENT, new byte[0])));
         }
-        request.timeout(timeout)
+        return BoundedExchanges.send(client, request)
+                .thenApply(response -> Optional.of(new Response(response.statusCode(), response.body())))
+                .exceptionally(PlatformHttpClient::toFailedResponse);
+    }
+
+    private static HttpRequest createRequest(
+            String method, String address, String path, byte[] body, Map<String, String> headers, Duration timeout) {
+        HttpRequest.Builder request = HttpRequest.newBuilder(URI.create("http://" + address + path))
+                .timeout(timeout)
                 .method(
                         method,
                         body.length == 0
                                 ? HttpRequest.BodyPublishers.noBody()
                                 : HttpRequest.BodyPublishers.ofByteArray(body));
         headers.forEach(request::header);
-        return BoundedExchanges.send(client, request.build())
-                .thenApply(response -> Optional.of(new Response(response.statusCode(), response.body())))
-                .exceptionally(PlatformHttpClient::toFailedResponse);
+        return request.build();
     }
 
     private static Optional<Response> toFailedResponse(Throwable failure) {
--- a/src/main/java/org/cicadalead/platform/PlatformRecordCodec.java
+++ b/src/main/java/org/cicadalead/platform/PlatformRecordCodec.java
@@ -20,12 +20,13 @@
 import org.cicadalead.model.work.KeyDigest;
 import org.cicadalead.model.work.MaintenanceWave;
 import org.cicadalead.model.work.QueueTerms;
+import org.cicadalead.model.work.SocketAddressText;
 import org.cicadalead.model.work.WorkQueue;
 import org.cicadalead.ports.RecordStore.KeyedRecord;
 
 /**
- * Reads and writes records in the formats that the platform prescribes. A record that another writer damaged is read as
- * empty. Stateless; safe for use by several threads.
+ * Reads and writes records in the formats that the platform prescribes. A record of another writer that doesn't have
+ * the format is read as empty. Stateless; safe for use by several threads.
  */
 final class PlatformRecordCodec implements OperatorFeed.Decoder, RegistryFormat {
     private static final String CONFIGURATION_KEY = "config";
@@ -144,36 +145,44 @@
 
     @Override
     public Optional<HostEntry> decodeHost(KeyedRecord keyedRecord) {
-        return keyedRecord
-                .value()
-                .map(PlatformHttpClient::decode)
-                .filter(PlatformRecordCodec::isValidHost)
-                .map(body -> host(keyedRecord.key(), body));
-    }
-
-    private static boolean isValidHost(JsonNode body) {
-        JsonNode capacity = body.path("capacity");
-        String state = body.path("state").asText();
-        return body.path("service").isTextual()
-                && body.path("address").isTextual()
-                && body.path("address").asText().matches("[0-9.]+:[0-9]+")
-                && body.path("zone").isTextual()
-                && (state.equals("ready") || state.equals("draining"))
-                && capacity.path("cpu").isNumber()
-                && capacity.path("memMb").isNumber();
+        return keyedRecord.value().flatMap(value -> {
+            try {
+                return Optional.of(parseHost(keyedRecord.key(), PlatformHttpClient.decode(value)));
+            } catch (IllegalArgumentException ofAnotherWriter) {
+                return Optional.empty();
+            }
+        });
     }
 
-    private static HostEntry host(String identifier, JsonNode body) {
+    private static HostEntry parseHost(String identifier, JsonNode body) {
+        for (String unused : List.of("slots", "seqNo", "coldRemainingMs", "drainRemainingMs")) {
+            CheckedJson.numberOf(body.path(unused), 0, CheckedJson.MAX_NUMBER);
+        }
         return new HostEntry(
                 identifier,
-                body.path("service").asText(),
-                body.path("address").asText(),
-                body.path("zone").asText(),
-                body.path("state").asText().equals("draining"),
-                body.path("born").asLong(),
-                body.path("clockMs").asLong(),
-                parseCapacity(body.path("capacity")),
-                parseTexts(body.path("labels")));
+                CheckedJson.requireText(body.path("service")),
+                new SocketAddressText(CheckedJson.requireText(body.path("address"))).text(),
+                CheckedJson.requireText(body.path("zone")),
+                parseDraining(body.path("state")),
+                CheckedJson.wholeNumberOf(body.path("born"), 0, CheckedJson.MAX_NUMBER),
+                CheckedJson.numberOf(body.path("clockMs"), 0, CheckedJson.MAX_NUMBER),
+                parseHostCapacity(body.path("capacity")),
+                CheckedJson.textsOf(body.path("labels")));
+    }
+
+    private static boolean parseDraining(JsonNode state) {
+        return switch (CheckedJson.requireText(state)) {
+            case "ready" -> false;
+            case "draining" -> true;
+            default -> throw new IllegalArgumentException("an unknown state");
+        };
+    }
+
+    private static HostCapacity parseHostCapacity(JsonNode capacity) {
+        return new HostCapacity(
+                CheckedJson.requireNumber(capacity.path("cpu"), HostEntry.MAX_CAPACITY),
+                CheckedJson.requireNumber(capacity.path("memMb"), HostEntry.MAX_CAPACITY),
+                CheckedJson.numberOf(capacity.path("gpu"), 0, HostEntry.MAX_CAPACITY));
     }
 
     private static List<String> parseTexts(JsonNode array) {
--- a/src/test/java/org/cicadalead/adapters/work/KnownPeersTest.java
+++ b/src/test/java/org/cicadalead/adapters/work/KnownPeersTest.java
@@ -13,8 +13,16 @@
 
     @Test
     void ignoresItselfAndWhatIsNoAddress() {
-        for (String text :
-                List.of("10.0.0.1:70", "", "host:1", "999.0.0.1:1", "10.0.0.2:99999", "10.0.0.2", "1.2.3:4")) {
+        for (String text : List.of(
+                "10.0.0.1:70",
+                "",
+                "host:1",
+                "999.0.0.1:1",
+                "10.0.0.2:99999",
+                "10.0.0.2",
+                "1.2.3:4",
+                "10.0.0.2:0",
+                "1.2.3.4.5:6")) {
             peers.add(text);
         }
         peers.add("10.0.0.2:70");
--- a/src/test/java/org/cicadalead/adapters/work/PeerClientTest.java
+++ b/src/test/java/org/cicadalead/adapters/work/PeerClientTest.java
@@ -76,4 +76,12 @@
             // The test has ended.
         }
     }
+
+    /** Guards against a request that fails its caller because of the address in a leader's record. */
+    @Test
+    void refusesRecordsForOddAddress() {
+        for (String address : List.of("127.0.0.1:70000", "127.0.0.1:99999999999", "a b:1", "", ":1", "1.2.3.4.5:80")) {
+            assertEquals(AppendOutcome.REFUSED, store(address), address);
+        }
+    }
 }
--- a/src/test/java/org/cicadalead/adapters/work/SchedulingTermTest.java
+++ b/src/test/java/org/cicadalead/adapters/work/SchedulingTermTest.java
@@ -146,6 +146,42 @@
         }
     }
 
+    /** A host of which the first polls cannot be sent, and whose later ones fail. */
+    private static final class UnusableAddress extends UnreachableHosts {
+        private final CountDownLatch polls = new CountDownLatch(4);
+
+        @Override
+        public CompletableFuture<PollResult> poll(
+                Target target, OptionalLong deadline, long acknowledged, Duration wait) {
+            polls.countDown();
+            if (polls.getCount() >= 2) {
+                throw new IllegalArgumentException("port out of range");
+            }
+            return CompletableFuture.failedFuture(new IllegalArgumentException("port out of range"));
+        }
+    }
+
+    /** A host was never polled again by a term after one poll that could not be sent. */
+    @Test
+    void pollsHostAgainAfterPollCouldNotBeSent() throws InterruptedException {
+        ScheduledExecutorService executor = Executors.newSingleThreadScheduledExecutor();
+        try {
+            UnusableAddress hosts = new UnusableAddress();
+            SchedulingTerms terms = new SchedulingTerms(5_700, 6_000, 2_500, 6_000, 200, 2_000, 1);
+            SchedulingTerm term = new SchedulingTerm(
+                    createPorts(store, hosts), executor, terms, 2, Optional.empty(), hostsInUse -> {});
+            WorkScheduler scheduler = new WorkScheduler(terms, 2, EarlierHosts.NONE, 0);
+            HostEntry host = new HostEntry(
+                    "host", "service", "host:1", "zone", false, 1, 0, new HostCapacity(1, 1, 0), List.of());
+            scheduler.updateHosts(List.of(host), term.now());
+            executor.execute(
+                    () -> new HostPoller(term, createPorts(store, hosts), scheduler, "host", 2, () -> {}).poll());
+            assertTrue(hosts.polls.await(20, TimeUnit.SECONDS), () -> hosts.polls.getCount() + " polls missing");
+        } finally {
+            executor.shutdownNow();
+        }
+    }
+
     @Test
     void saysWhatTermWaitsForThatHasNotLoaded() throws InterruptedException {
         ScheduledExecutorService executor = Executors.newSingleThreadScheduledExecutor();
