Follow and append on after a call or a listener that fails unexpectedly

Cause: TopicFollower, RecordAppender and TermAppender continued only when the future of the store completed normally, and a listener that threw ended the chain. The topic was then not read, or not written, until the process ended. The list of machines and the read of wave states kept their flags set for good, and one wave that could not be decoded ended the reading of the configuration.

Why this works: a call that throws or fails has the result of one without a response (unknown, incomplete), which each of them already repeats; a listener that fails is reported, and the next record is read. A stored job that cannot be applied is left out with one event, and the others are scheduled.

--- a/src/main/java/org/cicadalead/adapters/work/JobsFeed.java
+++ b/src/main/java/org/cicadalead/adapters/work/JobsFeed.java
@@ -84,6 +84,9 @@
 
         /** Handles further records; known ones may be repeated. */
         void onRecords(List<KeyedRecord> records);
+
+        /** Handles that a read failed unexpectedly, or that the records of one could not be handled. */
+        void onFailed(Throwable failure);
     }
 
     private final class TopicListener implements TopicFollower.Listener {
@@ -100,6 +103,11 @@
             }
         }
 
+        @Override
+        public void onFailed(Throwable failure) {
+            listener.onFailed(failure);
+        }
+
         @Override
         public void onSnapshot(List<KeyedRecord> records) {
             deliver(TOPICS.get(index), records);
--- a/src/main/java/org/cicadalead/adapters/work/MachineController.java
+++ b/src/main/java/org/cicadalead/adapters/work/MachineController.java
@@ -4,6 +4,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import org.cicadalead.logic.work.MachineMaintenancePlanner;
 import org.cicadalead.logic.work.MachineOrderGate;
@@ -19,6 +20,7 @@
 import org.cicadalead.model.work.MachineEntry;
 import org.cicadalead.model.work.MachineOutcome;
 import org.cicadalead.model.work.WaveProgress;
+import org.cicadalead.ports.RecordStore.Snapshot;
 import org.cicadalead.ports.RecordStore.Topic;
 
 /** Carries out maintenance waves and moves machines between pools. Used on the scheduling thread. */
@@ -138,6 +140,10 @@
         statusAppender
                 .fence()
                 .thenCompose(fenced -> ports.store().snapshot(Topic.STATUS))
+                .exceptionally(failure -> {
+                    ports.log().emit(EventKind.INTERNAL_FAILURE, EventDetail.of("status", failure));
+                    return new Snapshot(false, List.of(), 0);
+                })
                 .thenAccept(snapshot -> term.enqueue(() -> {
                     statusReadInFlight = false;
                     statusRead = snapshot.complete();
@@ -154,8 +160,11 @@
         }
         listInFlight = true;
         nextListAt = now.monotonic() + interval;
-        ports.machines()
-                .list()
+        Calls.attempt(() -> ports.machines().list())
+                .exceptionally(failure -> {
+                    ports.log().emit(EventKind.INTERNAL_FAILURE, EventDetail.of("machines", failure));
+                    return Optional.empty();
+                })
                 .thenAccept(result -> term.enqueue(() -> {
                     listInFlight = false;
                     result.ifPresent(machines -> applyMachines(machines, now.monotonic()));
--- a/src/main/java/org/cicadalead/adapters/work/OperatorFeed.java
+++ b/src/main/java/org/cicadalead/adapters/work/OperatorFeed.java
@@ -82,6 +82,11 @@
                         records.forEach(OperatorFeed.this::applyRecord);
                     }
 
+                    @Override
+                    public void onFailed(Throwable failure) {
+                        log.emit(EventKind.INTERNAL_FAILURE, EventDetail.of("configuration", failure));
+                    }
+
                     @Override
                     public void onReadSent() {
                         OperatorFeed.this.onReadSent();
@@ -240,14 +245,18 @@
 
     private void applyRecord(KeyedRecord stored) {
         applyPlanRecord(stored);
-        decoder.decodeWave(stored).ifPresent(wave -> waves.put(wave.number(), wave));
+        applyReadable(stored, () -> decoder.decodeWave(stored).ifPresent(wave -> waves.put(wave.number(), wave)));
     }
 
-    /** A record that can't be read must not end the reading of those that follow. */
     private void applyPlanRecord(KeyedRecord stored) {
+        applyReadable(stored, () -> decoder.decodePlan(stored).ifPresent(this::applyPlan));
+    }
+
+    /** A record that can't be read must not end the reading of those that follow. */
+    private void applyReadable(KeyedRecord stored, Runnable action) {
         try {
-            decoder.decodePlan(stored).ifPresent(this::applyPlan);
-        } catch (RuntimeException damaged) {
+            action.run();
+        } catch (RuntimeException | StackOverflowError damaged) {
             log.emit(EventKind.RECORD_UNREADABLE, EventDetail.of("problem", stored.key() + ": " + damaged));
         }
     }
--- a/src/main/java/org/cicadalead/adapters/work/RecordAppender.java
+++ b/src/main/java/org/cicadalead/adapters/work/RecordAppender.java
@@ -12,8 +12,8 @@
 import org.cicadalead.ports.RecordStore.Topic;
 
 /**
- * Appends records to one topic. Records that arrive while an append is in flight are combined into the next append.
- * Safe for use by several threads.
+ * Appends records to one topic. An append that fails unexpectedly has an unknown outcome. Records that arrive while an
+ * append is in flight are combined into the next append. Safe for use by several threads.
  */
 final class RecordAppender {
     /** Maximum size of the records of one append, unless a single batch is larger: half of the platform's limit. */
@@ -66,12 +66,14 @@
                 records.addAll(batch.records);
             }
         }
-        store.append(topic, records, OptionalLong.empty()).thenAccept(appended -> {
-            List<Batch> unsent = onAppended(appended.outcome());
-            batches.forEach(batch -> batch.outcome.complete(appended.outcome()));
-            unsent.forEach(batch -> batch.outcome.complete(AppendOutcome.REFUSED));
-            sendNext();
-        });
+        Calls.attempt(() -> store.append(topic, records, OptionalLong.empty()))
+                .handle((appended, failure) -> failure == null ? appended.outcome() : AppendOutcome.UNKNOWN)
+                .thenAccept(outcome -> {
+                    List<Batch> unsent = onAppended(outcome);
+                    batches.forEach(batch -> batch.outcome.complete(outcome));
+                    unsent.forEach(batch -> batch.outcome.complete(AppendOutcome.REFUSED));
+                    sendNext();
+                });
     }
 
     /** Ends the append in flight and returns the batches that are not sent because it got no response. */
--- a/src/main/java/org/cicadalead/adapters/work/SchedulingTerm.java
+++ b/src/main/java/org/cicadalead/adapters/work/SchedulingTerm.java
@@ -142,8 +142,12 @@
      * once earlier terms are fenced.
      */
     private void readProgress() {
-        List<CompletableFuture<Snapshot>> reads =
-                PROGRESS_TOPICS.stream().map(ports.store()::snapshot).toList();
+        List<CompletableFuture<Snapshot>> reads = PROGRESS_TOPICS.stream()
+                .map(topic -> Calls.attempt(() -> ports.store().snapshot(topic)).exceptionally(failure -> {
+                    logReadFailure(failure);
+                    return new Snapshot(false, List.of(), 0);
+                }))
+                .toList();
         CompletableFuture.allOf(reads.toArray(CompletableFuture<?>[]::new))
                 .thenRun(() -> enqueue(() -> {
                     List<Snapshot> snapshots =
@@ -238,6 +242,20 @@
         }
     }
 
+    private void logReadFailure(Throwable failure) {
+        ports.log().emit(EventKind.INTERNAL_FAILURE, EventDetail.of("read", failure));
+    }
+
+    /** Applies a record. One that cannot be applied is left out, as the others must not wait for it. */
+    private void applyRecord(String key, Runnable action) {
+        try {
+            action.run();
+        } catch (RuntimeException | StackOverflowError failure) {
+            ports.log()
+                    .emit(EventKind.RECORD_UNREADABLE, EventDetail.of("key", key), EventDetail.of("problem", failure));
+        }
+    }
+
     private void runCycle() {
         cycleScheduled = false;
         if (closed) {
@@ -375,14 +393,16 @@
     private void loadJobs(
             WorkScheduler target, List<KeyedRecord> stored, List<KeyedRecord> progressRecords, WorkTime now) {
         for (KeyedRecord entry : stored) {
-            jobRecords.decodeSubmission(entry).ifPresent(submission -> target.addJob(submission, now));
+            applyRecord(
+                    entry.key(),
+                    () -> jobRecords.decodeSubmission(entry).ifPresent(submission -> target.addJob(submission, now)));
         }
         selectNewestPerJob(progressRecords.stream().flatMap(entry -> jobRecords.decodeProgress(entry).stream()))
-                .forEach(progress -> target.restoreProgress(progress, now));
+                .forEach(progress -> applyRecord(progress.job(), () -> target.restoreProgress(progress, now)));
         for (KeyedRecord entry : stored) {
-            jobRecords
+            applyRecord(entry.key(), () -> jobRecords
                     .decodeCancellation(entry)
-                    .ifPresent(cancellation -> target.cancelJob(cancellation.job(), cancellation.access(), now));
+                    .ifPresent(cancellation -> target.cancelJob(cancellation.job(), cancellation.access(), now)));
         }
     }
 
@@ -403,21 +423,25 @@
         }
         WorkTime now = now();
         for (KeyedRecord entry : stored) {
-            jobRecords.decodeSubmission(entry).ifPresent(submission -> {
-                scheduler.get().addJob(submission, now);
-                ports.log()
-                        .emit(
-                                EventKind.JOB_LEARNED,
-                                EventDetail.of("job", submission.job()),
-                                EventDetail.of("queue", submission.queue()),
-                                EventDetail.of("offset", entry.offset()));
-            });
-            jobRecords.decodeCancellation(entry).ifPresent(cancellation -> scheduler
-                    .get()
-                    .cancelJob(cancellation.job(), cancellation.access(), now));
+            applyRecord(entry.key(), () -> applyNewJob(entry, scheduler.get(), now));
         }
     }
 
+    private void applyNewJob(KeyedRecord entry, WorkScheduler target, WorkTime now) {
+        jobRecords.decodeSubmission(entry).ifPresent(submission -> {
+            target.addJob(submission, now);
+            ports.log()
+                    .emit(
+                            EventKind.JOB_LEARNED,
+                            EventDetail.of("job", submission.job()),
+                            EventDetail.of("queue", submission.queue()),
+                            EventDetail.of("offset", entry.offset()));
+        });
+        jobRecords
+                .decodeCancellation(entry)
+                .ifPresent(cancellation -> target.cancelJob(cancellation.job(), cancellation.access(), now));
+    }
+
     private void applyRegistryRecords(List<KeyedRecord> stored) {
         for (KeyedRecord entry : stored) {
             Optional<HostEntry> host = entry.value().isEmpty()
@@ -474,6 +498,11 @@
         public void onRecords(List<KeyedRecord> stored) {
             enqueue(() -> applyNewJobs(stored));
         }
+
+        @Override
+        public void onFailed(Throwable failure) {
+            logReadFailure(failure);
+        }
     }
 
     private final class RegistryListener implements TopicFollower.Listener {
@@ -491,5 +520,10 @@
         public void onRecords(List<KeyedRecord> stored) {
             enqueue(() -> applyRegistryRecords(stored));
         }
+
+        @Override
+        public void onFailed(Throwable failure) {
+            logReadFailure(failure);
+        }
     }
 }
--- a/src/main/java/org/cicadalead/adapters/work/TermAppender.java
+++ b/src/main/java/org/cicadalead/adapters/work/TermAppender.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import org.cicadalead.ports.RecordStore;
+import org.cicadalead.ports.RecordStore.AppendOutcome;
 import org.cicadalead.ports.RecordStore.AppendResult;
 import org.cicadalead.ports.RecordStore.KeyedRecord;
 import org.cicadalead.ports.RecordStore.Topic;
@@ -97,7 +98,9 @@
 
     private void send(TopicWriter topicWriter, Batch batch) {
         if (!closed) {
-            store.appendFenced(topicWriter.topic, batch.records, new WriterPosition(epoch, topicWriter.sequence))
+            WriterPosition position = new WriterPosition(epoch, topicWriter.sequence);
+            Calls.attempt(() -> store.appendFenced(topicWriter.topic, batch.records, position))
+                    .exceptionally(failure -> new AppendResult(AppendOutcome.UNKNOWN, -1))
                     .thenAccept(result -> onAppended(topicWriter, batch, result));
         }
     }
--- a/src/main/java/org/cicadalead/adapters/work/TopicFollower.java
+++ b/src/main/java/org/cicadalead/adapters/work/TopicFollower.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import org.cicadalead.ports.RecordStore;
 import org.cicadalead.ports.RecordStore.KeyedRecord;
+import org.cicadalead.ports.RecordStore.ReadOutcome;
 import org.cicadalead.ports.RecordStore.ReadResult;
 import org.cicadalead.ports.RecordStore.Snapshot;
 import org.cicadalead.ports.RecordStore.Topic;
@@ -11,7 +12,8 @@
 
 /**
  * Follows a topic: reads a snapshot, then every further record once and in order. If the topic no longer has the next
- * record, it reads a snapshot again. Calls its listener one call at a time. Safe for use by several threads.
+ * record, it reads a snapshot again. Calls its listener one call at a time. Goes on after a read that fails, and after
+ * records that the listener could not handle. Safe for use by several threads.
  */
 final class TopicFollower {
     private static final Duration RETRY_DELAY = Duration.ofMillis(150);
@@ -58,7 +60,12 @@
             return;
         }
         listener.onReadSent();
-        store.snapshot(topic).thenAccept(this::onSnapshotRead);
+        Calls.attempt(() -> store.snapshot(topic))
+                .exceptionally(failure -> {
+                    listener.onFailed(failure);
+                    return new Snapshot(false, List.of(), 0);
+                })
+                .thenAccept(this::onSnapshotRead);
     }
 
     private void onSnapshotRead(Snapshot snapshot) {
@@ -71,8 +78,7 @@
             return;
         }
         listener.onReadCompleted(true);
-        listener.onSnapshot(snapshot.records());
-        listener.onReadApplied();
+        handle(() -> listener.onSnapshot(snapshot.records()));
         scheduleRead(snapshot.nextOffset(), readInterval);
     }
 
@@ -87,7 +93,21 @@
     private void read(long offset) {
         if (!closed) {
             listener.onReadSent();
-            store.read(topic, offset, maximumReadWait).thenAccept(result -> onRead(offset, result));
+            Calls.attempt(() -> store.read(topic, offset, maximumReadWait))
+                    .exceptionally(failure -> {
+                        listener.onFailed(failure);
+                        return new ReadResult(ReadOutcome.FAILED, List.of(), offset);
+                    })
+                    .thenAccept(result -> onRead(offset, result));
+        }
+    }
+
+    private void handle(Runnable handling) {
+        try {
+            handling.run();
+            listener.onReadApplied();
+        } catch (RuntimeException | StackOverflowError failure) {
+            listener.onFailed(failure);
         }
     }
 
@@ -98,10 +118,11 @@
         switch (result.outcome()) {
             case READ -> {
                 listener.onReadCompleted(true);
-                if (!result.records().isEmpty()) {
-                    listener.onRecords(result.records());
-                }
-                listener.onReadApplied();
+                handle(() -> {
+                    if (!result.records().isEmpty()) {
+                        listener.onRecords(result.records());
+                    }
+                });
                 scheduleRead(result.nextOffset(), readInterval);
             }
             case TRUNCATED -> readSnapshot();
@@ -112,7 +133,7 @@
         }
     }
 
-    /** Receives the records that are read. */
+    /** Receives the records that are read. Only the methods that handle records may throw. */
     interface Listener {
         /** Handles a snapshot, which has the newest record of every key. */
         void onSnapshot(List<KeyedRecord> records);
@@ -120,6 +141,9 @@
         /** Handles further records. */
         void onRecords(List<KeyedRecord> records);
 
+        /** Handles that a read failed unexpectedly, or that the records of one could not be handled. */
+        void onFailed(Throwable failure);
+
         /** Handles the end of a read, which succeeds if the store has responded. */
         default void onReadCompleted(boolean succeeded) {}
 
--- a/src/test/java/org/cicadalead/adapters/work/JobsFeedTest.java
+++ b/src/test/java/org/cicadalead/adapters/work/JobsFeedTest.java
@@ -26,6 +26,11 @@
             records.forEach(stored -> loaded.add(stored.key()));
         }
 
+        @Override
+        public void onFailed(Throwable failure) {
+            throw new AssertionError(failure);
+        }
+
         @Override
         public void onRecords(List<RecordStore.KeyedRecord> records) {
             records.forEach(stored -> laterRecords.add(stored.key()));
