Decode stored records and peers' messages without ending the thread or the process

Cause: five bytes that announce 2 GiB of binary made the decoder reserve them, which ends an entry process (ExitOnOutOfMemoryError) and every one that reads the record after it. A record without a part that its users rely on was decoded, and failed them: a term that could not load one stored job or progress record never scheduled the others, nor did its successors. A cancellation without a restriction counted as one of a caller who may cancel every job.

Evidence, on: DamagedMessagesTest ended the test process with "Requested array size exceeds VM limit"; SchedulingTermTest.schedulesJobsBesideOneThatCannotBeLoaded: the valid job is not known after 20 s.

Why this works: a value is checked to be whole before it is decoded, as that of the commands; the head of a leader's record is unpacked without a tree; constructors of the records reject missing parts and dependencies on later steps; a record counts only under the key of what it describes. What cannot be decoded is reported, with at most 500 characters, and left out. A peer's request that fails is answered 500 instead of not at all.

--- a/src/main/java/org/cicadalead/adapters/work/JobRecords.java
+++ b/src/main/java/org/cicadalead/adapters/work/JobRecords.java
@@ -41,10 +41,29 @@
 
     Optional<WaveProgress> decodeWave(KeyedRecord stored) {
         return stored.key().startsWith(WAVE)
-                ? stored.value().flatMap(value -> codec.decode(value, WaveProgress.class))
+                ? stored.value()
+                        .flatMap(value -> codec.decode(value, WaveProgress.class))
+                        .filter(progress -> isAbout(stored, WAVE + progress.number(), WaveProgress.class))
                 : Optional.empty();
     }
 
+    /** Returns whether a cancellation states what it is restricted to, and reports it otherwise. */
+    private boolean isRestriction(KeyedRecord stored, JobAccess access) {
+        if (!access.restricted()) {
+            codec.reportUnreadable(JobAccess.class, "without a restriction: " + stored.key());
+        }
+        return access.restricted();
+    }
+
+    /** Returns whether a record has the key of what it describes, and reports it otherwise. */
+    private boolean isAbout(KeyedRecord stored, String key, Class<?> type) {
+        boolean isAbout = stored.key().equals(key);
+        if (!isAbout) {
+            codec.reportUnreadable(type, "under the key of another: " + stored.key());
+        }
+        return isAbout;
+    }
+
     /** Creates a cancellation, which the leader ignores for a job that the access doesn't cover. */
     KeyedRecord createCancellation(String job, JobAccess access) {
         return KeyedRecord.of(CANCELLATION + job, access.restricted() ? codec.encode(access) : PRESENT);
@@ -60,13 +79,17 @@
 
     Optional<WorkSubmission> decodeSubmission(KeyedRecord stored) {
         return stored.key().startsWith(SUBMISSION)
-                ? stored.value().flatMap(value -> codec.decode(value, WorkSubmission.class))
+                ? stored.value()
+                        .flatMap(value -> codec.decode(value, WorkSubmission.class))
+                        .filter(submission -> isAbout(stored, SUBMISSION + submission.job(), WorkSubmission.class))
                 : Optional.empty();
     }
 
     Optional<WorkProgress> decodeProgress(KeyedRecord stored) {
         return stored.key().startsWith(PROGRESS)
-                ? stored.value().flatMap(value -> codec.decode(value, WorkProgress.class))
+                ? stored.value()
+                        .flatMap(value -> codec.decode(value, WorkProgress.class))
+                        .filter(progress -> isAbout(stored, PROGRESS + progress.job(), WorkProgress.class))
                 : Optional.empty();
     }
 
@@ -82,7 +105,7 @@
                 ? stored.value()
                         .flatMap(value -> Arrays.equals(value, PRESENT)
                                 ? Optional.of(JobAccess.UNRESTRICTED)
-                                : codec.decode(value, JobAccess.class))
+                                : codec.decode(value, JobAccess.class).filter(access -> isRestriction(stored, access)))
                         .map(access -> new Cancellation(stored.key().substring(CANCELLATION.length()), access))
                 : Optional.empty();
     }
--- a/src/main/java/org/cicadalead/adapters/work/PeerReply.java
+++ b/src/main/java/org/cicadalead/adapters/work/PeerReply.java
@@ -1,5 +1,6 @@
 package org.cicadalead.adapters.work;
 
+import java.util.Objects;
 import java.util.Optional;
 import org.cicadalead.model.work.WorkPhase;
 import org.cicadalead.ports.RecordStore.AppendOutcome;
@@ -21,6 +22,10 @@
         Optional<ConfigurationReply> configuration) {
     static final PeerReply UNKNOWN = new PeerReply(false, Optional.empty(), 0, AppendOutcome.REFUSED);
 
+    PeerReply {
+        Objects.requireNonNull(stored, "stored");
+    }
+
     PeerReply(boolean known, Optional<WorkPhase> phase, int count, AppendOutcome stored) {
         this(known, phase, count, stored, Optional.empty());
     }
--- a/src/main/java/org/cicadalead/adapters/work/PeerRequest.java
+++ b/src/main/java/org/cicadalead/adapters/work/PeerRequest.java
@@ -1,6 +1,7 @@
 package org.cicadalead.adapters.work;
 
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import org.cicadalead.model.work.JobAccess;
 
@@ -20,6 +21,8 @@
         Optional<JobAccess> access,
         Optional<String> sender) {
     PeerRequest {
+        Objects.requireNonNull(kind, "kind");
+        Objects.requireNonNull(name, "name");
         records = Map.copyOf(records);
     }
 
--- a/src/main/java/org/cicadalead/adapters/work/PeerServer.java
+++ b/src/main/java/org/cicadalead/adapters/work/PeerServer.java
@@ -18,6 +18,7 @@
 public final class PeerServer implements AutoCloseable {
     private static final int OK = 200;
     private static final int BAD_REQUEST = 400;
+    private static final int INTERNAL_ERROR = 500;
 
     /** Limit of a request: the records of one append of the store, and their keys. */
     private static final int MAX_REQUEST_BYTES = 1 << 22;
@@ -57,9 +58,14 @@
             send(exchange, BAD_REQUEST, new byte[0]);
             return;
         }
-        createReply(request.get()).thenAccept(reply -> {
+        Calls.attempt(() -> createReply(request.get())).whenComplete((reply, failure) -> {
             try {
-                send(exchange, OK, codec.encode(reply));
+                if (failure == null) {
+                    send(exchange, OK, codec.encode(reply));
+                } else {
+                    log.emit(EventKind.INTERNAL_FAILURE, EventDetail.of("peerRequest", failure));
+                    send(exchange, INTERNAL_ERROR, new byte[0]);
+                }
             } catch (IOException disconnected) {
                 log.emit(EventKind.DEPENDENCY_LOST, EventDetail.of("peer", exchange.getRemoteAddress()));
             }
--- a/src/main/java/org/cicadalead/adapters/work/WorkCodec.java
+++ b/src/main/java/org/cicadalead/adapters/work/WorkCodec.java
@@ -1,12 +1,9 @@
 package org.cicadalead.adapters.work;
 
 import com.fasterxml.jackson.core.JsonGenerator;
-import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonProcessingException;
-import com.fasterxml.jackson.core.JsonToken;
 import com.fasterxml.jackson.databind.DeserializationContext;
 import com.fasterxml.jackson.databind.DeserializationFeature;
-import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.JsonSerializer;
 import com.fasterxml.jackson.databind.KeyDeserializer;
 import com.fasterxml.jackson.databind.MapperFeature;
@@ -20,11 +17,13 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
+import org.cicadalead.adapters.codec.RecordBounds;
 import org.cicadalead.model.error.CicadaleadException;
 import org.cicadalead.model.error.ErrorKind;
 import org.cicadalead.model.work.KeyDigest;
 import org.cicadalead.model.work.LeaderHead;
-import org.msgpack.core.MessagePackException;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessageUnpacker;
 import org.msgpack.jackson.dataformat.MessagePackFactory;
 
 /**
@@ -32,7 +31,14 @@
  * of a newer version can be read. Safe for use by several threads.
  */
 public final class WorkCodec {
-    private static final Set<String> HEAD_PROPERTIES = Set.of("epoch", "process", "address", "resigned");
+    private static final String EPOCH = "epoch";
+    private static final String PROCESS = "process";
+    private static final String ADDRESS = "address";
+    private static final String RESIGNED = "resigned";
+    private static final Set<String> HEAD_PROPERTIES = Set.of(EPOCH, PROCESS, ADDRESS, RESIGNED);
+
+    /** Maximum length of the description of a record that cannot be decoded, in characters. */
+    private static final int MAX_PROBLEM_CHARACTERS = 500;
 
     private final ObjectMapper mapper = new ObjectMapper(new MessagePackFactory())
             .registerModule(new Jdk8Module())
@@ -82,10 +88,14 @@
 
     /** Decodes a record; empty if it is damaged or of another type. */
     public <T> Optional<T> decode(byte[] bytes, Class<T> type) {
+        if (!RecordBounds.isWholeValue(bytes, bytes.length)) {
+            reportUnreadable(type, "incomplete");
+            return Optional.empty();
+        }
         try {
             return Optional.ofNullable(mapper.readValue(bytes, type));
-        } catch (IOException | MessagePackException damaged) {
-            onUnreadable.accept(type.getSimpleName() + ": " + damaged.getMessage());
+        } catch (IOException | RuntimeException | StackOverflowError damaged) {
+            reportUnreadable(type, String.valueOf(damaged.getMessage()));
             return Optional.empty();
         }
     }
@@ -95,27 +105,35 @@
      * large; empty if the head is damaged or not complete. What follows the head may be damaged still.
      */
     public Optional<LeaderHead> decodeLeaderHead(byte[] bytes) {
-        Map<String, JsonNode> head = new HashMap<>();
-        try (JsonParser parser = mapper.getFactory().createParser(bytes)) {
-            if (parser.nextToken() == JsonToken.START_OBJECT) {
-                while (!head.keySet().containsAll(HEAD_PROPERTIES) && parser.nextToken() == JsonToken.FIELD_NAME) {
-                    String property = parser.currentName();
-                    parser.nextToken();
-                    if (HEAD_PROPERTIES.contains(property)) {
-                        head.put(property, mapper.readTree(parser));
-                    } else {
-                        parser.skipChildren();
-                    }
+        try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes)) {
+            Map<String, Object> head = new HashMap<>();
+            for (int remaining = unpacker.unpackMapHeader();
+                    remaining > 0 && !head.keySet().containsAll(HEAD_PROPERTIES);
+                    remaining--) {
+                String property = unpacker.unpackString();
+                switch (property) {
+                    case EPOCH -> head.put(property, unpacker.unpackLong());
+                    case PROCESS, ADDRESS -> head.put(property, unpacker.unpackString());
+                    case RESIGNED -> head.put(property, unpacker.unpackBoolean());
+                    default -> unpacker.skipValue();
                 }
             }
             if (head.keySet().containsAll(HEAD_PROPERTIES)) {
-                return Optional.of(mapper.convertValue(head, LeaderHead.class));
+                return Optional.of(new LeaderHead(
+                        (long) head.get(EPOCH), (String) head.get(PROCESS), (String) head.get(ADDRESS), (boolean)
+                                head.get(RESIGNED)));
             }
-            onUnreadable.accept(LeaderHead.class.getSimpleName() + ": incomplete");
+            reportUnreadable(LeaderHead.class, "incomplete");
             return Optional.empty();
-        } catch (IOException | MessagePackException | IllegalArgumentException damaged) {
-            onUnreadable.accept(LeaderHead.class.getSimpleName() + ": " + damaged.getMessage());
+        } catch (IOException | RuntimeException damaged) {
+            reportUnreadable(LeaderHead.class, String.valueOf(damaged.getMessage()));
             return Optional.empty();
         }
     }
+
+    /** Reports a record that cannot be used, with a description of a limited length. */
+    void reportUnreadable(Class<?> type, String problem) {
+        onUnreadable.accept(
+                type.getSimpleName() + ": " + problem.substring(0, Math.min(problem.length(), MAX_PROBLEM_CHARACTERS)));
+    }
 }
--- a/src/main/java/org/cicadalead/model/work/LeaderRecord.java
+++ b/src/main/java/org/cicadalead/model/work/LeaderRecord.java
@@ -1,6 +1,7 @@
 package org.cicadalead.model.work;
 
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
 
@@ -28,8 +29,10 @@
         Optional<Set<String>> startedJobs,
         Optional<Long> leasesExpireAfter,
         Optional<Map<String, HostCapacity>> accountAllowances) {
-    /** Copies the collections. */
+    /** Copies the collections; throws if a part is missing. */
     public LeaderRecord {
+        Objects.requireNonNull(process, "process");
+        Objects.requireNonNull(address, "address");
         hosts = Map.copyOf(hosts);
         startedJobs = startedJobs.map(Set::copyOf);
         accountAllowances = accountAllowances.map(Map::copyOf);
--- a/src/main/java/org/cicadalead/model/work/WorkProgress.java
+++ b/src/main/java/org/cicadalead/model/work/WorkProgress.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 
 /**
  * Stored progress of a job beside its submission, limited to what a successor cannot learn from the hosts. Immutable.
@@ -25,8 +26,10 @@
         Map<String, Long> attempts,
         Map<String, String> checkpoints,
         Map<String, List<HostLoss>> hostLosses) {
-    /** Copies the collections. */
+    /** Copies the collections; throws if a part is missing. */
     public WorkProgress {
+        Objects.requireNonNull(job, "job");
+        Objects.requireNonNull(phase, "phase");
         done = Map.copyOf(done);
         failedAttempts = Map.copyOf(failedAttempts);
         attempts = Map.copyOf(attempts);
--- a/src/main/java/org/cicadalead/model/work/WorkSubmission.java
+++ b/src/main/java/org/cicadalead/model/work/WorkSubmission.java
@@ -1,6 +1,7 @@
 package org.cicadalead.model.work;
 
 import java.util.List;
+import java.util.Objects;
 import java.util.Optional;
 
 /**
@@ -30,9 +31,19 @@
         long intervalMilliseconds,
         long acceptedMilliseconds,
         Optional<String> account) {
-    /** Copies the list. */
+    /** Copies the list; throws if a part is missing or a step depends on one that is not before it. */
     public WorkSubmission {
+        Objects.requireNonNull(job, "job");
+        Objects.requireNonNull(queue, "queue");
+        Objects.requireNonNull(service, "service");
+        Objects.requireNonNull(terms, "terms");
+        Objects.requireNonNull(payload, "payload");
         steps = List.copyOf(steps);
+        for (int number = 0; number < steps.size(); number++) {
+            for (int dependency : steps.get(number).dependsOn()) {
+                Objects.checkIndex(dependency, number);
+            }
+        }
     }
 
     /** Creates a job of a public queue. */
--- a/src/test/java/org/cicadalead/adapters/work/SchedulingTermTest.java
+++ b/src/test/java/org/cicadalead/adapters/work/SchedulingTermTest.java
@@ -8,6 +8,7 @@
 import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -29,6 +30,7 @@
 import org.cicadalead.model.work.HostCapacity;
 import org.cicadalead.model.work.HostEntry;
 import org.cicadalead.model.work.HostListing;
+import org.cicadalead.model.work.JobAccess;
 import org.cicadalead.model.work.MachineEntry;
 import org.cicadalead.model.work.MachineOutcome;
 import org.cicadalead.model.work.MaintenanceWave;
@@ -182,6 +184,100 @@
         }
     }
 
+    private static byte[] encode(Object message) {
+        return new WorkCodec(problem -> {}).encode(message);
+    }
+
+    private void put(RecordStore.Topic topic, String key, Object message) {
+        backingStore.append(topic, List.of(RecordStore.KeyedRecord.of(key, encode(message))), OptionalLong.empty());
+    }
+
+    private static Map<String, Object> createStep() {
+        return Map.of("taskCount", 1, "milliCores", 1, "estimatedMilliseconds", 1, "dependsOn", List.of());
+    }
+
+    private static Map<String, Object> createJob(String job) {
+        return new HashMap<>(Map.of(
+                "job",
+                job,
+                "queue",
+                "queue",
+                "service",
+                "service",
+                "payload",
+                "text",
+                "terms",
+                Map.of("priority", 0, "maximumAttempts", 1, "slackFactor", 1, "targetMilliseconds", 1),
+                "steps",
+                List.of(createStep())));
+    }
+
+    /** A term that could not load one stored job never scheduled the others, nor did the terms that followed. */
+    @Test
+    void schedulesJobsBesideOneThatCannotBeLoaded() throws Exception {
+        for (String missing : List.of("job", "queue", "service", "payload", "terms", "steps")) {
+            Map<String, Object> odd = createJob("odd");
+            odd.remove(missing);
+            put(RecordStore.Topic.JOBS, "s/without-" + missing, odd);
+        }
+        for (Object value : List.of(List.of(5), List.of(-1), List.of(0), List.of(Integer.MIN_VALUE))) {
+            Map<String, Object> odd = createJob("odd" + value);
+            Map<String, Object> step = new HashMap<>(createStep());
+            step.put("dependsOn", value);
+            odd.put("steps", List.of(step));
+            put(RecordStore.Topic.JOBS, "s/dependency" + value, odd);
+        }
+        put(RecordStore.Topic.JOBS, "c/odd", Map.of("restricted", true, "account", List.of()));
+        put(RecordStore.Topic.JOBS, "s/valid", createJob("valid"));
+        Map<String, Object> progress = new HashMap<>(Map.of(
+                "job",
+                "valid",
+                "version",
+                1,
+                "phase",
+                "RUNNING",
+                "done",
+                Map.of(),
+                "failedAttempts",
+                Map.of(),
+                "attempts",
+                Map.of(),
+                "checkpoints",
+                Map.of()));
+        for (String missing : List.of("job", "phase", "done")) {
+            Map<String, Object> odd = new HashMap<>(progress);
+            odd.put("version", 9);
+            odd.remove(missing);
+            put(RecordStore.Topic.PROGRESS, "p/without-" + missing, odd);
+        }
+        put(RecordStore.Topic.PROGRESS, "p/valid", progress);
+        put(RecordStore.Topic.PROGRESS, "w/odd", Map.of("number", 1));
+        fenceResponse.complete(null);
+        ScheduledExecutorService executor = Executors.newSingleThreadScheduledExecutor();
+        try {
+            SchedulingTerm term = new SchedulingTerm(
+                    createPorts(store),
+                    executor,
+                    new SchedulingTerms(5_700, 6_000, 2_500, 6_000, 200, 2_000, 1),
+                    2,
+                    Optional.empty(),
+                    hostsInUse -> {});
+            executor.execute(term::start);
+            long deadline = System.nanoTime() + TimeUnit.SECONDS.toNanos(20);
+            Optional<Boolean> known = Optional.empty();
+            while (known.isEmpty() && System.nanoTime() < deadline) {
+                known = executor.submit(() -> term.ask(jobs -> jobs.findPhase("valid", JobAccess.UNRESTRICTED)
+                                .phase()
+                                .isPresent()))
+                        .get(20, TimeUnit.SECONDS);
+            }
+            assertEquals(Optional.of(true), known);
+            executor.execute(term::close);
+        } finally {
+            executor.shutdownNow();
+        }
+    }
+
     @Test
     void saysWhatTermWaitsForThatHasNotLoaded() throws InterruptedException {
         ScheduledExecutorService executor = Executors.newSingleThreadScheduledExecutor();
