Read the platform's answers as checked values, row by row

Cause: lenient getters made a result of any body. An answer that is no JSON object was an empty topic, a host without runs (whose tasks start again) or an empty list of machines.

Why this works: an answer of another form counts as none, which is repeated; a row that names nothing is left out and the others count; a value that cannot be read is passed on as one that no reader accepts. A list that does not tell how a known run has ended stays unusable as a whole (BrokenOffResponsesTest): a run that is left out would start again, though it may be done. Absent fields count as 0, false or empty, as the platform may omit those.

After: OddAnswersTest, BrokenOffResponsesTest and PlatformEntryTest pass.

--- a/src/main/java/org/cicadalead/platform/AdvisorClient.java
+++ b/src/main/java/org/cicadalead/platform/AdvisorClient.java
@@ -34,15 +34,18 @@
         hosts.forEach(body.putArray("workers")::add);
         return client.post(address, "/v1/advise", body, Map.of("Content-Type", "application/json"), REQUEST_TIMEOUT)
                 .thenApply(response -> response.filter(advice -> advice.status() == PlatformHttpClient.OK)
-                        .map(advice -> parseTickets(advice.json())));
+                        .map(PlatformHttpClient.Response::json)
+                        .filter(JsonNode::isObject)
+                        .map(AdvisorClient::parseTickets));
     }
 
     /** Returns the tickets by host from rows of host and ticket. */
     private static Map<String, String> parseTickets(JsonNode body) {
         Map<String, String> tickets = new HashMap<>();
         for (JsonNode row : body.path("allowed")) {
-            if (row.isArray() && row.size() >= 2) {
-                tickets.put(row.get(0).asText(), row.get(1).asText());
+            String ticket = row.path(1).asText("");
+            if (row.path(0).isTextual() && !row.path(0).asText().isEmpty() && !ticket.isEmpty()) {
+                tickets.put(row.path(0).asText(), ticket);
             }
         }
         return tickets;
--- a/src/main/java/org/cicadalead/platform/CheckedJson.java
+++ b/src/main/java/org/cicadalead/platform/CheckedJson.java
@@ -5,8 +5,8 @@
 import java.util.List;
 
 /**
- * Reads values that others wrote. Each method throws {@link IllegalArgumentException} for a value of another type or
- * out of range; absent values have a default. Stateless; safe for use by several threads.
+ * Reads values that others wrote. Unless it says otherwise, a method throws {@link IllegalArgumentException} for a
+ * value of another type or out of range; absent values have a default. Stateless; safe for use by several threads.
  */
 final class CheckedJson {
     /** Highest number that every writer and reader of JSON represents exactly. */
@@ -35,14 +35,11 @@
 
     /** Returns a number from 0 to a maximum, which is at most {@link #MAX_NUMBER}; cuts off a fraction. */
     static long requireNumber(JsonNode value, long maximum) {
-        boolean isInRange = value.isNumber()
-                && value.canConvertToLong()
-                && value.doubleValue() >= 0
-                && value.longValue() <= maximum;
-        if (!isInRange) {
+        long number = numberOr(value, -1, maximum);
+        if (number < 0) {
             throw new IllegalArgumentException("no number from 0 to " + maximum);
         }
-        return value.longValue();
+        return number;
     }
 
     /** Returns a number as {@link #requireNumber}; the default if the value is absent. */
@@ -66,6 +63,29 @@
         return wholeNumberOf(value, 0, maximum);
     }
 
+    /** Returns a number from 0 to a maximum; the default for any other value. Throws nothing. */
+    static long numberOr(JsonNode value, long defaultValue, long maximum) {
+        boolean isInRange = value.isNumber()
+                && value.canConvertToLong()
+                && value.doubleValue() >= 0
+                && value.longValue() <= maximum;
+        return isInRange ? value.longValue() : defaultValue;
+    }
+
+    /** Returns a finite number that is not negative; the default for any other value. Throws nothing. */
+    static double decimalOr(JsonNode value, double defaultValue) {
+        double number = value.isNumber() ? value.doubleValue() : defaultValue;
+        return Double.isFinite(number) && number >= 0 ? number : defaultValue;
+    }
+
+    /** Returns a truth value, for which a whole number may stand; false if the value is absent. */
+    static boolean flagOf(JsonNode value) {
+        if (value.isBoolean()) {
+            return value.booleanValue();
+        }
+        return wholeNumberOf(value, 0, MAX_NUMBER) > 0;
+    }
+
     /** Returns the elements of an array; none if the value is absent. */
     static List<JsonNode> rowsOf(JsonNode value) {
         if (!value.isMissingNode() && !value.isArray()) {
--- a/src/main/java/org/cicadalead/platform/HostClient.java
+++ b/src/main/java/org/cicadalead/platform/HostClient.java
@@ -33,6 +33,7 @@
     private static final String EXPECTED_INSTANCE_HEADER = "X-Expected-Instance";
     private static final int ACTIVE_RUN_FIELDS = 4;
     private static final int ENDED_RUN_FIELDS = 5;
+    private static final long NO_ATTEMPT = -1;
 
     private final PlatformHttpClient client;
 
@@ -110,11 +111,12 @@
 
     private static PollResult toPollResult(Optional<PlatformHttpClient.Response> response) {
         OrderOutcome outcome = toOrderOutcome(response);
-        return new PollResult(
-                outcome,
-                outcome == OrderOutcome.CONFIRMED
-                        ? response.map(PlatformHttpClient.Response::json).map(HostClient::parseListing)
-                        : Optional.empty());
+        if (outcome != OrderOutcome.CONFIRMED) {
+            return new PollResult(outcome, Optional.empty());
+        }
+        Optional<HostListing> listing =
+                response.map(PlatformHttpClient.Response::json).flatMap(HostClient::parseListing);
+        return new PollResult(listing.isPresent() ? outcome : OrderOutcome.UNKNOWN, listing);
     }
 
     private static OrderOutcome toOrderOutcome(Optional<PlatformHttpClient.Response> response) {
@@ -132,30 +134,60 @@
         };
     }
 
-    private static HostListing parseListing(JsonNode body) {
-        List<ActiveRun> active = new ArrayList<>();
-        for (JsonNode row : body.path("active")) {
-            if (row.size() >= ACTIVE_RUN_FIELDS) {
-                TaskKey.parse(row.get(0).asText())
-                        .ifPresent(task -> active.add(new ActiveRun(
-                                new RunKey(task, row.get(1).asLong()),
-                                row.get(2).asText(""),
-                                row.get(3).asInt(),
-                                row.path(4).asLong())));
-            }
+    /**
+     * Returns the listing in a reply; empty if the reply is none, or doesn't tell how a run has ended, as a run that is
+     * missing in a list starts again elsewhere. Rows that name no run are left out.
+     */
+    private static Optional<HostListing> parseListing(JsonNode body) {
+        if (!body.isObject()) {
+            return Optional.empty();
         }
-        List<EndedRun> ended = new ArrayList<>();
-        for (JsonNode row : body.path("ended")) {
-            if (row.size() >= ENDED_RUN_FIELDS) {
-                TaskKey.parse(row.get(1).asText())
-                        .ifPresent(task -> ended.add(new EndedRun(
-                                row.get(0).asLong(),
-                                new RunKey(task, row.get(2).asLong()),
-                                RunEnding.valueOf(row.get(3).asText().toUpperCase(Locale.ROOT)),
-                                row.get(4).asText(""))));
+        try {
+            List<ActiveRun> active = new ArrayList<>();
+            for (JsonNode row : CheckedJson.rowsOf(body.path("active"))) {
+                if (row.size() >= ACTIVE_RUN_FIELDS) {
+                    parseRun(row.path(0), row.path(1)).ifPresent(run -> active.add(parseActiveRun(run, row)));
+                }
+            }
+            List<EndedRun> ended = new ArrayList<>();
+            for (JsonNode row : CheckedJson.rowsOf(body.path("ended"))) {
+                if (row.size() >= ENDED_RUN_FIELDS) {
+                    parseRun(row.path(1), row.path(2)).ifPresent(run -> ended.add(parseEndedRun(run, row)));
+                }
             }
+            return Optional.of(new HostListing(
+                    CheckedJson.wholeNumberOf(body.path("born"), 0, CheckedJson.MAX_NUMBER),
+                    CheckedJson.numberOf(body.path("clockMs"), 0, CheckedJson.MAX_NUMBER),
+                    active,
+                    ended));
+        } catch (IllegalArgumentException ofAnotherType) {
+            return Optional.empty();
         }
-        return new HostListing(body.path("born").asLong(), body.path("clockMs").asLong(), active, ended);
+    }
+
+    private static ActiveRun parseActiveRun(RunKey run, JsonNode row) {
+        return new ActiveRun(
+                run,
+                row.path(2).asText(""),
+                (int) CheckedJson.numberOr(row.path(3), 0, Integer.MAX_VALUE),
+                CheckedJson.numberOr(row.path(4), 0, CheckedJson.MAX_NUMBER));
+    }
+
+    private static EndedRun parseEndedRun(RunKey run, JsonNode row) {
+        return new EndedRun(
+                CheckedJson.requireWholeNumber(row.path(0), CheckedJson.MAX_NUMBER),
+                run,
+                RunEnding.valueOf(CheckedJson.requireText(row.path(3)).toUpperCase(Locale.ROOT)),
+                row.path(4).asText(""));
+    }
+
+    private static Optional<RunKey> parseRun(JsonNode task, JsonNode attempt) {
+        long number = attempt.canConvertToExactIntegral()
+                ? CheckedJson.numberOr(attempt, NO_ATTEMPT, CheckedJson.MAX_NUMBER)
+                : NO_ATTEMPT;
+        return number == NO_ATTEMPT || !task.isTextual()
+                ? Optional.empty()
+                : TaskKey.parse(task.textValue()).map(key -> new RunKey(key, number));
     }
 
     private static ObjectNode createRunBody(RunKey run) {
--- a/src/main/java/org/cicadalead/platform/MachineClient.java
+++ b/src/main/java/org/cicadalead/platform/MachineClient.java
@@ -52,28 +52,51 @@
                         return CompletableFuture.completedFuture(Optional.empty());
                     }
                     JsonNode body = response.get().json();
+                    Optional<String> nextToken = parseNextToken(body, pageToken);
+                    if (nextToken.isEmpty()) {
+                        return CompletableFuture.completedFuture(Optional.empty());
+                    }
                     List<MachineEntry> machines = new ArrayList<>(earlierPages);
-                    body.path("machines").forEach(machine -> machines.add(parseMachine(machine)));
-                    String nextToken = body.path("nextToken").asText("");
-                    return nextToken.isEmpty() || body.path("nextToken").isNull()
+                    body.path("machines")
+                            .forEach(machine -> parseMachine(machine).ifPresent(machines::add));
+                    return nextToken.get().isEmpty()
                             ? CompletableFuture.completedFuture(Optional.of(machines))
-                            : listPage(nextToken, machines);
+                            : listPage(nextToken.get(), machines);
                 });
     }
 
-    private static MachineEntry parseMachine(JsonNode machine) {
-        MachineCondition condition =
-                switch (machine.path("state").asText()) {
-                    case "up" -> MachineCondition.UP;
-                    case "moving" -> MachineCondition.MOVING;
-                    case "upkeep" -> MachineCondition.UPKEEP;
-                    default -> MachineCondition.DOWN;
-                };
-        return new MachineEntry(
-                machine.path("hostMachine").asText(),
-                machine.path("pool").asText(),
-                condition,
-                machine.path("id").asText(""));
+    /** Returns the token of the next page, which is empty at the end; empty if the answer is no page, or repeats. */
+    private static Optional<String> parseNextToken(JsonNode body, String pageToken) {
+        JsonNode machines = body.path("machines");
+        if (!body.isObject() || !(machines.isMissingNode() || machines.isArray())) {
+            return Optional.empty();
+        }
+        String nextToken =
+                body.path("nextToken").isNull() ? "" : body.path("nextToken").asText("");
+        return Optional.of(nextToken).filter(token -> token.isEmpty() || !token.equals(pageToken));
+    }
+
+    /** Returns the machine in a row; empty if the row names none, or a state that is not known. */
+    private static Optional<MachineEntry> parseMachine(JsonNode machine) {
+        try {
+            return Optional.of(new MachineEntry(
+                    CheckedJson.requireText(machine.path("hostMachine")),
+                    CheckedJson.textOf(machine.path("pool")),
+                    parseCondition(machine.path("state")),
+                    machine.path("id").isNull() ? "" : CheckedJson.textOf(machine.path("id"))));
+        } catch (IllegalArgumentException ofAnotherType) {
+            return Optional.empty();
+        }
+    }
+
+    private static MachineCondition parseCondition(JsonNode state) {
+        return switch (CheckedJson.requireText(state)) {
+            case "up" -> MachineCondition.UP;
+            case "moving" -> MachineCondition.MOVING;
+            case "upkeep" -> MachineCondition.UPKEEP;
+            case "down" -> MachineCondition.DOWN;
+            default -> throw new IllegalArgumentException("an unknown state");
+        };
     }
 
     @Override
--- a/src/main/java/org/cicadalead/platform/StoreClient.java
+++ b/src/main/java/org/cicadalead/platform/StoreClient.java
@@ -128,12 +128,14 @@
         long offset = fromOffset;
         while (buffer.remaining() >= LENGTH_BYTES) {
             int length = buffer.getInt();
-            if (length < 1 || length > buffer.remaining()) {
+            if (length < 0 || length > buffer.remaining()) {
                 return createFailedSlice(fromOffset);
             }
             byte[] content = new byte[length];
             buffer.get(content);
-            records.add(parseRecord(content, offset));
+            if (length > 0) {
+                records.add(parseRecord(content, offset));
+            }
             offset++;
         }
         return new ReadResult(ReadOutcome.READ, records, offset);
@@ -176,32 +178,63 @@
                 + (afterKey.isEmpty() ? "" : "&dependsOn=" + URLEncoder.encode(afterKey, StandardCharsets.UTF_8));
         return client.send("GET", address, path, new byte[0], Map.of(), READ_TIMEOUT)
                 .thenCompose(response -> {
-                    if (response.isEmpty() || response.get().status() != PlatformHttpClient.OK) {
+                    Optional<Page> page = response.filter(answer -> answer.status() == PlatformHttpClient.OK)
+                            .flatMap(answer -> parsePage(answer.json()));
+                    boolean isStuck = page.isPresent()
+                            && page.get().hasMore()
+                            && page.get().records().isEmpty();
+                    if (page.isEmpty() || isStuck) {
                         return CompletableFuture.completedFuture(new Snapshot(false, List.of(), 0));
                     }
-                    JsonNode body = response.get().json();
-                    long endOffset =
-                            firstEndOffset.orElse(body.path("endOffset").asLong());
+                    long endOffset = firstEndOffset.orElse(page.get().endOffset());
                     List<KeyedRecord> records = new ArrayList<>(earlierPages);
-                    for (JsonNode item : body.path("items")) {
-                        records.add(parseSnapshotItem(item));
-                    }
-                    boolean hasMorePages = body.path("hasMore").asBoolean() && records.size() > earlierPages.size();
-                    return hasMorePages
+                    records.addAll(page.get().records());
+                    return page.get().hasMore()
                             ? readSnapshotPage(
                                     topic, records.get(records.size() - 1).key(), OptionalLong.of(endOffset), records)
                             : CompletableFuture.completedFuture(new Snapshot(true, records, endOffset));
                 });
     }
 
-    private static KeyedRecord parseSnapshotItem(JsonNode item) {
-        Optional<byte[]> value = Optional.of(item.path("value").asText(""))
-                .map(text -> Base64.getDecoder().decode(text))
-                .filter(bytes -> bytes.length > 0);
-        return new KeyedRecord(
-                item.path("key").asText(), value, item.path("offset").asLong());
+    /** Returns a page of the newest records; empty if the answer is none. Items that name no record are left out. */
+    private static Optional<Page> parsePage(JsonNode body) {
+        if (!body.isObject()) {
+            return Optional.empty();
+        }
+        try {
+            List<KeyedRecord> records = CheckedJson.rowsOf(body.path("items")).stream()
+                    .flatMap(item -> parseSnapshotItem(item).stream())
+                    .toList();
+            long endOffset = CheckedJson.wholeNumberOf(body.path("endOffset"), 0, CheckedJson.MAX_NUMBER);
+            return Optional.of(new Page(records, body.path("hasMore").asBoolean(), endOffset));
+        } catch (IllegalArgumentException ofAnotherType) {
+            return Optional.empty();
+        }
     }
 
+    /** Returns the record of an item, whose value is one that no reader accepts if it cannot be read. */
+    private static Optional<KeyedRecord> parseSnapshotItem(JsonNode item) {
+        try {
+            String key = CheckedJson.requireText(item.path("key"));
+            long offset = CheckedJson.wholeNumberOf(item.path("offset"), 0, CheckedJson.MAX_NUMBER);
+            return Optional.of(new KeyedRecord(key, parseValue(item.path("value")), offset));
+        } catch (IllegalArgumentException ofAnotherType) {
+            return Optional.empty();
+        }
+    }
+
+    private static Optional<byte[]> parseValue(JsonNode value) {
+        try {
+            byte[] bytes = Base64.getDecoder().decode(CheckedJson.textOf(value));
+            return Optional.of(bytes).filter(content -> content.length > 0);
+        } catch (IllegalArgumentException unreadable) {
+            return Optional.of(new byte[0]);
+        }
+    }
+
+    /** A page of the newest records of a topic. */
+    private record Page(List<KeyedRecord> records, boolean hasMore, long endOffset) {}
+
     private static String topicName(Topic topic) {
         return switch (topic) {
             case JOBS -> "keyed.jobs";
