Read the configuration and waves beside values of another type

Cause: lenient getters: a limit of bodies that is no number or 0 rejected every body, a version or a number of a wave of 2^63 became a negative one, and a wave without an end was taken on.

Evidence: OddRecordsTest, on 3 of its tests on the configuration and waves failed.

Why this works: a route, service or account row that names none is left out, and the others hold; a number out of range has its default; a configuration without a version, or a wave of another form, is none. An account with an odd limit is left out, so that it rejects its own keys only.

After: OddRecordsTest passes, with two jqwik properties over 4,000 documents through all readers of the platform's records and of bodies.

--- a/src/main/java/org/cicadalead/platform/PlatformRecordCodec.java
+++ b/src/main/java/org/cicadalead/platform/PlatformRecordCodec.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Supplier;
 import org.cicadalead.adapters.work.OperatorFeed;
 import org.cicadalead.adapters.work.RegistryFormat;
 import org.cicadalead.logic.work.account.KeyDigests;
@@ -37,40 +38,53 @@
         if (!keyedRecord.key().equals(CONFIGURATION_KEY)) {
             return Optional.empty();
         }
-        return keyedRecord
-                .value()
-                .map(PlatformHttpClient::decode)
-                .filter(body -> body.path("version").isIntegralNumber())
-                .map(PlatformRecordCodec::plan);
+        return keyedRecord.value().map(PlatformHttpClient::decode).flatMap(body -> readable(() -> plan(body)));
+    }
+
+    /** Returns what can be read; empty if a value is of another type or out of range. */
+    private static <T> Optional<T> readable(Supplier<T> reading) {
+        try {
+            return Optional.of(reading.get());
+        } catch (IllegalArgumentException ofAnotherWriter) {
+            return Optional.empty();
+        }
     }
 
     private static FleetPlan plan(JsonNode body) {
         Map<String, List<WorkQueue>> queues = new HashMap<>();
         for (JsonNode route : body.path("routes")) {
-            queues.computeIfAbsent(route.path("host").asText(), key -> new ArrayList<>())
-                    .add(parseQueue(route));
+            readable(() -> parseQueue(route))
+                    .ifPresent(queue -> queues.computeIfAbsent(queue.authority(), key -> new ArrayList<>())
+                            .add(queue));
         }
         queues.replaceAll((authority, unsortedQueues) -> FleetPlan.sortByPrefix(unsortedQueues));
         Set<String> services = new HashSet<>();
         Set<String> standby = new HashSet<>();
         for (JsonNode service : body.path("services")) {
-            services.add(service.path("name").asText());
-            if (service.path("standby").asBoolean()) {
-                standby.add(service.path("name").asText());
-            }
+            readable(() -> CheckedJson.requireText(service.path("name"))).ifPresent(name -> {
+                services.add(name);
+                if (service.path("standby").asBoolean()) {
+                    standby.add(name);
+                }
+            });
         }
         return new FleetPlan(
-                body.path("version").asLong(),
+                CheckedJson.requireWholeNumber(body.path("version"), CheckedJson.MAX_NUMBER),
                 queues,
                 services,
                 standby,
-                body.path("limits").path("maxBodyBytes").asLong(DEFAULT_MAX_BODY_BYTES),
+                parseMaximumBodyBytes(body.path("limits").path("maxBodyBytes")),
                 parseAccounts(body.path("tenants")));
     }
 
+    private static long parseMaximumBodyBytes(JsonNode limit) {
+        long bytes = CheckedJson.numberOr(limit, DEFAULT_MAX_BODY_BYTES, CheckedJson.MAX_NUMBER);
+        return bytes > 0 ? bytes : DEFAULT_MAX_BODY_BYTES;
+    }
+
     /**
-     * Reads the accounts. A row without a name and a key that is no text are left out, so that a damaged row rejects
-     * its own keys only; if the rows are of another type altogether, every key is rejected.
+     * Reads the accounts. A row without a name or with an odd limit and a key that is no text are left out, so that a
+     * damaged row rejects its own keys only; if the rows are of another type altogether, every key is rejected.
      */
     private static Optional<ClientAccounts> parseAccounts(JsonNode rows) {
         if (rows.isMissingNode() || rows.isNull()) {
@@ -78,54 +92,62 @@
         }
         List<ClientAccount> accounts = new ArrayList<>();
         for (JsonNode row : rows) {
-            if (!row.path("name").isTextual() || row.path("name").asText().isEmpty()) {
-                continue;
-            }
-            Set<KeyDigest> keys = new HashSet<>();
-            for (JsonNode key : row.path("apiKeys")) {
-                if (key.isTextual() && !key.asText().isEmpty()) {
-                    keys.add(KeyDigests.digest(key.asText()));
-                }
-            }
-            accounts.add(new ClientAccount(
-                    row.path("name").asText(), keys, row.path("weight").asDouble(1), parseCapacity(row.path("cap"))));
+            readable(() -> parseAccount(row)).ifPresent(accounts::add);
         }
         return Optional.of(ClientAccounts.of(accounts));
     }
 
-    private static HostCapacity parseCapacity(JsonNode capacity) {
-        return new HostCapacity(
-                capacity.path("cpu").asLong(),
-                capacity.path("memMb").asLong(),
-                capacity.path("gpu").asLong());
+    private static ClientAccount parseAccount(JsonNode row) {
+        Set<KeyDigest> keys = new HashSet<>();
+        for (JsonNode key : row.path("apiKeys")) {
+            if (key.isTextual() && !key.asText().isEmpty()) {
+                keys.add(KeyDigests.digest(key.asText()));
+            }
+        }
+        JsonNode limit = row.path("cap");
+        return new ClientAccount(
+                CheckedJson.requireText(row.path("name")),
+                keys,
+                CheckedJson.decimalOr(row.path("weight"), 1),
+                new HostCapacity(
+                        CheckedJson.numberOf(limit.path("cpu"), 0, HostEntry.MAX_CAPACITY),
+                        CheckedJson.numberOf(limit.path("memMb"), 0, HostEntry.MAX_CAPACITY),
+                        CheckedJson.numberOf(limit.path("gpu"), 0, HostEntry.MAX_CAPACITY)));
     }
 
+    /** Maximum of a duration in the configuration, in milliseconds: a hundred years. */
+    private static final long MAX_MILLISECONDS = 100L * 365 * 24 * 3_600_000;
+
     /** The platform's default limit of the size of a request body, in bytes. */
     private static final long DEFAULT_MAX_BODY_BYTES = 262_144;
 
     private static WorkQueue parseQueue(JsonNode route) {
         JsonNode advisor = route.path("advisor");
         QueueTerms terms = new QueueTerms(
-                route.path("priority").asInt(),
-                Math.max(1, route.path("maxAttempts").asInt(1)),
-                route.path("slackFactor").asDouble(1),
-                route.path("targetDurationMs").asLong(),
+                (int) CheckedJson.numberOr(route.path("priority"), 0, Integer.MAX_VALUE),
+                (int) Math.max(1, CheckedJson.numberOr(route.path("maxAttempts"), 1, Integer.MAX_VALUE)),
+                CheckedJson.decimalOr(route.path("slackFactor"), 1),
+                parseMilliseconds(route.path("targetDurationMs")),
                 advisor.isObject()
                         ? Optional.of(new AdvisorTerms(
-                                advisor.path("decisionMs").asLong(),
-                                advisor.path("perItemMs").asLong(),
-                                advisor.path("validityMs").asLong()))
+                                parseMilliseconds(advisor.path("decisionMs")),
+                                parseMilliseconds(advisor.path("perItemMs")),
+                                parseMilliseconds(advisor.path("validityMs"))))
                         : Optional.empty());
         return new WorkQueue(
-                route.path("name").asText(),
-                route.path("host").asText(),
-                route.path("pathPrefix").asText(),
-                route.path("service").asText(),
-                route.path("timeoutMs").asLong(),
+                CheckedJson.requireText(route.path("name")),
+                CheckedJson.requireText(route.path("host")),
+                CheckedJson.textOf(route.path("pathPrefix")),
+                CheckedJson.requireText(route.path("service")),
+                parseMilliseconds(route.path("timeoutMs")),
                 route.path("public").asBoolean(),
                 terms);
     }
 
+    private static long parseMilliseconds(JsonNode value) {
+        return CheckedJson.numberOr(value, 0, MAX_MILLISECONDS);
+    }
+
     @Override
     public Optional<MaintenanceWave> decodeWave(KeyedRecord keyedRecord) {
         if (!keyedRecord.key().startsWith(WAVE_PREFIX)) {
@@ -134,24 +156,20 @@
         return keyedRecord
                 .value()
                 .map(PlatformHttpClient::decode)
-                .filter(body -> body.path("waveNo").isIntegralNumber()
-                        && body.path("machines").isArray())
-                .map(body -> new MaintenanceWave(
-                        body.path("waveNo").asLong(),
-                        parseTexts(body.path("machines")),
-                        body.path("termS").asDouble(),
-                        Math.max(1, body.path("cap").asInt(1))));
+                .filter(body -> body.path("machines").isArray())
+                .flatMap(body -> readable(() -> new MaintenanceWave(
+                        CheckedJson.requireWholeNumber(body.path("waveNo"), CheckedJson.MAX_NUMBER),
+                        CheckedJson.textsOf(body.path("machines")),
+                        parseSeconds(body.path("termS")),
+                        (int) Math.max(1, CheckedJson.numberOr(body.path("cap"), 1, Integer.MAX_VALUE)))));
     }
 
     @Override
     public Optional<HostEntry> decodeHost(KeyedRecord keyedRecord) {
-        return keyedRecord.value().flatMap(value -> {
-            try {
-                return Optional.of(parseHost(keyedRecord.key(), PlatformHttpClient.decode(value)));
-            } catch (IllegalArgumentException ofAnotherWriter) {
-                return Optional.empty();
-            }
-        });
+        return keyedRecord
+                .value()
+                .map(PlatformHttpClient::decode)
+                .flatMap(body -> readable(() -> parseHost(keyedRecord.key(), body)));
     }
 
     private static HostEntry parseHost(String identifier, JsonNode body) {
@@ -185,10 +203,9 @@
                 CheckedJson.numberOf(capacity.path("gpu"), 0, HostEntry.MAX_CAPACITY));
     }
 
-    private static List<String> parseTexts(JsonNode array) {
-        List<String> texts = new ArrayList<>();
-        array.forEach(element -> texts.add(element.asText()));
-        return texts;
+    private static double parseSeconds(JsonNode value) {
+        CheckedJson.numberOf(value, 0, MAX_MILLISECONDS);
+        return value.asDouble();
     }
 
     @Override
