--- a/src/main/java/org/cicadalead/adapters/work/TopicFollower.java
+++ b/src/main/java/org/cicadalead/adapters/work/TopicFollower.java
@@ -6,6 +6,7 @@
 import org.cicadalead.model.event.EventKind;
 import org.cicadalead.ports.RecordStore;
 import org.cicadalead.ports.RecordStore.KeyedRecord;
+import org.cicadalead.ports.RecordStore.ReadOutcome;
 import org.cicadalead.ports.RecordStore.ReadResult;
 import org.cicadalead.ports.RecordStore.Snapshot;
 import org.cicadalead.ports.RecordStore.Topic;
@@ -13,7 +14,8 @@
 
 /**
  * Follows a topic: reads a snapshot, then every further record once and in order. If the topic no longer has the next
- * record, it reads a snapshot again. Calls its listener one call at a time. Safe for use by several threads.
+ * record, it reads a snapshot again. Calls its listener one call at a time. Goes on after a read that fails, and after
+ * records that the listener could not handle. Safe for use by several threads.
  */
 final class TopicFollower {
     private static final Duration RETRY_DELAY = Duration.ofMillis(150);
@@ -63,7 +65,12 @@
             return;
         }
         listener.onReadSent();
-        store.snapshot(topic).thenAccept(this::onSnapshotRead).whenComplete(this::logFailure);
+        Calls.attempt(() -> store.snapshot(topic))
+                .exceptionally(failure -> {
+                    logFailure(failure);
+                    return new Snapshot(false, List.of(), 0);
+                })
+                .thenAccept(this::onSnapshotRead);
     }
 
     private void onSnapshotRead(Snapshot snapshot) {
@@ -76,8 +83,7 @@
             return;
         }
         listener.onReadCompleted(true);
-        listener.onSnapshot(snapshot.records());
-        listener.onReadApplied();
+        handle(() -> listener.onSnapshot(snapshot.records()));
         scheduleRead(snapshot.nextOffset(), readInterval);
     }
 
@@ -92,18 +98,28 @@
     private void read(long offset) {
         if (!closed) {
             listener.onReadSent();
-            store.read(topic, offset, maximumReadWait)
-                    .thenAccept(result -> onRead(offset, result))
-                    .whenComplete(this::logFailure);
+            Calls.attempt(() -> store.read(topic, offset, maximumReadWait))
+                    .exceptionally(failure -> {
+                        logFailure(failure);
+                        return new ReadResult(ReadOutcome.FAILED, List.of(), offset);
+                    })
+                    .thenAccept(result -> onRead(offset, result));
         }
     }
 
-    private void logFailure(Void ignored, Throwable failure) {
-        if (failure != null) {
-            log.emit(EventKind.TOPIC_READER_FAILED, EventDetail.of("topic", topic), EventDetail.of("failure", failure));
+    private void handle(Runnable handling) {
+        try {
+            handling.run();
+            listener.onReadApplied();
+        } catch (RuntimeException | StackOverflowError failure) {
+            logFailure(failure);
         }
     }
 
+    private void logFailure(Throwable failure) {
+        log.emit(EventKind.TOPIC_READER_FAILED, EventDetail.of("topic", topic), EventDetail.of("failure", failure));
+    }
+
     private void onRead(long offset, ReadResult result) {
         if (closed) {
             return;
@@ -111,10 +127,11 @@
         switch (result.outcome()) {
             case READ -> {
                 listener.onReadCompleted(true);
-                if (!result.records().isEmpty()) {
-                    listener.onRecords(result.records());
-                }
-                listener.onReadApplied();
+                handle(() -> {
+                    if (!result.records().isEmpty()) {
+                        listener.onRecords(result.records());
+                    }
+                });
                 scheduleRead(result.nextOffset(), readInterval);
             }
             case TRUNCATED -> readSnapshot();
@@ -125,7 +142,7 @@
         }
     }
 
-    /** Receives the records that are read. */
+    /** Receives the records that are read. Only the methods that handle records may throw. */
     interface Listener {
         /** Handles a snapshot, which has the newest record of every key. */
         void onSnapshot(List<KeyedRecord> records);
