Keep no objects for tasks that have not begun or are done

Cause: WorkStep created an object of about 290 bytes for each task when the job was read. In a heap of 160 MB two jobs of 200,000 tasks fit, a third ended the process (exit status 3, OutOfMemoryError). WorkJob.restore also searched a list of all done tasks once for each task.

Fix: a step counts its tasks. A task gets an object when it is looked at for a start or listed by a host, and loses it when it is done and has no run; what is done is a set of bits. The tasks of lasting steps and gangs still get their objects together, as they begin together. Progress is restored by its entries. The order in which tasks are considered is the same. HostExclusionTest reads a task through the new accessor; what it checks is unchanged.

--- a/src/main/java/org/cicadalead/logic/work/MachineView.java
+++ b/src/main/java/org/cicadalead/logic/work/MachineView.java
@@ -135,11 +135,11 @@
     }
 
     private static int countUnavailableWithout(WorkStep step, WorkHost host, long now) {
-        int count = 0;
-        for (WorkTask task : step.tasks) {
+        int count = step.taskCount();
+        for (WorkTask task : step.keptTasks()) {
             boolean staysAvailable =
                     task.run != null && task.run.host != host && !task.run.host.leaving && task.run.isAvailable(now);
-            count += staysAvailable ? 0 : 1;
+            count -= staysAvailable ? 1 : 0;
         }
         return count;
     }
--- a/src/main/java/org/cicadalead/logic/work/PoolView.java
+++ b/src/main/java/org/cicadalead/logic/work/PoolView.java
@@ -130,7 +130,7 @@
                 dueCores += state.remainingDominantWork(job) / Math.max(MIN_TIME_MILLISECONDS, remainingMilliseconds);
             }
             for (WorkStep step : job.longRunning ? job.openSteps() : List.<WorkStep>of()) {
-                longRunningCores += step.tasks.size() * state.dominantCores(step.specification);
+                longRunningCores += step.taskCount() * state.dominantCores(step.specification);
             }
             for (WorkStep step : job.openSteps()) {
                 waitingTasks += step.waitingTasks;
--- a/src/main/java/org/cicadalead/logic/work/RunLedger.java
+++ b/src/main/java/org/cicadalead/logic/work/RunLedger.java
@@ -206,7 +206,7 @@
             return;
         }
         step.addMeasured(Math.max(1, Math.round((now - run.orderedAt) / SlowRuns.slowdown(run, state.terms))));
-        for (WorkTask other : step.tasks) {
+        for (WorkTask other : step.keptTasks()) {
             if (other.run != null) {
                 other.run.overdueAfter = SlowRuns.overdueAfter(other.run, state.terms);
             }
--- a/src/main/java/org/cicadalead/logic/work/TaskPlacement.java
+++ b/src/main/java/org/cicadalead/logic/work/TaskPlacement.java
@@ -150,10 +150,8 @@
         }
         boolean mayStart = canStart(step.job);
         List<WorkHost> clearedHosts = new ArrayList<>();
-        for (WorkTask task : step.tasks) {
-            if (!task.isWaiting()) {
-                continue;
-            }
+        for (int index = step.nextWaiting(0); index < step.taskCount(); index = step.nextWaiting(index + 1)) {
+            WorkTask task = step.task(index);
             if (!state.fitsAccountLimit(step, 1)) {
                 return;
             }
@@ -267,7 +265,7 @@
         if (!step.specification.sameRack()) {
             return choice.hosts();
         }
-        for (WorkTask task : step.tasks) {
+        for (WorkTask task : step.keptTasks()) {
             if (task.run != null) {
                 Optional<String> rack = task.run.host.entry.rack();
                 List<WorkHost> sameRackHosts = choice.hosts().stream()
@@ -280,7 +278,7 @@
     }
 
     private void placeGang(WorkStep step, HostChoice choice, List<WorkOrder> orders, long now) {
-        if (step.waitingTasks < step.tasks.size() || !state.fitsAccountLimit(step, step.tasks.size())) {
+        if (step.waitingTasks < step.taskCount() || !state.fitsAccountLimit(step, step.taskCount())) {
             return;
         }
         Map<WorkTask, WorkHost> assignments = null;
@@ -297,13 +295,13 @@
         if (assignments == null) {
             return;
         }
-        if (!ensureAnnounced(step, step.tasks.size())) {
-            step.tasks.forEach(task -> reserveForAccount(step));
+        if (!ensureAnnounced(step, step.taskCount())) {
+            step.keptTasks().forEach(task -> reserveForAccount(step));
             return;
         }
         long attempt = 0;
         String checkpoint = "";
-        for (WorkTask task : step.tasks) {
+        for (WorkTask task : step.keptTasks()) {
             attempt = Math.max(attempt, state.nextAttempt(task));
             checkpoint = checkpoint.isEmpty() ? task.checkpoint : checkpoint;
         }
@@ -318,7 +316,7 @@
         StepSpecification specification = step.specification;
         Map<WorkTask, WorkHost> assignments = new LinkedHashMap<>();
         Map<WorkHost, Integer> counts = new HashMap<>();
-        for (WorkTask task : step.tasks) {
+        for (WorkTask task : step.unfinishedTasks()) {
             List<WorkHost> allowed = candidates.stream()
                     .filter(host -> specification.maximumPerHost() == 0
                             || counts.getOrDefault(host, 0) < specification.maximumPerHost())
--- a/src/main/java/org/cicadalead/logic/work/WaitingReasonFinder.java
+++ b/src/main/java/org/cicadalead/logic/work/WaitingReasonFinder.java
@@ -81,13 +81,13 @@
         if (!takeoverGate.canStart(step.job, state.confirmedAt())) {
             return describeClosedService(step.job.submission.service());
         }
-        if (step.specification.gang() && step.waitingTasks < step.tasks.size()) {
+        if (step.specification.gang() && step.waitingTasks < step.taskCount()) {
             return new WaitingReason(
                     WaitingReason.Cause.GANG_INCOMPLETE,
                     "",
                     List.of(
                             EventDetail.of("tasksWithoutRun", step.waitingTasks),
-                            EventDetail.of("gang", step.tasks.size())));
+                            EventDetail.of("gang", step.taskCount())));
         }
         if (!state.fitsAccountLimit(step, WorkState.smallestStart(step))) {
             return describeAccount(step);
@@ -144,9 +144,9 @@
                 .ifPresent(host ->
                         inputs.add(EventDetail.of("mostFree", format(host.freeCapacity()) + " on " + host.identifier)));
         int places = step.specification.gang() ? countPlaces(step, withRoom) : withRoom.size();
-        boolean hasRoom = places >= (step.specification.gang() ? step.tasks.size() : 1);
+        boolean hasRoom = places >= (step.specification.gang() ? step.taskCount() : 1);
         if (step.specification.gang()) {
-            inputs.add(EventDetail.of("gang", step.tasks.size()));
+            inputs.add(EventDetail.of("gang", step.taskCount()));
             inputs.add(EventDetail.of("places", places));
         }
         WaitingReason.Cause cause = findCause(step, hasRoom, !withRoom.isEmpty() || !withoutRoom.isEmpty());
@@ -170,7 +170,7 @@
         for (WorkHost host : hosts) {
             HostCapacity free = host.freeCapacity();
             for (int onHost = 0;
-                    places < step.tasks.size()
+                    places < step.taskCount()
                             && (maximumPerHost == 0 || onHost < maximumPerHost)
                             && step.requiredCapacity.fitsInto(free);
                     onHost++) {
--- a/src/main/java/org/cicadalead/logic/work/WaitingTasks.java
+++ b/src/main/java/org/cicadalead/logic/work/WaitingTasks.java
@@ -54,7 +54,7 @@
             if (job.longRunning && !job.phase.isTerminal()) {
                 for (WorkStep step : job.openSteps()) {
                     if (step.specification.longRunning()) {
-                        step.tasks.forEach(evaluation::evaluate);
+                        step.unfinishedTasks().forEach(evaluation::evaluate);
                     }
                 }
             }
--- a/src/main/java/org/cicadalead/logic/work/WorkJob.java
+++ b/src/main/java/org/cicadalead/logic/work/WorkJob.java
@@ -4,7 +4,10 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import org.cicadalead.logic.work.account.AccountDemand;
 import org.cicadalead.logic.work.account.AccountUsage;
 import org.cicadalead.logic.work.waiting.DurationModel;
@@ -21,6 +24,9 @@
     /** A host with enough capacity was found for a task, so the next announcement names this job as started. */
     static final long ANNOUNCEMENT_PENDING = Long.MAX_VALUE - 1;
 
+    /** Occurrence, step and index of a task in progress records. */
+    private static final Pattern TASK_NAME = Pattern.compile("([0-9]{1,9})\\.([0-9]{1,9})\\.([0-9]{1,9})");
+
     final WorkSubmission submission;
     /** Expected durations of the tasks of its queue. */
     final DurationModel durations;
@@ -133,7 +139,7 @@
 
     @Nullable WorkTask findTask(int occurrence, int step, int index) {
         WorkStep workStep = findStep(occurrence, step);
-        return workStep == null || index < 0 || index >= workStep.tasks.size() ? null : workStep.tasks.get(index);
+        return workStep == null || index < 0 || index >= workStep.taskCount() ? null : workStep.task(index);
     }
 
     List<WorkStep> allSteps() {
@@ -262,13 +268,12 @@
         Map<String, String> checkpoints = new HashMap<>();
         Map<String, List<HostLoss>> hostLosses = new HashMap<>();
         for (WorkStep step : allSteps()) {
-            List<Integer> finished = new ArrayList<>();
-            for (WorkTask task : step.tasks) {
-                String name = step.text() + "." + task.key.index();
+            List<Integer> finished = step.doneIndexes();
+            for (WorkTask task : step.keptTasks()) {
                 if (task.done) {
-                    finished.add(task.key.index());
                     continue;
                 }
+                String name = step.text() + "." + task.key.index();
                 if (!task.failedAttempts.isEmpty()) {
                     failedAttempts.put(name, List.copyOf(task.failedAttempts));
                 }
@@ -294,19 +299,33 @@
         phase = progress.phase();
         durablePhase = progress.phase();
         for (WorkStep step : allSteps()) {
-            List<Integer> finished = progress.done().getOrDefault(step.text(), List.of());
-            for (WorkTask task : step.tasks) {
-                String name = step.text() + "." + task.key.index();
-                if (finished.contains(task.key.index())) {
-                    step.finish(task);
+            for (int index : progress.done().getOrDefault(step.text(), List.of())) {
+                if (index >= 0 && index < step.taskCount()) {
+                    step.finish(step.task(index));
                 }
-                task.failedAttempts.addAll(progress.failedAttempts().getOrDefault(name, List.of()));
-                progress.hostLosses().getOrDefault(name, List.of()).forEach(task.crashes::add);
-                task.highestEndedAttempt = progress.attempts().getOrDefault(name, 0L);
-                task.lastAttempt = task.highestEndedAttempt;
-                task.checkpoint = progress.checkpoints().getOrDefault(name, "");
             }
         }
+        progress.failedAttempts()
+                .forEach((name, attempts) -> findTask(name).ifPresent(task -> task.failedAttempts.addAll(attempts)));
+        progress.hostLosses()
+                .forEach((name, losses) -> findTask(name).ifPresent(task -> losses.forEach(task.crashes::add)));
+        progress.attempts().forEach((name, attempt) -> findTask(name).ifPresent(task -> {
+            task.highestEndedAttempt = attempt;
+            task.lastAttempt = attempt;
+        }));
+        progress.checkpoints()
+                .forEach((name, checkpoint) -> findTask(name).ifPresent(task -> task.checkpoint = checkpoint));
         refreshOpenSteps();
     }
+
+    /** Returns a task by its name in progress records. */
+    private Optional<WorkTask> findTask(String name) {
+        Matcher matcher = TASK_NAME.matcher(name);
+        return matcher.matches()
+                ? Optional.ofNullable(findTask(
+                        Integer.parseInt(matcher.group(1)),
+                        Integer.parseInt(matcher.group(2)),
+                        Integer.parseInt(matcher.group(3))))
+                : Optional.empty();
+    }
 }
--- a/src/main/java/org/cicadalead/logic/work/WorkScheduler.java
+++ b/src/main/java/org/cicadalead/logic/work/WorkScheduler.java
@@ -130,7 +130,7 @@
         if (job != null) {
             job.restore(progress);
             job.endedAt = job.phase.isTerminal() ? now.monotonic() : 0;
-            job.allSteps().forEach(step -> step.tasks.forEach(crashes::restore));
+            job.allSteps().forEach(step -> step.keptTasks().forEach(crashes::restore));
         }
     }
 
--- a/src/main/java/org/cicadalead/logic/work/WorkState.java
+++ b/src/main/java/org/cicadalead/logic/work/WorkState.java
@@ -178,7 +178,7 @@
 
     /** Returns the smallest number of waiting tasks of a step that can be started together. */
     static int smallestStart(WorkStep step) {
-        return step.specification.gang() ? step.tasks.size() : 1;
+        return step.specification.gang() ? step.taskCount() : 1;
     }
 
     /** Returns what the tasks without a run would take, by account. */
--- a/src/main/java/org/cicadalead/logic/work/WorkStep.java
+++ b/src/main/java/org/cicadalead/logic/work/WorkStep.java
@@ -1,19 +1,32 @@
 package org.cicadalead.logic.work;
 
 import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.Collection;
+import java.util.Collections;
 import java.util.List;
+import java.util.SortedMap;
+import java.util.TreeMap;
 import org.cicadalead.model.work.HostCapacity;
 import org.cicadalead.model.work.StepSpecification;
 import org.cicadalead.model.work.TaskKey;
 import org.jspecify.annotations.Nullable;
 
-/** One step of one occurrence of a job. Not thread-safe. */
+/**
+ * One step of one occurrence of a job. A task that has not begun, or is done and has no run, is not kept as an object,
+ * so that memory grows by the tasks that run or have run without being done; {@link #task} creates it. Not thread-safe.
+ */
 final class WorkStep {
     final WorkJob job;
     final StepSpecification specification;
     final int occurrence;
     final int number;
-    final List<WorkTask> tasks = new ArrayList<>();
+    /** The tasks with a state of their own, by index. */
+    private final SortedMap<Integer, WorkTask> keptTasks = new TreeMap<>();
+
+    /** Indexes of the tasks that are done. */
+    private final BitSet doneTasks = new BitSet();
+
     /** Permissions of the external policy; null when the queue has no such policy. */
     final @Nullable StepTickets tickets;
 
@@ -43,13 +56,74 @@
         this.requiredCapacity = specification.requiredCapacity();
         this.declaredCapacity = specification.declaredCapacity();
         this.waitingTasks = specification.taskCount();
-        for (int index = 0; index < specification.taskCount(); index++) {
-            tasks.add(new WorkTask(new TaskKey(job.identifier(), occurrence, number, index), this));
+    }
+
+    int taskCount() {
+        return specification.taskCount();
+    }
+
+    /** Returns a task by its index; it is kept from now on, unless it is done. */
+    WorkTask task(int index) {
+        WorkTask kept = keptTasks.get(index);
+        if (kept != null) {
+            return kept;
+        }
+        WorkTask task = new WorkTask(new TaskKey(job.identifier(), occurrence, number, index), this);
+        if (doneTasks.get(index)) {
+            task.done = true;
+        } else {
+            keptTasks.put(index, task);
         }
+        return task;
+    }
+
+    /** Returns the tasks that have begun and are not done, or still have a run, in the order of their indexes. */
+    Collection<WorkTask> keptTasks() {
+        return Collections.unmodifiableCollection(keptTasks.values());
+    }
+
+    /** Returns all tasks that are not done; for steps whose tasks run together, as each gets an object. */
+    List<WorkTask> unfinishedTasks() {
+        List<WorkTask> unfinished = new ArrayList<>();
+        for (int index = nextUnfinished(0); index < taskCount(); index = nextUnfinished(index + 1)) {
+            unfinished.add(task(index));
+        }
+        return unfinished;
+    }
+
+    /** Returns the lowest index, from the given one on, of a task that is not done; the number of tasks if none. */
+    int nextUnfinished(int from) {
+        return Math.min(doneTasks.nextClearBit(from), taskCount());
+    }
+
+    /** Returns the lowest index, from the given one on, of a task that waits; the number of tasks if none. */
+    int nextWaiting(int from) {
+        int index = nextUnfinished(from);
+        while (index < taskCount() && hasRun(index)) {
+            index = nextUnfinished(index + 1);
+        }
+        return index;
+    }
+
+    private boolean hasRun(int index) {
+        WorkTask kept = keptTasks.get(index);
+        return kept != null && kept.run != null;
+    }
+
+    /** Stops to keep a task that is done, once it has no run. */
+    void release(WorkTask task) {
+        if (task.done && task.run == null) {
+            keptTasks.remove(task.key.index(), task);
+        }
+    }
+
+    /** Returns the indexes of the tasks that are done. */
+    List<Integer> doneIndexes() {
+        return doneTasks.stream().boxed().toList();
     }
 
     boolean isDone() {
-        return done == tasks.size();
+        return done == taskCount();
     }
 
     String text() {
@@ -59,11 +133,13 @@
     /** Marks a task, or the whole gang, as finished; returns whether any task was not finished before. */
     boolean finish(WorkTask task) {
         boolean changed = false;
-        for (WorkTask member : specification.gang() ? tasks : List.of(task)) {
+        for (WorkTask member : specification.gang() ? unfinishedTasks() : List.of(task)) {
             if (!member.done) {
                 member.finish();
+                doneTasks.set(member.key.index());
                 done++;
                 changed = true;
+                release(member);
             }
         }
         if (changed) {
@@ -75,7 +151,7 @@
     /** Counts the tasks of the step that have a run on a host. */
     int countTasksOn(WorkHost host) {
         int count = 0;
-        for (WorkTask task : tasks) {
+        for (WorkTask task : keptTasks.values()) {
             count += task.run != null && task.run.host == host ? 1 : 0;
         }
         return count;
@@ -83,9 +159,9 @@
 
     /** Counts the tasks that are not running at full speed. */
     int countUnavailable(long now) {
-        int count = 0;
-        for (WorkTask task : tasks) {
-            count += task.run != null && task.run.isAvailable(now) ? 0 : 1;
+        int count = taskCount();
+        for (WorkTask task : keptTasks.values()) {
+            count -= task.run != null && task.run.isAvailable(now) ? 1 : 0;
         }
         return count;
     }
@@ -105,7 +181,7 @@
         measuredTasks++;
         measuredMilliseconds += milliseconds;
         longestMilliseconds = Math.max(longestMilliseconds, milliseconds);
-        job.durations.add(specification.estimatedMilliseconds(), milliseconds, 1.0 / tasks.size());
+        job.durations.add(specification.estimatedMilliseconds(), milliseconds, 1.0 / taskCount());
         job.invalidateEstimates();
     }
 
@@ -129,7 +205,7 @@
     }
 
     int remainingTasks() {
-        return tasks.size() - done;
+        return taskCount() - done;
     }
 
     /** Returns the remaining work in core-milliseconds, by the expected durations. */
--- a/src/main/java/org/cicadalead/logic/work/WorkTask.java
+++ b/src/main/java/org/cicadalead/logic/work/WorkTask.java
@@ -60,6 +60,7 @@
         if (run == endedRun) {
             run = null;
             step.waitingTasks += isWaiting() ? 1 : 0;
+            step.release(this);
         }
     }
 
--- a/src/test/java/org/cicadalead/logic/work/HostExclusionTest.java
+++ b/src/test/java/org/cicadalead/logic/work/HostExclusionTest.java
@@ -98,7 +98,7 @@
     void namesMaximumPerHost() {
         WorkHost host = createReplyingHost();
         WorkStep step = createStep(step(1_000, Optional.empty(), 1), Optional.empty());
-        WorkTask task = step.tasks.get(0);
+        WorkTask task = step.task(0);
         task.attach(new WorkRun(new RunKey(task.key, 1), task, host, NOW));
         assertEquals(HostExclusion.MAXIMUM_PER_HOST, HostExclusion.findForStep(step, host, NOW));
     }
