Reject jobs that no process can hold in memory

Cause: only the tasks of one step were limited, neither the steps, the tasks and the repetitions of a job together, nor all open jobs together. A count beyond the range of an integer was cut to its lowest 32 bits.

Fix: JobAdmission weighs a job by what it declares. Beyond 8 MiB (about 20,200 tasks over all repetitions), or 10,000 tasks in a step, which was a 400 without a reason, it is answered 413 with its weight and the limits. Beyond 64 MiB for all open jobs it is refused before it is stored: 503 with Retry-After. An entry process asks the leader for the weight of the open jobs at most once a second, off the path of requests, adds what it has let through since, and uses at most a quarter of the rest between two answers. Without an answer it counts only its own jobs. A job whose storing has an unknown outcome at this process is not refused, since a 503 would say that it never runs. Peers of an earlier version don't know the question; that counts as no answer.

--- a/src/main/java/org/cicadalead/adapters/work/JobRequestService.java
+++ b/src/main/java/org/cicadalead/adapters/work/JobRequestService.java
@@ -54,6 +54,7 @@
     private final PeerClient peers;
     private final LeaderElection election;
     private final DecisionLog log;
+    private final AdmissionControl admission;
 
     /** Creates a service that stores jobs and queries the scheduler of this process or of the leader. */
     public JobRequestService(
@@ -74,15 +75,37 @@
         this.peers = peers;
         this.election = election;
         this.log = log;
+        this.admission = new AdmissionControl(timers, this::weighOpenJobs);
+    }
+
+    /** Asks the leader for the weight of all open jobs in bytes; empty if it is not known. */
+    private CompletableFuture<Optional<Long>> weighOpenJobs() {
+        return scheduling
+                .askLater(JobsView::weighOpenJobs)
+                .thenCompose(own -> own.isPresent()
+                        ? CompletableFuture.completedFuture(own)
+                        : election.leader()
+                                .filter(leader -> !peers.isOwn(leader.address()))
+                                .map(leader -> peers.weighOpenJobs(leader.address()))
+                                .orElseGet(() -> CompletableFuture.completedFuture(Optional.empty())));
+    }
+
+    /** Returns the weight of all open jobs in bytes, as far as this process knows. */
+    public long estimateOpenJobsBytes() {
+        return admission.estimateBytes();
     }
 
     /**
-     * Stores a job. Storing a job whose identifier is known already does not create a second job.
+     * Stores a job. Storing a job whose identifier is known already does not create a second job. A job beyond the
+     * budget of memory is refused, unless an earlier attempt to store it may take effect.
      *
      * @param timeout how long the caller waits for a response
      */
     public CompletableFuture<StoreOutcome> submit(WorkSubmission submission, Duration timeout) {
-        return store(submission.job(), List.of(jobRecords.encodeSubmission(submission)), timeout)
+        boolean isAccepted = admission.tryAccept(submission) || jobsWithUnknownOutcome.contains(submission.job());
+        return (isAccepted
+                        ? store(submission.job(), List.of(jobRecords.encodeSubmission(submission)), timeout)
+                        : CompletableFuture.completedFuture(StoreOutcome.REFUSED))
                 .thenApply(outcome -> {
                     EventKind kind =
                             switch (outcome) {
@@ -95,13 +118,14 @@
                             EventDetail.of("job", submission.job()),
                             EventDetail.of("queue", submission.queue()),
                             EventDetail.of("service", submission.service()),
-                            EventDetail.of("tasks", countTasks(submission)));
+                            EventDetail.of("tasks", countTasks(submission)),
+                            EventDetail.of("withinBudget", isAccepted));
                     return outcome;
                 });
     }
 
-    private static int countTasks(WorkSubmission submission) {
-        return submission.steps().stream().mapToInt(step -> step.taskCount()).sum();
+    private static long countTasks(WorkSubmission submission) {
+        return submission.steps().stream().mapToLong(step -> step.taskCount()).sum();
     }
 
     /** Stores the cancellation of a job; the timeout is how long the caller waits for a response. */
--- a/src/main/java/org/cicadalead/adapters/work/JobsView.java
+++ b/src/main/java/org/cicadalead/adapters/work/JobsView.java
@@ -24,6 +24,10 @@
         return scheduler.findPhase(job).isPresent();
     }
 
+    long weighOpenJobs() {
+        return scheduler.weighOpenJobs();
+    }
+
     Optional<Integer> waitingCount(String queue) {
         return current ? Optional.of(scheduler.countWaitingJobs(queue)) : Optional.empty();
     }
--- a/src/main/java/org/cicadalead/adapters/work/PeerClient.java
+++ b/src/main/java/org/cicadalead/adapters/work/PeerClient.java
@@ -83,6 +83,12 @@
                 .thenApply(reply -> reply.filter(PeerReply::known).map(PeerReply::count));
     }
 
+    /** Asks a peer for the weight of all open jobs in bytes; empty if it does not know it. */
+    CompletableFuture<Optional<Long>> weighOpenJobs(String address) {
+        return query(address, new PeerRequest(PeerRequest.Kind.WEIGHT, "", Map.of()))
+                .thenApply(reply -> reply.flatMap(PeerReply::weightBytes));
+    }
+
     /** Asks a peer for a configuration that is newer than a version; empty if the peer does not reply. */
     CompletableFuture<Optional<ConfigurationReply>> askConfiguration(String address, long version) {
         return query(
--- a/src/main/java/org/cicadalead/adapters/work/PeerReply.java
+++ b/src/main/java/org/cicadalead/adapters/work/PeerReply.java
@@ -12,16 +12,27 @@
  * @param count number of waiting jobs
  * @param stored outcome of storing the records
  * @param configuration what the replying process knows of the configuration, if it was asked for
+ * @param weightBytes weight of all open jobs in bytes, if it was asked for; absent in replies of earlier versions
  */
 record PeerReply(
         boolean known,
         Optional<WorkPhase> phase,
         int count,
         AppendOutcome stored,
-        Optional<ConfigurationReply> configuration) {
+        Optional<ConfigurationReply> configuration,
+        Optional<Long> weightBytes) {
     static final PeerReply UNKNOWN = new PeerReply(false, Optional.empty(), 0, AppendOutcome.REFUSED);
 
     PeerReply(boolean known, Optional<WorkPhase> phase, int count, AppendOutcome stored) {
-        this(known, phase, count, stored, Optional.empty());
+        this(known, phase, count, stored, Optional.empty(), Optional.empty());
+    }
+
+    PeerReply(
+            boolean known,
+            Optional<WorkPhase> phase,
+            int count,
+            AppendOutcome stored,
+            Optional<ConfigurationReply> configuration) {
+        this(known, phase, count, stored, configuration, Optional.empty());
     }
 }
--- a/src/main/java/org/cicadalead/adapters/work/PeerRequest.java
+++ b/src/main/java/org/cicadalead/adapters/work/PeerRequest.java
@@ -8,7 +8,8 @@
  * A request of a process to the leader. Immutable.
  *
  * @param kind kind of the request
- * @param name name of the job or queue, or the sender's version of the configuration; empty for {@link Kind#STORE}
+ * @param name name of the job or queue, or the sender's version of the configuration; empty for {@link Kind#STORE} and
+ *     {@link Kind#WEIGHT}
  * @param records records to store, by key
  * @param access the jobs that the caller may learn of; absent in requests of versions without accounts
  * @param sender address of the sender, for {@link Kind#CONFIGURATION}
@@ -35,6 +36,8 @@
         /** Asks to store records on behalf of the sender. */
         STORE,
         /** Asks for the newest configuration. */
-        CONFIGURATION
+        CONFIGURATION,
+        /** Asks for the weight of all open jobs. */
+        WEIGHT
     }
 }
--- a/src/main/java/org/cicadalead/adapters/work/PeerServer.java
+++ b/src/main/java/org/cicadalead/adapters/work/PeerServer.java
@@ -81,6 +81,7 @@
                         .thenApply(outcome -> new PeerReply(true, Optional.empty(), 0, outcome));
             }
             case CONFIGURATION -> CompletableFuture.completedFuture(configurationFor(request));
+            case WEIGHT -> CompletableFuture.completedFuture(weighOpenJobs());
         };
     }
 
@@ -110,6 +111,14 @@
                 .orElse(PeerReply.UNKNOWN);
     }
 
+    private PeerReply weighOpenJobs() {
+        return scheduling
+                .ask(JobsView::weighOpenJobs)
+                .map(bytes -> new PeerReply(
+                        true, Optional.empty(), 0, AppendOutcome.REFUSED, Optional.empty(), Optional.of(bytes)))
+                .orElse(PeerReply.UNKNOWN);
+    }
+
     private static void send(HttpExchange exchange, int status, byte[] body) throws IOException {
         try (exchange) {
             exchange.sendResponseHeaders(status, body.length == 0 ? -1 : body.length);
--- a/src/main/java/org/cicadalead/adapters/work/WorkMetrics.java
+++ b/src/main/java/org/cicadalead/adapters/work/WorkMetrics.java
@@ -1,5 +1,6 @@
 package org.cicadalead.adapters.work;
 
+import io.micrometer.core.instrument.Gauge;
 import io.micrometer.core.instrument.MeterRegistry;
 import io.micrometer.core.instrument.MultiGauge;
 import io.micrometer.core.instrument.Tags;
@@ -12,6 +13,8 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Supplier;
+import org.cicadalead.logic.work.JobAdmission;
 import org.cicadalead.logic.work.StopCause;
 import org.cicadalead.logic.work.account.AccountStatus;
 import org.cicadalead.logic.work.account.RejectionCause;
@@ -62,6 +65,15 @@
         accountMegabytes.register(megabytes, true);
     }
 
+    /** Publishes the memory that all open jobs may take, as this process knows it, and the limits, in bytes. */
+    public void observeOpenJobs(Supplier<Number> openBytes) {
+        Gauge.builder("cicadalead.jobs.open.bytes", openBytes).register(registry);
+        Gauge.builder("cicadalead.jobs.open.limit.bytes", () -> JobAdmission.BUDGET_BYTES)
+                .register(registry);
+        Gauge.builder("cicadalead.jobs.single.limit.bytes", () -> JobAdmission.MAX_JOB_BYTES)
+                .register(registry);
+    }
+
     /** Counts a decision. */
     void countDecision(EventKind kind) {
         registry.counter("cicadalead.decisions", "kind", kind.name()).increment();
--- a/src/main/java/org/cicadalead/logic/work/WorkJob.java
+++ b/src/main/java/org/cicadalead/logic/work/WorkJob.java
@@ -31,6 +31,9 @@
     /** Expected durations of the tasks of its queue. */
     final DurationModel durations;
 
+    /** Memory in bytes that it takes at most. */
+    private final long weight;
+
     final boolean longRunning;
     private final Map<Integer, List<WorkStep>> occurrences = new TreeMap<>();
     private List<WorkStep> openSteps = new ArrayList<>();
@@ -71,6 +74,7 @@
         this.receivedAt = now;
         this.durations = durations;
         this.submission = submission;
+        this.weight = JobAdmission.weigh(submission);
         this.longRunning = submission.steps().stream().anyMatch(StepSpecification::longRunning);
     }
 
@@ -260,6 +264,18 @@
         return latest;
     }
 
+    /** Returns the memory in bytes that it may take; only what it has, once it has ended. */
+    long weigh() {
+        if (!phase.isTerminal()) {
+            return weight;
+        }
+        long sum = JobAdmission.JOB_BYTES;
+        for (WorkStep step : allSteps()) {
+            sum += JobAdmission.STEP_BYTES + step.keptTasks().size() * JobAdmission.TASK_BYTES;
+        }
+        return sum;
+    }
+
     /** Creates the progress record that a successor needs to continue the job. */
     WorkProgress createProgress(long version) {
         Map<String, List<Integer>> done = new HashMap<>();
--- a/src/main/java/org/cicadalead/logic/work/WorkScheduler.java
+++ b/src/main/java/org/cicadalead/logic/work/WorkScheduler.java
@@ -376,6 +376,18 @@
         return count;
     }
 
+    /**
+     * Returns the memory of all jobs in bytes: of those that have not ended as much as they may take, of the others
+     * what they have.
+     */
+    public long weighOpenJobs() {
+        long sum = 0;
+        for (WorkJob job : state.jobs.values()) {
+            sum += job.weigh();
+        }
+        return sum;
+    }
+
     /**
      * Announces the hosts that may have runs of this term or an earlier one, and the started jobs, for a successor. A
      * host that is announced as unreachable is used again only after a later announcement is
--- a/src/main/java/org/cicadalead/platform/JobBodyReader.java
+++ b/src/main/java/org/cicadalead/platform/JobBodyReader.java
@@ -13,9 +13,6 @@
     /** Maximum length of the text that describes what a job runs, in characters. */
     private static final int MAX_PAYLOAD_CHARACTERS = 4_000;
 
-    /** Maximum number of tasks of a step: far more than any pool can run, and a bound on the memory of one job. */
-    private static final int MAX_TASKS_PER_STEP = 10_000;
-
     private JobBodyReader() {}
 
     /** Returns the job in a request body; empty when the body is malformed. */
@@ -35,7 +32,7 @@
             StepSpecification step = parseStep(row);
             boolean hasForwardDependency =
                     step.dependsOn().stream().anyMatch(dependency -> dependency < 0 || dependency >= steps.size());
-            if (hasForwardDependency || step.taskCount() < 1 || step.taskCount() > MAX_TASKS_PER_STEP) {
+            if (hasForwardDependency || step.taskCount() < 1 || !hasCountInRange(row.path("count"))) {
                 return Optional.empty();
             }
             steps.add(step);
@@ -54,6 +51,10 @@
                 account));
     }
 
+    private static boolean hasCountInRange(JsonNode count) {
+        return !count.isNumber() || count.canConvertToInt();
+    }
+
     private static StepSpecification parseStep(JsonNode row) {
         List<Integer> dependsOn = new ArrayList<>();
         row.path("dependsOn").forEach(dependency -> dependsOn.add(dependency.asInt()));
--- a/src/main/java/org/cicadalead/platform/JobServer.java
+++ b/src/main/java/org/cicadalead/platform/JobServer.java
@@ -17,6 +17,7 @@
 import org.cicadalead.adapters.work.OperatorFeed;
 import org.cicadalead.adapters.work.RejectionReport;
 import org.cicadalead.adapters.work.WorkMetrics;
+import org.cicadalead.logic.work.JobAdmission;
 import org.cicadalead.logic.work.account.AccountAdmission;
 import org.cicadalead.logic.work.account.KeyDigests;
 import org.cicadalead.logic.work.account.RejectionCause;
@@ -90,6 +91,7 @@
         this.rejections = new RejectionReport(timers, log, metrics);
         this.server = HttpServers.bind(address.ip(), address.port());
         this.jobService = jobService;
+        metrics.observeOpenJobs(jobService::estimateOpenJobsBytes);
         this.operatorFeed = operatorFeed;
         this.timers = timers;
         this.log = log;
@@ -226,6 +228,9 @@
         if (submission.isEmpty()) {
             return CompletableFuture.completedFuture(Response.of(PlatformHttpClient.BAD_REQUEST));
         }
+        if (!JobAdmission.canEverFit(submission.get())) {
+            return CompletableFuture.completedFuture(Response.tooLargeJob(submission.get()));
+        }
         Optional<ClientAccount> account = decision.account();
         if (account.isPresent()
                 && !AccountAdmission.canEverRun(
@@ -315,6 +320,17 @@
             return new Response(status, "", false);
         }
 
+        /** Names the limits in full, as the caller can only hand in another job. */
+        static Response tooLargeJob(WorkSubmission submission) {
+            ObjectNode body = PlatformHttpClient.JSON
+                    .createObjectNode()
+                    .put("error", "The job exceeds a limit and is not accepted")
+                    .put("jobBytes", JobAdmission.weigh(submission))
+                    .put("maximumJobBytes", JobAdmission.MAX_JOB_BYTES)
+                    .put("maximumTasksPerStep", JobAdmission.MAX_TASKS_PER_STEP);
+            return new Response(TOO_LARGE, body.toString(), false);
+        }
+
         static Response json(ObjectNode body) {
             return new Response(PlatformHttpClient.OK, body.toString(), false);
         }
--- a/src/test/java/org/cicadalead/adapters/work/JobRequestServiceTest.java
+++ b/src/test/java/org/cicadalead/adapters/work/JobRequestServiceTest.java
@@ -19,8 +19,10 @@
 import org.cicadalead.adapters.work.JobRequestService.StoreOutcome;
 import org.cicadalead.logic.work.EarlierTerm;
 import org.cicadalead.logic.work.HostsInUse;
+import org.cicadalead.logic.work.JobAdmission;
 import org.cicadalead.logic.work.SchedulingTerms;
 import org.cicadalead.model.work.QueueTerms;
+import org.cicadalead.model.work.StepSpecification;
 import org.cicadalead.model.work.WorkSubmission;
 import org.cicadalead.ports.RecordStore;
 import org.cicadalead.ports.RecordStore.AppendOutcome;
@@ -89,17 +91,12 @@
     }
 
     private CompletableFuture<StoreOutcome> startSubmission(String job) {
+        return startSubmission(job, List.of());
+    }
+
+    private CompletableFuture<StoreOutcome> startSubmission(String job, List<StepSpecification> steps) {
         WorkSubmission submission = new WorkSubmission(
-                job,
-                "queue",
-                "service",
-                new QueueTerms(0, 3, 1.6, 600, Optional.empty()),
-                "run",
-                List.of(),
-                0,
-                0,
-                0,
-                0);
+                job, "queue", "service", new QueueTerms(0, 3, 1.6, 600, Optional.empty()), "run", steps, 0, 0, 0, 0);
         return service.submit(submission, TIMEOUT);
     }
 
@@ -117,6 +114,43 @@
         assertTrue(service.canStore());
     }
 
+    /** Guards against jobs that are accepted and end every leader together. */
+    @Test
+    void rejectsJobsBeyondBudgetOfMemoryBeforeStoringThem() {
+        StepSpecification step = new StepSpecification(
+                10_000,
+                1_000,
+                1_000,
+                0,
+                1_000,
+                List.of(),
+                false,
+                false,
+                false,
+                Optional.empty(),
+                Optional.empty(),
+                0,
+                false,
+                false,
+                Optional.empty(),
+                0,
+                false,
+                0);
+        List<StoreOutcome> outcomes = new ArrayList<>();
+        for (int number = 0; number < 100; number++) {
+            outcomes.add(startSubmission("large-" + number, List.of(step)).join());
+        }
+        assertEquals(StoreOutcome.STORED, outcomes.get(0));
+        assertEquals(StoreOutcome.REFUSED, outcomes.get(99));
+        assertEquals(
+                outcomes.stream()
+                        .filter(outcome -> outcome == StoreOutcome.STORED)
+                        .count(),
+                countStored(Topic.JOBS) + countStored(Topic.SPARE_JOBS));
+        assertTrue(service.estimateOpenJobsBytes() <= JobAdmission.BUDGET_BYTES);
+        assertEquals(StoreOutcome.STORED, submit("small"), "a small job fits into what is left");
+    }
+
     @Test
     void rejectsJobImmediatelyWhenStoreRefuses() {
         backingStore.failNext(Fault.REFUSED, 2);
--- a/src/test/java/org/cicadalead/platform/PlatformEntryTest.java
+++ b/src/test/java/org/cicadalead/platform/PlatformEntryTest.java
@@ -11,7 +11,9 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.Collections;
 import java.util.List;
+import org.cicadalead.logic.work.JobAdmission;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -105,6 +107,34 @@
         assertEquals(5, startsOf("00000000000000b2").size());
     }
 
+    /** Guards against accepting jobs that no process can hold. */
+    @Test
+    void rejectsJobsThatCanNeverFitWithTheirLimit() throws IOException, InterruptedException {
+        String address = loopback.startEntry("one");
+        awaitAccepted(address, "00000000000000d1");
+        String step = "{\"count\":10000,\"cpu\":500}";
+        String steps = String.join(",", Collections.nCopies(60, step));
+        HttpResponse<String> manyTasks =
+                call("POST", address, "00000000000000d2", "{\"spec\":\"text\",\"jobSteps\":[" + steps + "]}");
+        assertEquals(413, manyTasks.statusCode());
+        assertTrue(manyTasks.body().contains("\"maximumJobBytes\":" + JobAdmission.MAX_JOB_BYTES), manyTasks.body());
+        HttpResponse<String> wideStep = call(
+                "POST",
+                address,
+                "00000000000000d3",
+                "{\"spec\":\"text\",\"jobSteps\":[{\"count\":10001,\"cpu\":500}]}");
+        assertEquals(413, wideStep.statusCode());
+        assertTrue(wideStep.body().contains("\"maximumTasksPerStep\":10000"), wideStep.body());
+        for (String count : List.of("0", "-1", "4294967297", "9007199254740992", "100000000000000000000")) {
+            String body = "{\"spec\":\"text\",\"jobSteps\":[{\"count\":" + count + ",\"cpu\":500}]}";
+            assertEquals(
+                    PlatformHttpClient.BAD_REQUEST,
+                    call("POST", address, "00000000000000d4", body).statusCode(),
+                    count);
+        }
+        awaitState(address, "00000000000000d1", "completed");
+    }
+
     @Test
     void rejectsJobsOnlyWhileStoreIsUnavailable() throws IOException, InterruptedException {
         String address = loopback.startEntry("one");
