Set aside a stored job that cannot be applied, and go on with the others

Cause: SchedulingTerm.loadJobs and applyNewJobs applied all records in one go; an error in one left out those after it, and at a takeover the scheduler was never set. A job that an earlier version had accepted was taken whatever it weighed.

Fix: each submission, progress and cancellation is applied by itself. A job whose record causes an error is known, shown as queued, not run by this term and tried again by the next; event JOB_SET_ASIDE. A job that takes more memory than a process has for one (tasks that begin together, steps and repetitions) is not built up at all: it is known and shown as failed once that is stored, since it can never be done; a job whose many tasks begin one by one is run. As the weight is checked before anything is allocated, a leader doesn't end while it applies such a record, and nothing has to be left for its successor.

Seen failing on: SetAsideJobTest.runsOtherJobsBesideOneThatCannotBeApplied (the sound job was not known after 20 s) and .showsStoredJobBeyondMemoryAsFailedInsteadOfKeepingIt (queued).

--- a/src/main/java/org/cicadalead/adapters/work/SchedulingTerm.java
+++ b/src/main/java/org/cicadalead/adapters/work/SchedulingTerm.java
@@ -34,6 +34,7 @@
 import org.cicadalead.model.work.HostEntry;
 import org.cicadalead.model.work.WaveProgress;
 import org.cicadalead.model.work.WorkProgress;
+import org.cicadalead.model.work.WorkSubmission;
 import org.cicadalead.ports.RecordStore.KeyedRecord;
 import org.cicadalead.ports.RecordStore.Snapshot;
 import org.cicadalead.ports.RecordStore.Topic;
@@ -373,17 +374,48 @@
     private void loadJobs(
             WorkScheduler target, List<KeyedRecord> stored, List<KeyedRecord> progressRecords, WorkTime now) {
         for (KeyedRecord entry : stored) {
-            jobRecords.decodeSubmission(entry).ifPresent(submission -> target.addJob(submission, now));
+            jobRecords.decodeSubmission(entry).ifPresent(submission -> addJob(target, submission, now));
         }
         selectNewestPerJob(progressRecords.stream().flatMap(entry -> jobRecords.decodeProgress(entry).stream()))
-                .forEach(progress -> target.restoreProgress(progress, now));
-        for (KeyedRecord entry : stored) {
-            jobRecords
-                    .decodeCancellation(entry)
-                    .ifPresent(cancellation -> target.cancelJob(cancellation.job(), cancellation.access(), now));
+                .forEach(progress -> apply(target, progress.job(), () -> target.restoreProgress(progress, now), now));
+        stored.forEach(entry -> applyCancellation(target, entry, now));
+    }
+
+    /** Adds a job, or sets it aside with one event, so that no job keeps the others from being added. */
+    private void addJob(WorkScheduler target, WorkSubmission submission, WorkTime now) {
+        try {
+            if (!target.addJob(submission, now)) {
+                logSetAside(submission.job(), "it takes more memory than a process has for one job");
+            }
+        } catch (RuntimeException failure) {
+            target.setAside(submission, now);
+            logSetAside(submission.job(), failure);
+        }
+    }
+
+    private void applyCancellation(WorkScheduler target, KeyedRecord entry, WorkTime now) {
+        jobRecords
+                .decodeCancellation(entry)
+                .ifPresent(cancellation -> apply(
+                        target,
+                        cancellation.job(),
+                        () -> target.cancelJob(cancellation.job(), cancellation.access(), now),
+                        now));
+    }
+
+    private void apply(WorkScheduler target, String job, Runnable action, WorkTime now) {
+        try {
+            action.run();
+        } catch (RuntimeException failure) {
+            target.setAside(job, now);
+            logSetAside(job, failure);
         }
     }
 
+    private void logSetAside(String job, Object cause) {
+        ports.log().emit(EventKind.JOB_SET_ASIDE, EventDetail.of("job", job), EventDetail.of("cause", cause));
+    }
+
     /** Returns the record with the highest version of each job. */
     static List<WorkProgress> selectNewestPerJob(Stream<WorkProgress> records) {
         Map<String, WorkProgress> newest = new LinkedHashMap<>();
@@ -402,7 +434,7 @@
         WorkTime now = now();
         for (KeyedRecord entry : stored) {
             jobRecords.decodeSubmission(entry).ifPresent(submission -> {
-                scheduler.get().addJob(submission, now);
+                addJob(scheduler.get(), submission, now);
                 ports.log()
                         .emit(
                                 EventKind.JOB_LEARNED,
@@ -410,9 +442,7 @@
                                 EventDetail.of("queue", submission.queue()),
                                 EventDetail.of("offset", entry.offset()));
             });
-            jobRecords.decodeCancellation(entry).ifPresent(cancellation -> scheduler
-                    .get()
-                    .cancelJob(cancellation.job(), cancellation.access(), now));
+            applyCancellation(scheduler.get(), entry, now);
         }
     }
 
--- a/src/main/java/org/cicadalead/logic/work/WorkJob.java
+++ b/src/main/java/org/cicadalead/logic/work/WorkJob.java
@@ -82,6 +82,11 @@
         return submission.job();
     }
 
+    /** Returns whether only its identity and its terms are kept. */
+    boolean isSetAside() {
+        return submission.steps().isEmpty();
+    }
+
     /** Creates the occurrences that are due; returns whether there are new ones. */
     boolean openDueOccurrences(long wallNow) {
         boolean opened = false;
--- a/src/main/java/org/cicadalead/logic/work/WorkScheduler.java
+++ b/src/main/java/org/cicadalead/logic/work/WorkScheduler.java
@@ -108,10 +108,22 @@
         return state.accounts.hasAccounts() ? state.accounts.describe(state.findAccountDemands()) : List.of();
     }
 
-    /** Adds a job that was read from the store. A job that is already known stays unchanged. */
-    public void addJob(WorkSubmission submission, WorkTime now) {
+    /**
+     * Adds a job that was read from the store. A job that is already known stays unchanged. A job that takes more
+     * memory than a process has for it is set aside as failed: it can never be done, and is not kept in memory.
+     *
+     * @return whether the job is not set aside
+     */
+    public boolean addJob(WorkSubmission submission, WorkTime now) {
         if (state.jobs.containsKey(submission.job()) || lastRemovedJobs.contains(submission.job())) {
-            return;
+            return true;
+        }
+        if (!JobAdmission.canKeep(submission)) {
+            WorkJob rejected = keepWithoutSteps(submission, now);
+            rejected.phase = WorkPhase.FAILED;
+            state.liveJobs.add(rejected);
+            state.markChanged(rejected);
+            return false;
         }
         WorkJob job = new WorkJob(submission, now.monotonic(), state.durationsOf(submission.queue()));
         if (takeoverGate.mayHaveStarted(submission.job())) {
@@ -122,12 +134,38 @@
         arrivedJobs.add(job);
         Optional.ofNullable(cancelledBeforeSubmission.remove(submission.job()))
                 .ifPresent(accesses -> accesses.forEach(access -> cancelJob(submission.job(), access, now)));
+        return true;
+    }
+
+    /**
+     * Sets a job aside of which a record cannot be applied: it stays in the store, is known and waits, and this term
+     * does not run it.
+     */
+    public void setAside(WorkSubmission submission, WorkTime now) {
+        keepWithoutSteps(submission, now);
+    }
+
+    /** Sets a job aside as {@link #setAside(WorkSubmission, WorkTime)}; an unknown one stays unknown. */
+    public void setAside(String identifier, WorkTime now) {
+        Optional.ofNullable(state.jobs.get(identifier)).ifPresent(job -> {
+            // Its runs, if there are any, are stopped as those of an ended job.
+            job.phase = WorkPhase.CANCELED;
+            state.removeJob(job);
+            arrivedJobs.remove(job);
+            keepWithoutSteps(job.submission, now);
+        });
+    }
+
+    private WorkJob keepWithoutSteps(WorkSubmission submission, WorkTime now) {
+        WorkJob job = new WorkJob(submission.withoutSteps(), now.monotonic());
+        state.jobs.put(job.identifier(), job);
+        return job;
     }
 
     /** Restores the progress of a job that an earlier term stored. */
     public void restoreProgress(WorkProgress progress, WorkTime now) {
         WorkJob job = state.jobs.get(progress.job());
-        if (job != null) {
+        if (job != null && (!job.isSetAside() || progress.phase().isTerminal())) {
             job.restore(progress);
             job.endedAt = job.phase.isTerminal() ? now.monotonic() : 0;
             job.allSteps().forEach(step -> step.keptTasks().forEach(crashes::restore));
@@ -371,7 +409,7 @@
     public int countWaitingJobs(String queue) {
         int count = 0;
         for (WorkJob job : state.jobs.values()) {
-            count += job.phase == WorkPhase.QUEUED && job.submission.queue().equals(queue) ? 1 : 0;
+            count += job.phase == WorkPhase.QUEUED && queue.equals(job.submission.queue()) ? 1 : 0;
         }
         return count;
     }
--- a/src/main/java/org/cicadalead/model/event/EventKind.java
+++ b/src/main/java/org/cicadalead/model/event/EventKind.java
@@ -205,6 +205,8 @@
     JOB_ASKED(8016, EventSeverity.DETAIL, "A caller asked for the state of a job"),
     /** A new term has not loaded its data yet. */
     TERM_LOADING(8017, EventSeverity.WARNING, "A new term has not read its data yet and gives no orders"),
+    /** A stored job cannot be applied. */
+    JOB_SET_ASIDE(8018, EventSeverity.ERROR, "A stored job cannot be applied and does not run; the others go on"),
     /** A run was ordered on a host. */
     RUN_ORDERED(8020, EventSeverity.INFORMATION, "A run was ordered on a host"),
     /** A host did not confirm an order to start a run. */
--- a/src/main/java/org/cicadalead/model/work/WorkSubmission.java
+++ b/src/main/java/org/cicadalead/model/work/WorkSubmission.java
@@ -61,6 +61,11 @@
                 Optional.empty());
     }
 
+    /** Returns the job without its steps, payload and schedule. */
+    public WorkSubmission withoutSteps() {
+        return new WorkSubmission(job, queue, service, terms, "", List.of(), 0, 0, 0, acceptedMilliseconds, account);
+    }
+
     /** Returns the total number of times that the steps run. */
     public int occurrences() {
         return Math.max(1, repetitions);
