Count ended jobs by the memory that they still take

What callers would see: ended jobs are kept for 5 minutes and counted against the budget with the upper bounds of open ones, so that a lasting rate of some fifty jobs of five steps a second would have been answered 503. By calculation, not by a run.

Ended jobs now count what they were measured to take (trial, heap after a collection: 5,000 steps 1.85 MB, 2,000 jobs of one step 2.0 MB): 700 bytes, 400 a step, and their kept tasks. Run: JobAdmissionTest, AcceptedWeightTest, LayersTest.

--- a/src/main/java/org/cicadalead/logic/work/JobAdmission.java
+++ b/src/main/java/org/cicadalead/logic/work/JobAdmission.java
@@ -22,13 +22,19 @@
     static final long TASK_BYTES = 415;
 
     /** Memory of a step of one occurrence without its tasks, in bytes. */
-    static final long STEP_BYTES = 600;
+    private static final long STEP_BYTES = 600;
+
+    /** Memory of a job that has ended, without its steps, in bytes. */
+    static final long ENDED_JOB_BYTES = 700;
+
+    /** Memory of a step of a job that has ended, in bytes. */
+    static final long ENDED_STEP_BYTES = 400;
 
     /** Memory of a number in the dependencies of a step, in bytes. */
     private static final long DEPENDENCY_BYTES = 24;
 
     /** Memory of a job without its steps, in bytes. */
-    static final long JOB_BYTES = 1_500;
+    private static final long JOB_BYTES = 1_500;
 
     private static final long CHARACTER_BYTES = 2;
 
--- a/src/main/java/org/cicadalead/logic/work/WorkJob.java
+++ b/src/main/java/org/cicadalead/logic/work/WorkJob.java
@@ -274,9 +274,9 @@
         if (!phase.isTerminal()) {
             return weight;
         }
-        long sum = JobAdmission.JOB_BYTES;
+        long sum = JobAdmission.ENDED_JOB_BYTES;
         for (WorkStep step : allSteps()) {
-            sum += JobAdmission.STEP_BYTES + step.keptTasks().size() * JobAdmission.TASK_BYTES;
+            sum += JobAdmission.ENDED_STEP_BYTES + step.keptTasks().size() * JobAdmission.TASK_BYTES;
         }
         return sum;
     }
