Close a term that resigns while it loads, and claim none after a resignation

Cause: SchedulingService.resign dropped a term that was not scheduling yet without closing it. Read, not seen: a process that was told to resign during the delay before its claim still claimed; a resignation got a conflict after a heartbeat whose response was lost, and was given up. Why this works: a term is closed whatever it has loaded; the claim is given up after the delay; after a conflict with the own heartbeat the resignation is appended once more. No test of its own; LeaderElectionTest passes.

--- a/src/main/java/org/cicadalead/adapters/work/LeaderElection.java
+++ b/src/main/java/org/cicadalead/adapters/work/LeaderElection.java
@@ -156,10 +156,27 @@
     }
 
     private void endTermByResignation() {
-        listener.resign().ifPresent(hostsInUse -> append(record(leadingEpoch, true, hostsInUse)));
+        listener.resign().ifPresent(this::appendResignation);
         endTerm("resigned");
     }
 
+    /** Appends the resignation, once more if the last heartbeat was stored although its response was lost. */
+    private void appendResignation(HostsInUse hostsInUse) {
+        LeaderRecord resignation = record(leadingEpoch, true, hostsInUse);
+        if (append(resignation).outcome() != AppendOutcome.CONFLICT) {
+            return;
+        }
+        Snapshot snapshot = store.snapshot(Topic.LEADER).join();
+        if (snapshot.complete()) {
+            applySnapshot(snapshot);
+            if (newestRecord
+                    .filter(leader -> leader.epoch() == leadingEpoch && isOwn(leader))
+                    .isPresent()) {
+                append(resignation);
+            }
+        }
+    }
+
     private void run() {
         try {
             while (!closing) {
@@ -203,7 +220,9 @@
                 unconfirmedSince = OptionalLong.empty();
                 nextOffset = result.endOffset();
                 updateStoreReachability(true);
-                heartbeatRequests.tryAcquire(HEARTBEAT_INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
+                if (!resigning) {
+                    heartbeatRequests.tryAcquire(HEARTBEAT_INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
+                }
             }
             case CONFLICT -> resolveConflict();
             default -> {
@@ -257,6 +276,9 @@
         if (canClaim()) {
             Thread.sleep(candidate.claimDelayMilliseconds()
                     + ThreadLocalRandom.current().nextLong(50));
+            if (resigning) {
+                return;
+            }
             claim();
             if (!newestRecordReadable) {
                 Thread.sleep(followPacing.delayAfterFailure());
--- a/src/main/java/org/cicadalead/adapters/work/SchedulingService.java
+++ b/src/main/java/org/cicadalead/adapters/work/SchedulingService.java
@@ -74,10 +74,11 @@
     public Optional<HostsInUse> resign() {
         try {
             return executor.submit(() -> {
-                        Optional<HostsInUse> hostsInUse = currentTerm
-                                .getAndSet(Optional.empty())
-                                .filter(SchedulingTerm::isScheduling)
-                                .map(SchedulingTerm::resign);
+                        Optional<SchedulingTerm> term = currentTerm.getAndSet(Optional.empty());
+                        Optional<HostsInUse> hostsInUse =
+                                term.filter(SchedulingTerm::isScheduling).map(SchedulingTerm::resign);
+                        // Also a term that has not loaded its data yet, which would begin to schedule later.
+                        term.ifPresent(SchedulingTerm::close);
                         return hostsInUse;
                     })
                     .get(ASK_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
