--- a/src/main/java/org/cicadalead/cli/PlatformEntryCommand.java
+++ b/src/main/java/org/cicadalead/cli/PlatformEntryCommand.java
@@ -70,9 +70,9 @@
         }));
         try {
             entry.complete(new PlatformEntry(PlatformSettings.read(Path.of(settingsFile)), metricsPort));
-        } catch (RuntimeException notStarted) {
-            entry.completeExceptionally(notStarted);
-            throw notStarted;
+        } finally {
+            // Has no effect on a process that was created; otherwise a stop would wait for it.
+            entry.cancel(false);
         }
         EntryCommand.awaitForever(new CountDownLatch(1));
         return ExitCode.DONE;
