Write responses on the server's threads, and read no request after the drain

What callers saw: a caller that sends requests one after the other and takes no answers held up all others: counts were answered 503 while it was connected. Cause: a response was written by the thread that completed it (the scheduler's, the timers', or the one that stops the process), and a write to a full connection blocks. The same cause could keep a stop from ending its drain. Why this works: only threads of the server write, one for each request that waits. After the drain no request is read, so that under steady traffic the open ones are answered before the connections close. Every Error in a handler is answered, and a failed result is logged.

--- a/src/main/java/org/cicadalead/adapters/http/ExchangeGate.java
+++ b/src/main/java/org/cicadalead/adapters/http/ExchangeGate.java
@@ -51,13 +51,13 @@
         openExchanges--;
     }
 
-    /** Closes the gate if no exchange is open; returns whether it is closed. */
+    /** Closes the gate if no exchange is open; returns whether none is. */
     public synchronized boolean closeIfIdle() {
         closed |= openExchanges == 0;
-        return closed;
+        return openExchanges == 0;
     }
 
-    /** Closes the gate, whatever is open. */
+    /** Closes the gate for exchanges that come later; those that are open go on. */
     public synchronized void close() {
         closed = true;
     }
--- a/src/main/java/org/cicadalead/adapters/work/RequestTimeLimits.java
+++ b/src/main/java/org/cicadalead/adapters/work/RequestTimeLimits.java
@@ -38,11 +38,6 @@
         return wait::close;
     }
 
-    /** Returns whether the drain has ended, so that no request may wait. */
-    public boolean areExpired() {
-        return expired;
-    }
-
     /** Ends all waits, and those that begin later as they begin. */
     public void expireAll() {
         expired = true;
--- a/src/main/java/org/cicadalead/platform/JobServer.java
+++ b/src/main/java/org/cicadalead/platform/JobServer.java
@@ -9,6 +9,7 @@
 import java.util.Locale;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
 import java.util.concurrent.ExecutorService;
 import org.cicadalead.adapters.http.ExchangeGate;
 import org.cicadalead.adapters.http.HttpServers;
@@ -19,7 +20,6 @@
 import org.cicadalead.adapters.work.OpenRequests.WaitingFor;
 import org.cicadalead.adapters.work.OperatorFeed;
 import org.cicadalead.adapters.work.RejectionReport;
-import org.cicadalead.adapters.work.RequestTimeLimits;
 import org.cicadalead.adapters.work.WorkMetrics;
 import org.cicadalead.logic.work.JobAdmission;
 import org.cicadalead.logic.work.account.AccountAdmission;
@@ -35,6 +35,7 @@
 import org.cicadalead.model.work.WorkQueue;
 import org.cicadalead.model.work.WorkSubmission;
 import org.cicadalead.ports.TimerService;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Serves callers' requests that submit, query and cancel jobs. Every request that was read receives a response, also
@@ -82,14 +83,13 @@
     private final WorkMetrics metrics;
     private final RejectionReport rejections;
     private final OpenRequests openRequests;
-    private final RequestTimeLimits timeLimits;
+    private final Executor executor;
     private final ExchangeGate gate;
     private volatile boolean draining;
 
     JobServer(
             PlatformSettings.SocketAddress address,
             ExecutorService executor,
-            RequestTimeLimits timeLimits,
             JobRequestService jobService,
             OperatorFeed operatorFeed,
             TimerService timers,
@@ -99,7 +99,7 @@
         this.openRequests = new OpenRequests(timers, log);
         this.rejections = new RejectionReport(timers, log, metrics);
         this.server = HttpServers.bind(address.ip(), address.port());
-        this.timeLimits = timeLimits;
+        this.executor = executor;
         this.gate = new ExchangeGate(executor);
         this.jobService = jobService;
         metrics.observeOpenJobs(jobService::estimateOpenJobsBytes);
@@ -125,11 +125,16 @@
         openRequests.reportUnanswered();
     }
 
-    /** Reads no further request if none is open; returns whether that is so. */
+    /** Reads no further request if none is open; returns whether none is. */
     boolean closeIfIdle() {
         return gate.closeIfIdle();
     }
 
+    /** Reads no further request; those that are open are still answered. */
+    void stopReading() {
+        gate.close();
+    }
+
     private void handle(HttpExchange exchange) throws IOException {
         gate.enter();
         OpenRequest request = openRequests.begin(exchange.getRequestMethod(), pathOf(exchange));
@@ -139,23 +144,34 @@
         } catch (IOException callerLeft) {
             end(request);
             throw callerLeft;
-        } catch (RuntimeException | StackOverflowError failure) {
+        } catch (RuntimeException | Error failure) {
             log.emit(EventKind.INTERNAL_FAILURE, EventDetail.of("request", failure.toString()));
             response = CompletableFuture.completedFuture(Response.of(INTERNAL_ERROR));
         }
-        response.whenComplete((result, failure) -> {
-            Response completed = failure == null ? result : Response.of(INTERNAL_ERROR);
-            try {
-                request.waitFor(WaitingFor.CALLER);
-                send(exchange, request, completed);
-            } finally {
-                end(request);
-                metrics.recordCallerRequest(
-                        exchange.getRequestMethod(),
-                        completed.status(),
-                        Duration.ofNanos(timers.nanoTime() - request.receivedAt()));
-            }
-        });
+        // On a thread of the server: a caller that takes no response must not hold up any other thread.
+        if (response.isDone()) {
+            response.whenComplete((result, failure) -> respond(exchange, request, result, failure));
+        } else {
+            response.whenCompleteAsync((result, failure) -> respond(exchange, request, result, failure), executor);
+        }
+    }
+
+    private void respond(
+            HttpExchange exchange, OpenRequest request, @Nullable Response result, @Nullable Throwable failure) {
+        if (failure != null) {
+            log.emit(EventKind.INTERNAL_FAILURE, EventDetail.of("request", failure.toString()));
+        }
+        Response completed = result == null ? Response.of(INTERNAL_ERROR) : result;
+        try {
+            request.waitFor(WaitingFor.CALLER);
+            send(exchange, request, completed);
+        } finally {
+            end(request);
+            metrics.recordCallerRequest(
+                    exchange.getRequestMethod(),
+                    completed.status(),
+                    Duration.ofNanos(timers.nanoTime() - request.receivedAt()));
+        }
     }
 
     private void end(OpenRequest request) {
@@ -172,7 +188,7 @@
         int maximumBodyBytes = (int)
                 Math.min(MAX_BODY_BYTES, plan.map(FleetPlan::maximumBodyBytes).orElse(MAX_BODY_BYTES_WITHOUT_PLAN));
         byte[] body = HttpServers.readBody(exchange, maximumBodyBytes);
-        if (plan.isEmpty() || timeLimits.areExpired()) {
+        if (plan.isEmpty()) {
             return CompletableFuture.completedFuture(Response.RETRY_LATER);
         }
         if (body.length > maximumBodyBytes) {
--- a/src/main/java/org/cicadalead/platform/PlatformEntry.java
+++ b/src/main/java/org/cicadalead/platform/PlatformEntry.java
@@ -157,7 +157,7 @@
                 configurations,
                 log);
         this.jobServer = new JobServer(
-                settings.frontendAddress(), serverThreads, timeLimits, jobService, operatorFeed, timers, log, metrics);
+                settings.frontendAddress(), serverThreads, jobService, operatorFeed, timers, log, metrics);
         this.readinessServer = new ReadinessServer(settings.readyAddress(), serverThreads, this::isReady);
         this.metricsServer = metricsPort.isPresent()
                 ? Optional.of(new MetricsServer(
@@ -286,6 +286,7 @@
                 onCompleted(StopStep.RESIGNATION);
             }
             if (schedule.isDrainOver(sinceSignal)) {
+                jobServer.stopReading();
                 timeLimits.expireAll();
             }
             if (schedule.mustClose(sinceSignal)
--- a/src/test/java/org/cicadalead/adapters/http/ExchangeGateTest.java
+++ b/src/test/java/org/cicadalead/adapters/http/ExchangeGateTest.java
@@ -43,6 +43,17 @@
         assertTrue(queued.isEmpty());
     }
 
+    @Test
+    void isIdleOnlyAfterOpenExchangesHaveEndedBehindAClosedGate() {
+        gate.enter();
+        gate.close();
+        gate.execute(() -> ran.add("late"));
+        assertTrue(queued.isEmpty());
+        assertFalse(gate.closeIfIdle());
+        gate.leave();
+        assertTrue(gate.closeIfIdle());
+    }
+
     @Test
     void countsNoExchangeThatFailedOrWasNotRun() {
         gate.execute(() -> {
