--- a/src/main/java/org/cicadalead/logic/work/CrashHistory.java
+++ b/src/main/java/org/cicadalead/logic/work/CrashHistory.java
@@ -29,6 +29,9 @@
     /** Crashes beside other runs, after their start, from which the next run gets a host of its own. */
     private static final int CRASHES_BEFORE_OWN_HOST = 2;
 
+    /** Lost hosts, after the start, from which it does so whatever else explains the losses. */
+    private static final int LOSSES_BEFORE_OWN_HOST = 4;
+
     private final List<HostLoss> losses = new ArrayList<>();
 
     List<HostLoss> losses() {
@@ -98,7 +101,9 @@
      * after the start, where only a run without others can be told from those beside it.
      */
     boolean needsOwnHost() {
-        return isLikelyCause() || count(loss -> loss.isCrash() && !loss.starting()) >= CRASHES_BEFORE_OWN_HOST;
+        return isLikelyCause()
+                || count(loss -> loss.isCrash() && !loss.starting()) >= CRASHES_BEFORE_OWN_HOST
+                || count(loss -> !loss.starting()) >= LOSSES_BEFORE_OWN_HOST;
     }
 
     /** Returns whether a host has crashed at a start of the task without another possible cause. */
@@ -115,8 +120,8 @@
         int crashes = count(HostLoss::isCrash);
         int startCrashes = count(loss -> loss.starting() && (loss.isCrash() || loss.outcome() == Outcome.PRESUMED));
         int possibleCrashes = count(loss -> loss.starting() && loss.outcome() == Outcome.POSSIBLE);
-        boolean crashedOwnHost = crashes > CRASHES_BEFORE_OWN_HOST
-                && count(loss -> loss.isCrash() && !loss.starting() && loss.isolated()) > 0;
+        boolean crashedOwnHost = (crashes > CRASHES_BEFORE_OWN_HOST || losses.size() > LOSSES_BEFORE_OWN_HOST)
+                && count(loss -> loss.isCrash() && loss.isolated()) > 0;
         return (startCrashes >= CRASHES_WITH_ISOLATED_ONE && isLikelyCause())
                 || startCrashes + possibleCrashes >= START_CRASHES
                 || crashedOwnHost
--- a/src/main/java/org/cicadalead/logic/work/CrashLedger.java
+++ b/src/main/java/org/cicadalead/logic/work/CrashLedger.java
@@ -20,6 +20,18 @@
     /** Two hosts of a rack that were last heard within this time of each other are counted as lost together. */
     private static final long RACK_LOSS_MILLISECONDS = 1_000;
 
+    /**
+     * Hosts of a service that were last heard within this time of each other may be lost together; shorter than the
+     * time in which a host that one task has crashed returns and crashes again.
+     */
+    private static final long COMMON_LOSS_MILLISECONDS = 1_500;
+
+    /** Number of hosts from which on they count as lost together; fewer may be the work of as many tasks. */
+    private static final int MIN_COMMON_LOSSES = 3;
+
+    /** One in so many hosts of a service has to be lost for them to count as lost together. */
+    private static final int HOSTS_FOR_EACH_COMMON_LOSS = 4;
+
     /** Time for which the end of a host is kept, to compare others of its rack with it. */
     private static final long END_RETENTION_MILLISECONDS = 15_000;
 
@@ -121,13 +133,12 @@
         if (task.crashes.isEmpty() || run.isStarting()) {
             return;
         }
-        boolean hasOwnHost = run.host.isolatedStart != null && run.host.isolatedStart.needsOwnHost;
         boolean isStable = task.step.specification.longRunning() && now - run.changedAt >= STABLE_MILLISECONDS;
         if (isStable) {
             removeOpen(task, run.host.identifier);
             task.crashes.clear();
             state.markChanged(task.step.job);
-        } else if (!hasOwnHost && task.crashes.onStartOutlived()) {
+        } else if (task.crashes.onStartOutlived()) {
             state.markChanged(task.step.job);
         }
     }
@@ -178,11 +189,13 @@
     void onProcessEnded(WorkHost host, boolean wasPlanned) {
         Set<WorkRun> suspects = findStartSuspects(host);
         boolean wasLostWithRack = wasLostWithRack(host);
+        boolean wasLostWithOthers = wasLostWithOthers(host);
+        boolean isCausedByIsolatedStart = isCausedByIsolatedStart(host, suspects);
         withdrawPlannedStart(host);
         for (WorkRun run : List.copyOf(host.runs.values())) {
             removeOpen(run.task, host.identifier);
             if (!wasPlanned) {
-                addLoss(run, suspects, wasLostWithRack);
+                addLoss(run, suspects, wasLostWithRack, wasLostWithOthers);
             }
         }
         for (WorkTask task : findOpen(host.identifier)) {
@@ -191,13 +204,18 @@
         endedHosts.add(new EndedHost(
                 host.identifier,
                 host.entry.rack().orElse(""),
+                host.entry.service(),
                 host.lastHeardAt,
                 suspects.size() == 1,
+                !wasPlanned && !isCausedByIsolatedStart,
                 state.decidedAt));
     }
 
-    private void addLoss(WorkRun run, Set<WorkRun> startSuspects, boolean wasLostWithRack) {
-        boolean isExplained = wasLostWithRack && !run.task.crashes.isLikelyCause();
+    private void addLoss(WorkRun run, Set<WorkRun> startSuspects, boolean wasLostWithRack, boolean wasLostWithOthers) {
+        boolean wasIsolated = run.host.isolatedStart != null && run.host.isolatedStart.isOf(run);
+        boolean hasCommonCause = wasLostWithOthers && !wasIsolated;
+        boolean isExplained =
+                (wasLostWithRack && !run.task.crashes.isLikelyCause()) || (hasCommonCause && !run.isStarting());
         boolean isCause = !isExplained && (!run.isStarting() || startSuspects.contains(run));
         int possibleCauses = run.isStarting() ? startSuspects.size() : run.host.runs.size();
         HostLoss loss = createLoss(
@@ -206,7 +224,7 @@
                 run.isStarting(),
                 isCause && possibleCauses == 1 && run.wasConfirmed(),
                 isCause ? Outcome.CRASHED : Outcome.EXPLAINED);
-        boolean isRelevant = isCause || run.isStarting();
+        boolean isRelevant = isCause || run.isStarting() || hasCommonCause;
         if (isRelevant && run.task.crashes.add(loss)) {
             state.markChanged(run.task.step.job);
             giveUpIfNeeded(run.task);
@@ -295,6 +313,48 @@
         return hasLostOther;
     }
 
+    private static boolean isCausedByIsolatedStart(WorkHost host, Set<WorkRun> startSuspects) {
+        return host.isolatedStart != null && startSuspects.stream().anyMatch(host.isolatedStart::isOf);
+    }
+
+    /**
+     * Returns whether many hosts of a service were lost at about the same time, so that the loss of one of them speaks
+     * against no task that ran on it for a while. Hosts that a task is likely to have crashed do not count.
+     */
+    private boolean wasLostWithOthers(WorkHost host) {
+        String service = host.entry.service();
+        Set<String> lost = new HashSet<>();
+        lost.add(host.identifier);
+        for (EndedHost ended : endedHosts) {
+            if (ended.mayHaveCommonCause()
+                    && ended.service().equals(service)
+                    && isHeardAtSameTime(ended.lastHeardAt(), host)) {
+                lost.add(ended.identifier());
+            }
+        }
+        Set<String> all = new HashSet<>(lost);
+        for (WorkHost other : state.findHosts(service)) {
+            all.add(other.identifier);
+            boolean isSilent = other.repliedThisTerm && other.incarnationUnknown && !other.isLeavingByPlan();
+            if (isSilent
+                    && isHeardAtSameTime(other.lastHeardAt, host)
+                    && !isCausedByIsolatedStart(other, findStartSuspects(other))) {
+                lost.add(other.identifier);
+            }
+        }
+        return lost.size() >= MIN_COMMON_LOSSES && lost.size() * HOSTS_FOR_EACH_COMMON_LOSS >= all.size();
+    }
+
+    private static boolean isHeardAtSameTime(long lastHeardAt, WorkHost host) {
+        return Math.abs(lastHeardAt - host.lastHeardAt) <= COMMON_LOSS_MILLISECONDS;
+    }
+
     private record EndedHost(
-            String identifier, String rack, long lastHeardAt, boolean hasSingleSuspect, long recordedAt) {}
+            String identifier,
+            String rack,
+            String service,
+            long lastHeardAt,
+            boolean hasSingleSuspect,
+            boolean mayHaveCommonCause,
+            long recordedAt) {}
 }
--- a/src/main/java/org/cicadalead/logic/work/IsolatedStart.java
+++ b/src/main/java/org/cicadalead/logic/work/IsolatedStart.java
@@ -10,7 +10,7 @@
     final WorkTask task;
     final WorkHost host;
     final long reservedAt;
-    /** Whether the host has to be free of other runs, and stays so until the run ends. */
+    /** Whether the host has to be free of other runs, and gets no other one before it has outlived the start. */
     final boolean needsOwnHost;
 
     /**
@@ -27,4 +27,17 @@
         this.needsOwnHost = needsOwnHost;
         this.reservedAt = now;
     }
+
+    /** Records the run that was ordered. */
+    void onOrdered(WorkRun ordered) {
+        run = ordered;
+        if (needsOwnHost) {
+            ordered.expectCrash();
+        }
+    }
+
+    /** Returns whether a run is the one that started without others beside it. */
+    boolean isOf(WorkRun other) {
+        return run == other;
+    }
 }
--- a/src/main/java/org/cicadalead/logic/work/TaskPlacement.java
+++ b/src/main/java/org/cicadalead/logic/work/TaskPlacement.java
@@ -45,6 +45,7 @@
     void place(List<WorkOrder> orders, WorkTime now) {
         state.accounts.beginCycle();
         isolatedStarts.withdrawImpossible(now.monotonic());
+        isolatedStarts.moveToIdleHosts(now.monotonic());
         startIsolated(orders, now.monotonic());
         Map<String, List<WorkJob>> waiting = findWaitingJobs();
         if (!state.accounts.hasAccounts()) {
@@ -66,7 +67,7 @@
                 continue;
             }
             if (ensureAnnounced(planned.task.step, 1) && isolatedStarts.canOrder(planned, now)) {
-                planned.run = startTask(planned.task, host, state.nextAttempt(planned.task), orders, now);
+                planned.onOrdered(startTask(planned.task, host, state.nextAttempt(planned.task), orders, now));
             } else {
                 reserveForAccount(planned.task.step);
             }
--- a/src/main/java/org/cicadalead/logic/work/WorkRun.java
+++ b/src/main/java/org/cicadalead/logic/work/WorkRun.java
@@ -13,6 +13,9 @@
      */
     private static final long START_MILLISECONDS = 100;
 
+    /** The same for a task that is likely to crash its host, which may do so some time after it has loaded. */
+    private static final long LIKELY_CRASH_MILLISECONDS = 500;
+
     final RunKey key;
     final WorkTask task;
     final WorkHost host;
@@ -31,6 +34,7 @@
     /** Whether its duration from the order to the end is that of its whole task. */
     boolean startsFromBeginning;
 
+    private long startMilliseconds = START_MILLISECONDS;
     private boolean outlivedStart;
 
     int percentage;
@@ -59,6 +63,11 @@
         }
     }
 
+    /** Lets it count as starting for longer, as it is likely to crash its host. */
+    void expectCrash() {
+        startMilliseconds = LIKELY_CRASH_MILLISECONDS;
+    }
+
     /** Makes it be stopped, with the first order to stop in the next decision. */
     void stop(StopCause cause, long now) {
         stopCause = cause;
@@ -67,12 +76,12 @@
 
     /** Records that the host has replied to any order. */
     void onHostReplied(long now) {
-        outlivedStart |= state != State.ORDERED && state != State.UNCERTAIN && now - changedAt >= START_MILLISECONDS;
+        outlivedStart |= state != State.ORDERED && state != State.UNCERTAIN && now - changedAt >= startMilliseconds;
     }
 
     /** Records that the host has written its registry entry, which it also does while it is cut off from the leader. */
     void onHostRegistered(long hostClock) {
-        outlivedStart |= wasConfirmed() && hostClock - orderedAtHostClock >= START_MILLISECONDS;
+        outlivedStart |= wasConfirmed() && hostClock - orderedAtHostClock >= startMilliseconds;
     }
 
     /** Returns whether the host has confirmed the order to start it, or has listed it. */
