Give up before a further start a task whose lost hosts stay unknown

Cause: a host that crashes and returns under another identifier and address is never shown to have ended, so its loss stays UNKNOWN and counts for nothing: three of the six losses of that task. Fix: before a further isolated start, all losses at a start count, three with an isolated crash or four without one, if two of the hosts have ended for certain.

Not run after the changes: SimulatedFleetTest.

givesTaskUpBeforeItsNextStartWhereTheOutcomeOfALossStaysUnknown tests a new method and was not run on the code before.

--- a/src/main/java/org/cicadalead/logic/work/CrashHistory.java
+++ b/src/main/java/org/cicadalead/logic/work/CrashHistory.java
@@ -128,6 +128,17 @@
                 || (losses.size() >= MAX_LOSSES && startCrashes >= CRASHES_WITH_ISOLATED_ONE);
     }
 
+    /**
+     * Returns whether the task has to be given up instead of one more start: hosts whose outcome is unknown count here,
+     * as they may stay so, beside two that have ended for certain.
+     */
+    boolean mustGiveUpBeforeStart() {
+        int ended = count(loss -> !loss.outcome().isOpen() && loss.outcome() != Outcome.POSSIBLE);
+        return mustGiveUp()
+                || (ended >= CRASHES_WITH_ISOLATED_ONE
+                        && count(HostLoss::starting) >= (isLikelyCause() ? START_CRASHES : LOSSES_BEFORE_OWN_HOST));
+    }
+
     private int count(Predicate<HostLoss> filter) {
         int count = 0;
         for (HostLoss loss : losses) {
--- a/src/main/java/org/cicadalead/logic/work/CrashLedger.java
+++ b/src/main/java/org/cicadalead/logic/work/CrashLedger.java
@@ -190,7 +190,7 @@
         Set<WorkRun> suspects = findStartSuspects(host);
         boolean wasLostWithRack = wasLostWithRack(host);
         boolean wasLostWithOthers = wasLostWithOthers(host);
-        boolean isCausedByIsolatedStart = isCausedByIsolatedStart(host, suspects);
+        boolean isCausedByIsolatedStart = isCausedByIsolatedStart(suspects);
         withdrawPlannedStart(host);
         for (WorkRun run : List.copyOf(host.runs.values())) {
             removeOpen(run.task, host.identifier);
@@ -212,20 +212,19 @@
     }
 
     private void addLoss(WorkRun run, Set<WorkRun> startSuspects, boolean wasLostWithRack, boolean wasLostWithOthers) {
-        boolean wasIsolated = run.host.isolatedStart != null && run.host.isolatedStart.isOf(run);
-        boolean hasCommonCause = wasLostWithOthers && !wasIsolated;
-        boolean isExplained =
-                (wasLostWithRack && !run.task.crashes.isLikelyCause()) || (hasCommonCause && !run.isStarting());
-        boolean isCause = !isExplained && (!run.isStarting() || startSuspects.contains(run));
+        boolean hasCommonCause = wasLostWithOthers && !isIsolated(run);
+        boolean isRackLoss = wasLostWithRack && !run.task.crashes.isLikelyCause();
+        boolean isCause =
+                run.isStarting() ? startSuspects.contains(run) && !isRackLoss : !isRackLoss && !hasCommonCause;
         int possibleCauses = run.isStarting() ? startSuspects.size() : run.host.runs.size();
+        boolean isOnlyCause = isCause && possibleCauses == 1 && run.wasConfirmed();
         HostLoss loss = createLoss(
                 run.host,
                 run.key.attempt(),
                 run.isStarting(),
-                isCause && possibleCauses == 1 && run.wasConfirmed(),
+                isOnlyCause,
                 isCause ? Outcome.CRASHED : Outcome.EXPLAINED);
-        boolean isRelevant = isCause || run.isStarting() || hasCommonCause;
-        if (isRelevant && run.task.crashes.add(loss)) {
+        if ((isCause || run.isStarting() || hasCommonCause) && run.task.crashes.add(loss)) {
             state.markChanged(run.task.step.job);
             giveUpIfNeeded(run.task);
         }
@@ -254,9 +253,20 @@
         giveUpIfNeeded(task);
     }
 
+    /** Gives a task up that must not start once more; returns whether it did. */
+    boolean giveUpBeforeStart(WorkTask task) {
+        boolean mustGiveUp = task.crashes.mustGiveUpBeforeStart();
+        giveUpIf(mustGiveUp, task);
+        return mustGiveUp;
+    }
+
     private void giveUpIfNeeded(WorkTask task) {
+        giveUpIf(task.crashes.mustGiveUp(), task);
+    }
+
+    private void giveUpIf(boolean mustGiveUp, WorkTask task) {
         WorkJob job = task.step.job;
-        if (!task.done && !job.phase.isTerminal() && task.crashes.mustGiveUp()) {
+        if (!task.done && !job.phase.isTerminal() && mustGiveUp) {
             job.phase = WorkPhase.FAILED;
             state.markChanged(job);
             state.reportGivenUpTask(new GivenUpTask(task.key, task.crashes.losses()));
@@ -313,8 +323,12 @@
         return hasLostOther;
     }
 
-    private static boolean isCausedByIsolatedStart(WorkHost host, Set<WorkRun> startSuspects) {
-        return host.isolatedStart != null && startSuspects.stream().anyMatch(host.isolatedStart::isOf);
+    private static boolean isIsolated(WorkRun run) {
+        return run.host.isolatedStart != null && run.host.isolatedStart.isOf(run);
+    }
+
+    private static boolean isCausedByIsolatedStart(Set<WorkRun> startSuspects) {
+        return startSuspects.stream().anyMatch(CrashLedger::isIsolated);
     }
 
     /**
@@ -335,16 +349,18 @@
         Set<String> all = new HashSet<>(lost);
         for (WorkHost other : state.findHosts(service)) {
             all.add(other.identifier);
-            boolean isSilent = other.repliedThisTerm && other.incarnationUnknown && !other.isLeavingByPlan();
-            if (isSilent
-                    && isHeardAtSameTime(other.lastHeardAt, host)
-                    && !isCausedByIsolatedStart(other, findStartSuspects(other))) {
+            if (isSilentWithoutKnownCause(other) && isHeardAtSameTime(other.lastHeardAt, host)) {
                 lost.add(other.identifier);
             }
         }
         return lost.size() >= MIN_COMMON_LOSSES && lost.size() * HOSTS_FOR_EACH_COMMON_LOSS >= all.size();
     }
 
+    private static boolean isSilentWithoutKnownCause(WorkHost host) {
+        boolean isSilent = host.repliedThisTerm && host.incarnationUnknown && !host.isLeavingByPlan();
+        return isSilent && !isCausedByIsolatedStart(findStartSuspects(host));
+    }
+
     private static boolean isHeardAtSameTime(long lastHeardAt, WorkHost host) {
         return Math.abs(lastHeardAt - host.lastHeardAt) <= COMMON_LOSS_MILLISECONDS;
     }
--- a/src/main/java/org/cicadalead/logic/work/IsolatedStarts.java
+++ b/src/main/java/org/cicadalead/logic/work/IsolatedStarts.java
@@ -86,14 +86,11 @@
 
     /** Chooses a host for a task; returns whether one was found or the task has to wait for one. */
     boolean plan(WorkTask task, HostChoice choice, Collection<WorkHost> permitted, long now) {
-        if (task.isolatedStart != null) {
+        if (task.isolatedStart != null || crashes.giveUpBeforeStart(task)) {
             return true;
         }
         boolean isLasting = task.step.specification.longRunning();
-        boolean isLikelyToCrash = task.crashes.needsOwnHost();
-        Candidates candidates = isLasting || !isLikelyToCrash
-                ? Candidates.ALL
-                : findCandidates(task.step.job.submission.service(), now);
+        Candidates candidates = findCandidates(task, now);
         if (candidates == Candidates.NONE) {
             return true;
         }
@@ -117,9 +114,12 @@
         return true;
     }
 
-    /** Returns which hosts a task that needs one of its own may use now. */
-    private Candidates findCandidates(String service, long now) {
-        List<WorkHost> hosts = state.findHosts(service);
+    /** Returns which hosts a task may use now; only a short one that needs a host of its own is limited. */
+    private Candidates findCandidates(WorkTask task, long now) {
+        if (task.step.specification.longRunning() || !task.crashes.needsOwnHost()) {
+            return Candidates.ALL;
+        }
+        List<WorkHost> hosts = state.findHosts(task.step.job.submission.service());
         int limit = Math.max(1, hosts.size() / HOSTS_FOR_EACH_OWN_HOST);
         int used = 0;
         int atRisk = 0;
--- a/src/test/java/org/cicadalead/logic/work/CrashHistoryTest.java
+++ b/src/test/java/org/cicadalead/logic/work/CrashHistoryTest.java
@@ -93,4 +93,26 @@
         addLoss(false, false, Outcome.CRASHED);
         assertFalse(history.mustGiveUp());
     }
+
+    @Test
+    void givesTaskOfExplainedLossesAHostOfItsOwnOnlyAfterFour() {
+        for (int loss = 1; loss <= 3; loss++) {
+            addLoss(false, false, Outcome.EXPLAINED);
+        }
+        assertFalse(history.isSuspect());
+        addLoss(false, false, Outcome.EXPLAINED);
+        assertTrue(history.needsOwnHost());
+        addLoss(true, true, Outcome.CRASHED);
+        assertTrue(history.mustGiveUp());
+    }
+
+    @Test
+    void givesTaskUpBeforeItsNextStartWhereTheOutcomeOfALossStaysUnknown() {
+        addLoss(true, false, Outcome.EXPLAINED);
+        addLoss(true, true, Outcome.UNKNOWN);
+        assertFalse(history.mustGiveUpBeforeStart());
+        addLoss(true, true, Outcome.CRASHED);
+        assertFalse(history.mustGiveUp());
+        assertTrue(history.mustGiveUpBeforeStart());
+    }
 }
