--- a/src/test/java/org/cicadalead/logic/work/FleetOracle.java
+++ b/src/test/java/org/cicadalead/logic/work/FleetOracle.java
@@ -210,7 +210,8 @@
         }
     }
 
-    private boolean hasFinished(TaskKey task) {
+    /** Returns whether a run of a task has done its work. */
+    boolean hasFinished(TaskKey task) {
         return acknowledgedDone.contains(task) || finishedRuns.containsKey(task);
     }
 
--- a/src/test/java/org/cicadalead/logic/work/SimulatedFleet.java
+++ b/src/test/java/org/cicadalead/logic/work/SimulatedFleet.java
@@ -132,6 +132,11 @@
         return accounts;
     }
 
+    /** Ends the host of a machine; after a time it returns under its identifier. */
+    void crash(SimulatedMachine machine, long milliseconds) {
+        injector.crashAndRestart(machine, milliseconds);
+    }
+
     /** Makes a task crash every host a time after its start there. */
     void letCrashHosts(TaskKey task, long millisecondsAfterStart) {
         crashingTasks.put(task, millisecondsAfterStart);
--- a/src/test/java/org/cicadalead/logic/work/SimulatedFleetTest.java
+++ b/src/test/java/org/cicadalead/logic/work/SimulatedFleetTest.java
@@ -36,7 +36,7 @@
         return stepOf(tasks, 0, List.of(), true);
     }
 
-    private static StepSpecification stepOf(
+    static StepSpecification stepOf(
             int tasks, long estimatedMilliseconds, List<Integer> dependsOn, boolean longRunning) {
         return new StepSpecification(
                 tasks,
--- a/src/test/java/org/cicadalead/logic/work/SimulatedScheduling.java
+++ b/src/test/java/org/cicadalead/logic/work/SimulatedScheduling.java
@@ -8,12 +8,16 @@
 import org.cicadalead.model.work.EndedRun;
 import org.cicadalead.model.work.HostListing;
 import org.cicadalead.model.work.StartOutcome;
+import org.cicadalead.model.work.StepSpecification;
 
 /** The scheduling of a term that has read its data: polls, orders to hosts, progress and machines. */
 final class SimulatedScheduling {
     private static final long REGISTRY_MILLISECONDS = 250;
     private static final long LASTING_MILLISECONDS = 1_000_000_000;
 
+    /** Estimated duration of a task that takes 500 to 1,500 ms; others take in proportion. */
+    private static final long USUAL_ESTIMATE_MILLISECONDS = 1_000;
+
     final WorkScheduler scheduler;
     final SimulatedMachineControl machines;
     private final SimulatedFleet fleet;
@@ -123,9 +127,12 @@
 
     private void deliverStart(WorkOrder.Start order, SimulatedHost host, boolean isLate) {
         boolean wasRunning = host.running().contains(order.run());
-        long duration = fleet.specificationOf(order.run().task()).longRunning()
+        StepSpecification specification = fleet.specificationOf(order.run().task());
+        long duration = specification.longRunning()
                 ? LASTING_MILLISECONDS
-                : 500L + fleet.random.nextInt(1_000);
+                : (500L + fleet.random.nextInt(1_000))
+                        * specification.estimatedMilliseconds()
+                        / USUAL_ESTIMATE_MILLISECONDS;
         StartOutcome outcome = host.start(order, term.epoch, duration, fleet.now());
         if (outcome == StartOutcome.STARTED && !wasRunning) {
             fleet.oracle.checkStart(order.run(), host);
