--- a/src/main/java/org/cicadalead/logic/work/StopSchedule.java
+++ b/src/main/java/org/cicadalead/logic/work/StopSchedule.java
@@ -12,7 +12,7 @@
 public record StopSchedule(Duration drain, Duration answering) {
     /**
      * Minimum time for which connections stay open, so that the platform observes that this process is not ready and
-     * callers change to other processes: two missed checks, one a second, and their timeouts.
+     * callers change to other processes.
      */
     private static final Duration MIN_DRAIN = Duration.ofMillis(2_600);
 
