Hand out no port twice in the loopback platform

Failed before: LoopbackPortsTest, among 2,000 ports. Why this works: a port that was returned is not returned again in this process. That the two failures had this cause is likely, not shown; a port that another process takes in between remains possible.

--- a/src/main/java/org/cicadalead/platform/LoopbackPlatform.java
+++ b/src/main/java/org/cicadalead/platform/LoopbackPlatform.java
@@ -20,6 +20,8 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ThreadLocalRandom;
 import org.cicadalead.adapters.http.HttpServers;
 import org.cicadalead.adapters.http.PlaintextHttpClients;
@@ -40,6 +42,8 @@
     /** End of the ports for entry processes: Linux assigns ports from 32,768 on to outgoing connections. */
     private static final int MAX_PORT = 32_000;
 
+    private static final Set<Integer> USED_PORTS = ConcurrentHashMap.newKeySet();
+
     final LoopbackStore store = new LoopbackStore();
     final List<LoopbackWorker> workers = new ArrayList<>();
     private final List<HttpServer> servers = new ArrayList<>();
@@ -87,12 +91,16 @@
     }
 
     /**
-     * Returns a port that was free. It is below the range from which systems assign ports to outgoing connections, as
-     * one of these may take a port between this call and the start of the server that is to use it.
+     * Returns a port that was free, and no port twice, as it is not in use until its server starts. It is below the
+     * range from which systems assign ports to outgoing connections, as one of these may take a port between this call
+     * and the start of the server.
      */
-    private static int freePort() throws IOException {
+    static int freePort() throws IOException {
         while (true) {
             int port = ThreadLocalRandom.current().nextInt(MIN_PORT, MAX_PORT);
+            if (!USED_PORTS.add(port)) {
+                continue;
+            }
             try (ServerSocket socket = new ServerSocket(port)) {
                 return socket.getLocalPort();
             } catch (BindException inUse) {
