Count no run as ended while its host may list further ends

Cause: a reply that lists 500 ends may have a continuation, and a run that was in neither list counted as ended without one.

Now a listing says whether further ends may follow (the limit of the reply is known to HostClient only). Until the last page, runs that are not listed stay, the host does not count as idle, and a service of an earlier term stays closed, while the host's lease is renewed, as the host replies.

--- a/src/main/java/org/cicadalead/logic/work/RunLedger.java
+++ b/src/main/java/org/cicadalead/logic/work/RunLedger.java
@@ -16,8 +16,8 @@
 
 /**
  * Tracks the runs on every host. A task may get its next run only when its last one has ended for certain: the host
- * listed its end, or does not list the run in reply to a poll that was sent after the start or the stop was confirmed,
- * or all its leases have expired. Not thread-safe.
+ * listed its end, or does not list the run in a complete reply to a poll that was sent after the start or the stop was
+ * confirmed, or all its leases have expired. Not thread-safe.
  */
 final class RunLedger {
     /** Pause after a host rejected a run for lack of capacity; about the time between two polls. */
@@ -64,7 +64,7 @@
             }
         }
         for (WorkRun run : List.copyOf(host.runs.values())) {
-            run.missing = !listed.contains(run.key);
+            run.missing = !listing.hasFurtherEnds() && !listed.contains(run.key);
             if (run.missing) {
                 handleMissingRun(run, sentAt, now);
             }
--- a/src/main/java/org/cicadalead/logic/work/TakeoverGate.java
+++ b/src/main/java/org/cicadalead/logic/work/TakeoverGate.java
@@ -11,16 +11,22 @@
 import org.cicadalead.model.work.MachineEntry;
 
 /**
- * Prevents a new term from starting tasks that may still run for an earlier term. A service opens once each of its
- * hosts that an earlier term may have used has replied in this term, which also fences the earlier terms there, or can
- * have no lease any more. Jobs that no earlier term can have started may start before that. Guards against double runs
- * when the leader fails while hosts are unreachable, also several times in succession. Not thread-safe.
+ * Prevents a new term from starting tasks that may still run, or have ended, for an earlier term. A service opens once
+ * each of its hosts that an earlier term may have used has listed all its runs in this term, which also fences the
+ * earlier terms there, or can have no lease any more. Jobs that no earlier term can have started may start before that.
+ * Guards against double runs when the leader fails while hosts are unreachable, also several times in succession. Not
+ * thread-safe.
  */
 final class TakeoverGate {
     private final EarlierHosts earlier;
     private final long earlierStartsEndAt;
     private final Map<String, UnresolvedHost> unresolved = new HashMap<>();
 
+    /**
+     * Hosts that reply but have not listed all ended runs yet. They are reachable, so that their leases are renewed.
+     */
+    private final Map<String, UnresolvedHost> partlyListed = new HashMap<>();
+
     TakeoverGate(EarlierHosts earlier, long now, long earlierStartsEndAt) {
         this.earlier = earlier;
         this.earlierStartsEndAt = earlierStartsEndAt;
@@ -34,13 +40,45 @@
     }
 
     /**
-     * Removes a host that has replied in this term, or is known to run nothing; returns whether it was unresolved until
-     * now.
+     * Removes a host that has listed all its runs in this term, or is known to run nothing; returns whether it had not
+     * replied until now.
      */
     boolean resolve(String host) {
+        partlyListed.remove(host);
         return unresolved.remove(host) != null;
     }
 
+    /**
+     * Records the reply of a host that may have further ended runs; returns whether it had not replied until now. Its
+     * service stays closed until it is {@linkplain #resolve resolved}.
+     */
+    boolean onPartOfRunsListed(String host) {
+        UnresolvedHost replying = unresolved.remove(host);
+        if (replying != null) {
+            partlyListed.put(host, replying);
+        }
+        return replying != null;
+    }
+
+    /** Returns whether a host replies but has not listed all ended runs yet. */
+    boolean isPartlyListed(String host) {
+        return partlyListed.containsKey(host);
+    }
+
+    /**
+     * Removes a host that has become unreachable before it listed all ended runs, once no lease of this term or an
+     * earlier one is left.
+     *
+     * @param leaseExpiresAt monotonic time in milliseconds at which the leases of this term have expired
+     * @param confirmedAt monotonic time in milliseconds at which the last confirmed record of this term was sent
+     */
+    void onUnreachable(String host, long leaseExpiresAt, long confirmedAt) {
+        UnresolvedHost listed = partlyListed.get(host);
+        if (listed != null && confirmedAt >= Math.max(listed.leaseExpiresAt(), leaseExpiresAt)) {
+            partlyListed.remove(host);
+        }
+    }
+
     /** Returns whether an earlier term may still give orders. */
     boolean mayEarlierTermStart(long now) {
         return now <= earlierStartsEndAt;
@@ -63,16 +101,21 @@
      * @param machines the complete machine list, requested after the term began to schedule
      */
     void resolveEndedHosts(List<MachineEntry> machines) {
-        if (unresolved.isEmpty()) {
+        if (unresolved.isEmpty() && partlyListed.isEmpty()) {
             return;
         }
         Map<String, MachineEntry> machineByName = new HashMap<>();
         machines.forEach(machine -> machineByName.put(machine.machine(), machine));
-        unresolved.entrySet().removeIf(host -> host.getValue()
+        unresolved.entrySet().removeIf(host -> showsEnd(machineByName, host));
+        partlyListed.entrySet().removeIf(host -> showsEnd(machineByName, host));
+    }
+
+    private static boolean showsEnd(Map<String, MachineEntry> machineByName, Map.Entry<String, UnresolvedHost> host) {
+        return host.getValue()
                 .machine()
                 .map(machineByName::get)
                 .filter(machine -> machine.condition().endsHost() || carriesOtherHost(machine, host.getKey()))
-                .isPresent());
+                .isPresent();
     }
 
     private static boolean carriesOtherHost(MachineEntry machine, String host) {
@@ -102,12 +145,12 @@
                 return false;
             }
         }
-        return true;
+        return partlyListed.values().stream().noneMatch(host -> host.service().equals(service));
     }
 
     /** Returns the hosts that keep services closed. */
     Set<String> findBlockingHosts(long now) {
-        Set<String> hosts = new HashSet<>();
+        Set<String> hosts = new HashSet<>(partlyListed.keySet());
         unresolved.forEach((host, unresolvedHost) -> {
             if (now < unresolvedHost.leaseExpiresAt()) {
                 hosts.add(host);
@@ -127,6 +170,11 @@
                 opensAt.merge(unresolvedHost.service(), unresolvedHost.leaseExpiresAt(), Math::max);
             }
         });
+        partlyListed.forEach((host, listedHost) -> {
+            hosts.computeIfAbsent(listedHost.service(), service -> new TreeSet<>())
+                    .add(host);
+            opensAt.merge(listedHost.service(), now, Math::max);
+        });
         Map<String, ClosedService> services = new TreeMap<>();
         hosts.forEach((service, blockingHosts) ->
                 services.put(service, new ClosedService(blockingHosts, opensAt.get(service))));
--- a/src/main/java/org/cicadalead/logic/work/WorkHost.java
+++ b/src/main/java/org/cicadalead/logic/work/WorkHost.java
@@ -64,6 +64,10 @@
 
     long highestEndNumber;
     long acknowledgedEndNumber;
+
+    /** Whether the last list may leave out ends that have not been acknowledged. */
+    private boolean hasFurtherEnds;
+
     long announcedUnreachableIn = NOT_ANNOUNCED_UNREACHABLE;
     private HostCapacity takenCapacity = HostCapacity.NONE;
     /** Capacity of active runs that this term does not keep, until the host no longer lists them. */
@@ -106,6 +110,7 @@
         processStartMilliseconds = 0;
         highestEndNumber = 0;
         acknowledgedEndNumber = 0;
+        hasFurtherEnds = false;
         lastReplyAt = NEVER;
         heardSince = Long.MAX_VALUE;
     }
@@ -151,6 +156,7 @@
             highestEndNumber = 0;
             acknowledgedEndNumber = 0;
         }
+        hasFurtherEnds = listing.hasFurtherEnds();
         repliedThisTerm = true;
         incarnationUnknown = false;
         processStartMilliseconds = listing.bornMilliseconds();
@@ -241,9 +247,9 @@
                 && now >= excludedUntil;
     }
 
-    /** Returns whether all ends that the host has listed are in the store; otherwise they are lost when it leaves. */
+    /** Returns whether all ends on the host are listed and in the store; otherwise they are lost when it leaves. */
     boolean hasStoredAllEnds() {
-        return acknowledgedEndNumber >= highestEndNumber;
+        return !hasFurtherEnds && acknowledgedEndNumber >= highestEndNumber;
     }
 
     /** Adds a run that takes capacity from now on. */
--- a/src/main/java/org/cicadalead/logic/work/WorkScheduler.java
+++ b/src/main/java/org/cicadalead/logic/work/WorkScheduler.java
@@ -225,6 +225,7 @@
             if (!host.registered
                     && host.runs.isEmpty()
                     && !host.hasOrphansOfAccounts()
+                    && !takeoverGate.isPartlyListed(host.identifier)
                     && now.monotonic() >= host.leaseExpiresAt()) {
                 crashes.withdrawPlannedStart(host);
                 state.hosts.remove(host.identifier);
@@ -258,7 +259,7 @@
      */
     public Optional<HostPollRequest> createPoll(String identifier, WorkTime now, long unconfirmedMilliseconds) {
         WorkHost host = state.hosts.get(identifier);
-        if (host == null || (!host.registered && host.runs.isEmpty())) {
+        if (host == null || !needsPolls(host)) {
             return Optional.empty();
         }
         boolean isBusy = !host.runs.isEmpty();
@@ -292,7 +293,10 @@
         if (host == null) {
             return;
         }
-        if (takeoverGate.resolve(identifier)) {
+        boolean isFirst = listing.hasFurtherEnds()
+                ? takeoverGate.onPartOfRunsListed(identifier)
+                : takeoverGate.resolve(identifier);
+        if (isFirst) {
             addFirstListing(identifier, listing);
         } else if (host.hasOtherProcess(listing)) {
             withdrawFirstListing(identifier, now.monotonic());
@@ -522,11 +526,15 @@
         }
     }
 
+    private boolean needsPolls(WorkHost host) {
+        return host.registered || !host.runs.isEmpty() || takeoverGate.isPartlyListed(host.identifier);
+    }
+
     /** Returns the identifiers of all hosts to poll. */
     public Set<String> findHostsToPoll() {
         Set<String> hosts = new HashSet<>();
         for (WorkHost host : state.hosts.values()) {
-            if (host.registered || !host.runs.isEmpty()) {
+            if (needsPolls(host)) {
                 hosts.add(host.identifier);
             }
         }
@@ -608,6 +616,9 @@
 
     private void expireLeases(long now) {
         for (WorkHost host : state.hosts.values()) {
+            if (host.isUnreachable(now)) {
+                takeoverGate.onUnreachable(host.identifier, host.leaseExpiresAt(), state.confirmedAt());
+            }
             if (host.isUnreachable(now) && !host.runs.isEmpty() && state.confirmedAt() >= host.leaseExpiresAt()) {
                 crashes.onSilence(host);
                 ledger.dropAll(host, LastRun.Evidence.LEASE_EXPIRED, now);
--- a/src/main/java/org/cicadalead/platform/HostClient.java
+++ b/src/main/java/org/cicadalead/platform/HostClient.java
@@ -35,6 +35,9 @@
     private static final int ENDED_RUN_FIELDS = 5;
     private static final long NO_ATTEMPT = -1;
 
+    /** Number of ended runs in a reply from which on further ones may follow in the next reply. */
+    private static final int ENDED_RUNS_PER_REPLY = 500;
+
     private final PlatformHttpClient client;
 
     HostClient(PlatformHttpClient client) {
@@ -159,7 +162,8 @@
                     CheckedJson.wholeNumberOf(body.path("born"), 0, CheckedJson.MAX_NUMBER),
                     CheckedJson.numberOf(body.path("clockMs"), 0, CheckedJson.MAX_NUMBER),
                     active,
-                    ended));
+                    ended,
+                    body.path("ended").size() >= ENDED_RUNS_PER_REPLY));
         } catch (IllegalArgumentException ofAnotherType) {
             return Optional.empty();
         }
--- a/src/test/java/org/cicadalead/logic/work/FleetOracle.java
+++ b/src/test/java/org/cicadalead/logic/work/FleetOracle.java
@@ -18,10 +18,10 @@
 /**
  * Checks a simulated fleet against the true state of its hosts, which no term knows.
  *
- * <p>Safety: a task has one run at a time, starts after its dependencies and not after its end is acknowledged or its
- * attempts are used up, and a job is completed only with all its tasks. A task that crashes hosts does not start three
- * times more after three hosts have crashed under it, and a job fails only for a task that has failed, or under which
- * two hosts have crashed.
+ * <p>Safety: a task has one run at a time, starts after its dependencies and not after an end that is acknowledged then
+ * or later, nor after its attempts are used up, and a job is completed only with all its tasks. A task that crashes
+ * hosts does not start three times more after three hosts have crashed under it, and a job fails only for a task that
+ * has failed, or under which two hosts have crashed.
  *
  * <p>Liveness: waiting work runs when it can. A job of short tasks has something running whenever a task's turn has
  * come. For a task that lasts, the rule looks at each window of 3 s that begins 6 s after its last run has ended, for
@@ -75,6 +75,8 @@
     private final SimulatedFleet fleet;
     private final Set<TaskKey> acknowledgedDone = new HashSet<>();
     private final Map<TaskKey, Set<RunKey>> finishedRuns = new HashMap<>();
+    private final Map<RunKey, Long> finishedAt = new HashMap<>();
+    private final Map<TaskKey, Long> lastStartAt = new HashMap<>();
     private final Map<TaskKey, Integer> acknowledgedFailures = new HashMap<>();
     /** Hosts that have crashed with a run of a task, by task. */
     private final Map<TaskKey, Integer> crashes = new HashMap<>();
@@ -159,6 +161,10 @@
         TaskKey task = end.run().task();
         if (end.ending() == RunEnding.DONE) {
             acknowledgedDone.add(task);
+            if (lastStartAt.getOrDefault(task, 0L) > finishedAt.getOrDefault(end.run(), Long.MAX_VALUE)) {
+                report(task + " has started after its run " + end.run().attempt()
+                        + " was done, the end of which is acknowledged now");
+            }
         } else if (end.ending() == RunEnding.FAILED) {
             acknowledgedFailures.merge(task, 1, Integer::sum);
         }
@@ -166,6 +172,7 @@
 
     void onFinished(RunKey run) {
         finishedRuns.computeIfAbsent(run.task(), key -> new HashSet<>()).add(run);
+        finishedAt.put(run, fleet.now());
     }
 
     void checkStart(RunKey run, SimulatedHost startHost) {
@@ -193,6 +200,7 @@
                 }
             }
         }
+        lastStartAt.put(task, fleet.now());
         checkCrashesBeforeStart(run);
         accounts.checkStart(run).ifPresent(this::report);
         if (acknowledgedFailures.getOrDefault(task, 0) >= MAXIMUM_ATTEMPTS) {
--- a/src/test/java/org/cicadalead/logic/work/SimulatedFleet.java
+++ b/src/test/java/org/cicadalead/logic/work/SimulatedFleet.java
@@ -59,6 +59,7 @@
     private long nextFaultsAt = 1;
     private boolean hasFaults;
     private ClientAccounts accounts = ClientAccounts.of(List.of());
+    private int endsPerReply = 500;
 
     SimulatedFleet(long seed, FleetFaults faults, List<String> services, int machineCount) {
         this.random = new Random(seed);
@@ -78,10 +79,17 @@
     private SimulatedHost createHost(String service, String address, String zone, String rack) {
         String identifier = "host-" + hosts.size();
         SimulatedHost host = new SimulatedHost(identifier, service, address, zone, rack, CAPACITY, now);
+        host.endsPerReply = endsPerReply;
         hosts.put(identifier, host);
         return host;
     }
 
+    /** Sets how many ended runs the hosts list at most in one reply. */
+    void setEndsPerReply(int maximum) {
+        endsPerReply = maximum;
+        hosts.values().forEach(host -> host.endsPerReply = maximum);
+    }
+
     long now() {
         return now;
     }
--- a/src/test/java/org/cicadalead/logic/work/SimulatedFleetTest.java
+++ b/src/test/java/org/cicadalead/logic/work/SimulatedFleetTest.java
@@ -15,6 +15,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class SimulatedFleetTest {
     private static final long FIRST_SEED = Long.getLong("cicadalead.work.seed", 1);
@@ -24,6 +25,10 @@
     /** Covers faults that come together and begin at the end of a burst: up to 17 s, and 15 s of calm after them. */
     private static final long COMBINED_CALM_MILLISECONDS = 30_000;
 
+    /** Number of ended runs in a reply, so small that most lists have several pages. */
+    private static final int ENDS_PER_PAGE = 1;
+
+    private static final int UNPAGED = Integer.MAX_VALUE;
     private static final String KNOWN_RED_KIND = "all";
     private static final long KNOWN_RED_SEED = 5;
     private static final List<String> SERVICE = List.of("service");
@@ -127,6 +132,31 @@
         assertEquals(List.of(), findings);
     }
 
+    /** Guards against runs that count as ended because their ends are on a later page of a host's list. */
+    @ParameterizedTest
+    @ValueSource(strings = {"takeovers", "hosts", "orders", "zones", "mixed"})
+    void keepsInvariantsWhenHostsListTheirEndsInPages(String kind) {
+        FleetFaults faults = FleetFaults.of(kind);
+        assertEquals(List.of(), simulateSeeds(RUNS, seed -> simulate(seed, faults, ENDS_PER_PAGE), fleet -> fleet.oracle
+                .violations));
+    }
+
+    /** Guards against work that waits for a page of a host's list that never comes. */
+    @ParameterizedTest
+    @ValueSource(strings = {"takeovers", "hosts", "zones"})
+    void runsWaitingWorkWhenHostsListTheirEndsInPages(String kind) {
+        FleetFaults faults = FleetFaults.of(kind);
+        assertEquals(List.of(), simulateSeeds(RUNS, seed -> simulate(seed, faults, ENDS_PER_PAGE), fleet -> fleet.oracle
+                .lostWork));
+    }
+
+    /** As failsNoJobWithoutCauseOnKnownRedSeed, seen with hosts that list two ends in a reply (issue 33). */
+    @Tag("known-red")
+    @Test
+    void failsNoJobWithoutCauseWhenHostsListTwoEndsInAReply() {
+        assertEquals(List.of(), simulate(43, FleetFaults.of("hosts"), 2).oracle.violations);
+    }
+
     /** Two crashes at two starts of a task, one of them beside others, give it up without its fault (issue 33). */
     @Tag("known-red")
     @Test
@@ -193,8 +223,13 @@
     }
 
     private static SimulatedFleet simulate(long seed, FleetFaults faults) {
+        return simulate(seed, faults, UNPAGED);
+    }
+
+    private static SimulatedFleet simulate(long seed, FleetFaults faults, int endsPerReply) {
         Random random = new Random(seed);
         SimulatedFleet fleet = new SimulatedFleet(seed, faults, SERVICE, 3 + random.nextInt(4));
+        fleet.setEndsPerReply(endsPerReply);
         fleet.beginTerm();
         for (int number = 0; number < 30; number++) {
             submitShortJob(fleet, random, number);
--- a/src/test/java/org/cicadalead/logic/work/SimulatedHost.java
+++ b/src/test/java/org/cicadalead/logic/work/SimulatedHost.java
@@ -54,6 +54,10 @@
 
     boolean failing;
     double slowness = 1;
+
+    /** Number of ended runs that one reply lists at most. */
+    int endsPerReply = 500;
+
     long processStart;
     private long fence;
     private long nextEntryAt;
@@ -172,7 +176,12 @@
         List<ActiveRun> running = active.keySet().stream()
                 .map(run -> new ActiveRun(run, "", WorkRun.FULL_SPEED_PERCENT, 0))
                 .toList();
-        return new HostListing(processStart, clock(now), running, ended);
+        return new HostListing(
+                processStart,
+                clock(now),
+                running,
+                ended.subList(0, Math.min(endsPerReply, ended.size())),
+                ended.size() >= endsPerReply);
     }
 
     boolean isFenced(long epoch) {
