Answer a repeated submission of a stored job as accepted, whatever its size

A caller whose job was accepted was told on a repeat of the same body that it is not accepted: 413 where earlier code had stored a job beyond the present limit, and 503 where the budget of memory was used up meanwhile. "Not accepted" was untrue, as the job runs.

Cause: the limits were checked before anything asked whether the job is known. PlatformEntryTest.acceptsRepeatOfJobThat- EarlierCodeAcceptedBeyondTheLimit failed before (413 instead of 200).

Now a submission beyond a limit asks the leader once whether the job is stored; 413 is said only if it is not, and 503 if that is not known.

--- a/src/main/java/org/cicadalead/adapters/work/JobRequestService.java
+++ b/src/main/java/org/cicadalead/adapters/work/JobRequestService.java
@@ -100,7 +100,7 @@
 
     /**
      * Stores a job. Storing a job whose identifier is known already does not create a second job. A job beyond the
-     * budget of memory is refused, unless an earlier attempt to store it may take effect.
+     * budget of memory is refused, unless it is stored already or an earlier attempt to store it may take effect.
      *
      * @param timeout how long the caller waits for a response
      */
@@ -108,7 +108,8 @@
         boolean isAccepted = admission.tryAccept(submission) || jobsWithUnknownOutcome.contains(submission.job());
         return (isAccepted
                         ? store(submission.job(), List.of(jobRecords.encodeSubmission(submission)), timeout)
-                        : CompletableFuture.completedFuture(StoreOutcome.REFUSED))
+                        : findStored(submission.job())
+                                .thenApply(stored -> stored.orElse(false) ? StoreOutcome.STORED : StoreOutcome.REFUSED))
                 .thenApply(outcome -> {
                     EventKind kind =
                             switch (outcome) {
@@ -127,6 +128,15 @@
                 });
     }
 
+    /**
+     * Asks the leader once whether a job is stored, so that a repeated submission beyond a limit is not rejected; empty
+     * if the leader does not know or there is none.
+     */
+    public CompletableFuture<Optional<Boolean>> findStored(String job) {
+        return queryPhase(job, JobAccess.UNRESTRICTED, new LeaderQueryTrace(timers))
+                .thenApply(answer -> answer.known() ? Optional.of(answer.phase().isPresent()) : Optional.empty());
+    }
+
     private static long countTasks(WorkSubmission submission) {
         return submission.steps().stream().mapToLong(step -> step.taskCount()).sum();
     }
--- a/src/main/java/org/cicadalead/platform/JobServer.java
+++ b/src/main/java/org/cicadalead/platform/JobServer.java
@@ -280,7 +280,7 @@
             return CompletableFuture.completedFuture(Response.of(PlatformHttpClient.BAD_REQUEST));
         }
         if (!JobAdmission.canEverFit(submission.get())) {
-            return CompletableFuture.completedFuture(Response.tooLargeJob(submission.get()));
+            return rejectTooLargeJob(submission.get());
         }
         Optional<ClientAccount> account = decision.account();
         if (account.isPresent()
@@ -292,6 +292,13 @@
         return jobService.submit(submission.get(), storeTimeout).thenApply(JobServer::toResponse);
     }
 
+    /** Rejects a job that can never fit, unless it is a repeat of one that earlier code has accepted. */
+    private CompletableFuture<Response> rejectTooLargeJob(WorkSubmission submission) {
+        return jobService.findStored(submission.job()).thenApply(stored -> stored.map(
+                        isStored -> isStored ? Response.of(PlatformHttpClient.OK) : Response.tooLargeJob(submission))
+                .orElse(Response.RETRY_LATER));
+    }
+
     private static Response toResponse(JobRequestService.StoreOutcome reply) {
         return switch (reply) {
             case STORED -> Response.of(PlatformHttpClient.OK);
--- a/src/main/java/org/cicadalead/platform/LoopbackPlatform.java
+++ b/src/main/java/org/cicadalead/platform/LoopbackPlatform.java
@@ -81,6 +81,10 @@
         store.putConfiguration(version, tenants);
     }
 
+    String storeAddress() {
+        return ADDRESS + ":" + storePort;
+    }
+
     private int startServer(HttpHandler handler) {
         HttpServer server = HttpServers.bind(ADDRESS, 0);
         server.setExecutor(HttpServers.createDaemonExecutor("loopback"));
--- a/src/test/java/org/cicadalead/platform/PlatformEntryTest.java
+++ b/src/test/java/org/cicadalead/platform/PlatformEntryTest.java
@@ -7,13 +7,22 @@
 import java.io.IOException;
 import java.io.InputStreamReader;
 import java.net.Socket;
+import java.net.http.HttpClient;
 import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.Collections;
 import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.cicadalead.adapters.work.WorkCodec;
 import org.cicadalead.logic.work.JobAdmission;
+import org.cicadalead.model.work.QueueTerms;
+import org.cicadalead.model.work.StepSpecification;
+import org.cicadalead.model.work.WorkSubmission;
+import org.cicadalead.ports.RecordStore.KeyedRecord;
+import org.cicadalead.ports.RecordStore.Topic;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -107,6 +116,55 @@
         assertEquals(5, startsOf("00000000000000b2").size());
     }
 
+    /**
+     * Guards against telling the caller of an accepted job that it was rejected, because its body is beyond a limit.
+     */
+    @Test
+    void acceptsRepeatOfJobThatEarlierCodeAcceptedBeyondTheLimit() throws IOException, InterruptedException {
+        StepSpecification step = new StepSpecification(
+                10_000,
+                500,
+                100,
+                0,
+                60,
+                List.of(),
+                false,
+                false,
+                false,
+                Optional.empty(),
+                Optional.empty(),
+                0,
+                false,
+                false,
+                Optional.empty(),
+                0,
+                false,
+                0);
+        String job = "00000000000000e1";
+        WorkSubmission submission = new WorkSubmission(
+                job,
+                "plan",
+                "service without hosts",
+                new QueueTerms(0, 3, 1.6, 600, Optional.empty()),
+                "text",
+                Collections.nCopies(60, step),
+                0,
+                0,
+                0,
+                System.currentTimeMillis());
+        byte[] stored = new WorkCodec(problem -> {}).encode(submission);
+        new StoreClient(new PlatformHttpClient(HttpClient.newHttpClient()), loopback.storeAddress())
+                .append(Topic.JOBS, List.of(KeyedRecord.of("s/" + job, stored)), OptionalLong.empty())
+                .join();
+        String address = loopback.startEntry("one");
+        awaitAccepted(address, "00000000000000e2");
+        awaitState(address, job, "queued");
+        String body = "{\"spec\":\"text\",\"jobSteps\":["
+                + String.join(",", Collections.nCopies(60, "{\"count\":10000,\"cpu\":500}")) + "]}";
+        assertEquals(PlatformHttpClient.OK, call("POST", address, job, body).statusCode());
+        awaitState(address, "00000000000000e2", "completed");
+    }
+
     /** Guards against accepting jobs that no process can hold. */
     @Test
     void rejectsJobsThatCanNeverFitWithTheirLimit() throws IOException, InterruptedException {
