Count a topic as read only once its end is reached

A process may say "no such job" of a job that it has not read as long as its last read of the jobs is less than two seconds old, and decides by a configuration as long as a read has confirmed it. A read counted as complete although the reply of the store held the first megabyte of the new records only; the rest followed later, for the registry 250 ms a part.

Now a read tells whether the store has further records. The next part is then read at once, and only a read that reaches the end counts.

--- a/src/main/java/org/cicadalead/adapters/work/TopicFollower.java
+++ b/src/main/java/org/cicadalead/adapters/work/TopicFollower.java
@@ -14,8 +14,9 @@
 
 /**
  * Follows a topic: reads a snapshot, then every further record once and in order. If the topic no longer has the next
- * record, it reads a snapshot again. Calls its listener one call at a time. Goes on after a read that fails, and after
- * records that the listener could not handle. Safe for use by several threads.
+ * record, it reads a snapshot again. A read that a further one has to continue does not count as completed. Calls its
+ * listener one call at a time. Goes on after a read that fails, and after records that the listener could not handle.
+ * Safe for use by several threads.
  */
 final class TopicFollower {
     private static final Duration RETRY_DELAY = Duration.ofMillis(150);
@@ -83,7 +84,7 @@
             return;
         }
         listener.onReadCompleted(true);
-        handle(() -> listener.onSnapshot(snapshot.records()));
+        handle(() -> listener.onSnapshot(snapshot.records()), true);
         scheduleRead(snapshot.nextOffset(), readInterval);
     }
 
@@ -107,10 +108,12 @@
         }
     }
 
-    private void handle(Runnable handling) {
+    private void handle(Runnable handling, boolean isEndReached) {
         try {
             handling.run();
-            listener.onReadApplied();
+            if (isEndReached) {
+                listener.onReadApplied();
+            }
         } catch (RuntimeException | StackOverflowError failure) {
             logFailure(failure);
         }
@@ -126,13 +129,17 @@
         }
         switch (result.outcome()) {
             case READ -> {
-                listener.onReadCompleted(true);
-                handle(() -> {
-                    if (!result.records().isEmpty()) {
-                        listener.onRecords(result.records());
-                    }
-                });
-                scheduleRead(result.nextOffset(), readInterval);
+                if (!result.hasFurther()) {
+                    listener.onReadCompleted(true);
+                }
+                handle(
+                        () -> {
+                            if (!result.records().isEmpty()) {
+                                listener.onRecords(result.records());
+                            }
+                        },
+                        !result.hasFurther());
+                scheduleRead(result.nextOffset(), result.hasFurther() ? Duration.ZERO : readInterval);
             }
             case TRUNCATED -> readSnapshot();
             default -> {
@@ -150,13 +157,13 @@
         /** Handles further records. */
         void onRecords(List<KeyedRecord> records);
 
-        /** Handles the end of a read, which succeeds if the store has responded. */
+        /** Handles the end of a read, which succeeds if the store has responded up to the end of the topic. */
         default void onReadCompleted(boolean succeeded) {}
 
         /** Handles the sending of a read; the next one is sent after this one has ended. */
         default void onReadSent() {}
 
-        /** Handles that all records of a successful read have been handled. */
+        /** Handles that all records up to the end of the topic have been handled. */
         default void onReadApplied() {}
     }
 }
--- a/src/main/java/org/cicadalead/platform/StoreClient.java
+++ b/src/main/java/org/cicadalead/platform/StoreClient.java
@@ -123,6 +123,7 @@
             return createFailedSlice(fromOffset);
         }
         ByteBuffer buffer = ByteBuffer.wrap(response.body());
+        long endOffset = buffer.getLong();
         buffer.position(HEADER_BYTES);
         List<KeyedRecord> records = new ArrayList<>();
         long offset = fromOffset;
@@ -138,7 +139,8 @@
             }
             offset++;
         }
-        return new ReadResult(ReadOutcome.READ, records, offset);
+        boolean hasFurther = offset > fromOffset && offset < endOffset;
+        return new ReadResult(ReadOutcome.READ, records, offset, hasFurther);
     }
 
     private static KeyedRecord parseRecord(byte[] content, long offset) {
--- a/src/main/java/org/cicadalead/ports/RecordStore.java
+++ b/src/main/java/org/cicadalead/ports/RecordStore.java
@@ -117,12 +117,18 @@
      * @param outcome outcome of the read
      * @param records the records, oldest first
      * @param nextOffset offset from which to continue
+     * @param hasFurther whether the store had further records from there on, which one reply does not hold
      */
-    record ReadResult(ReadOutcome outcome, List<KeyedRecord> records, long nextOffset) {
+    record ReadResult(ReadOutcome outcome, List<KeyedRecord> records, long nextOffset, boolean hasFurther) {
         /** Copies the list. */
         public ReadResult {
             records = List.copyOf(records);
         }
+
+        /** Creates the result of a read that reached the end of the topic, or that failed. */
+        public ReadResult(ReadOutcome outcome, List<KeyedRecord> records, long nextOffset) {
+            this(outcome, records, nextOffset, false);
+        }
     }
 
     /**
--- a/src/test/java/org/cicadalead/adapters/work/JobsFeedTest.java
+++ b/src/test/java/org/cicadalead/adapters/work/JobsFeedTest.java
@@ -76,12 +76,30 @@
         assertEquals(List.of(), laterRecords);
     }
 
+    /** Guards against "no such job" about an accepted job whose record is beyond what one reply of the store holds. */
+    @Test
+    void countsNoTopicAsReadWhoseFurtherRecordsAreMissing() {
+        slowStore.limitRecordsPerRead(1);
+        feed.start();
+        long loadedAt = feed.lastReadNanoTime();
+        timers.advance(Duration.ofSeconds(3));
+        store(RecordStore.Topic.JOBS, "first");
+        store(RecordStore.Topic.JOBS, "second");
+        slowStore.answerReads();
+        assertEquals(List.of("first"), laterRecords);
+        assertEquals(loadedAt, feed.lastReadNanoTime());
+        slowStore.answerReads();
+        assertEquals(List.of("first", "second"), laterRecords);
+        assertEquals(loadedAt + Duration.ofSeconds(3).toNanos(), feed.lastReadNanoTime());
+    }
+
     /** Answers reads and the snapshot of one topic only when the test requests it. */
     private static final class SlowStore implements RecordStore {
         private final RecordStore store;
         private final List<Runnable> pendingReads = new ArrayList<>();
         private final CompletableFuture<Void> snapshotReleased = new CompletableFuture<>();
         private Optional<Topic> delayedTopic = Optional.empty();
+        private int recordsPerRead = Integer.MAX_VALUE;
 
         SlowStore(RecordStore store) {
             this.store = store;
@@ -91,6 +109,19 @@
             delayedTopic = Optional.of(topic);
         }
 
+        void limitRecordsPerRead(int maximum) {
+            recordsPerRead = maximum;
+        }
+
+        private ReadResult limit(ReadResult whole, long fromOffset) {
+            int count = Math.min(recordsPerRead, whole.records().size());
+            return new ReadResult(
+                    whole.outcome(),
+                    whole.records().subList(0, count),
+                    fromOffset + count,
+                    count < whole.records().size());
+        }
+
         void answerSnapshot() {
             snapshotReleased.complete(null);
         }
@@ -116,8 +147,8 @@
         @Override
         public CompletableFuture<ReadResult> read(Topic topic, long fromOffset, Duration wait) {
             CompletableFuture<ReadResult> result = new CompletableFuture<>();
-            pendingReads.add(
-                    () -> result.complete(store.read(topic, fromOffset, wait).join()));
+            pendingReads.add(() ->
+                    result.complete(limit(store.read(topic, fromOffset, wait).join(), fromOffset)));
             return result;
         }
 
