--- a/src/test/java/org/cicadalead/logic/work/SimulatedFleetTest.java
+++ b/src/test/java/org/cicadalead/logic/work/SimulatedFleetTest.java
@@ -36,6 +36,7 @@
     private static final long KNOWN_RED_PAGES_SEED = 18;
     private static final String MIXED_KIND = "mixed";
     private static final long KNOWN_RED_MIXED_SEED = 51;
+    private static final long KNOWN_RED_ZONES_SEED = 112;
     private static final List<String> SERVICE = List.of("service");
 
     static StepSpecification step(int tasks, List<Integer> dependsOn) {
@@ -214,6 +215,17 @@
                 List.of(), simulateForeignEntries(KNOWN_RED_MIXED_SEED, FleetFaults.of(MIXED_KIND)).oracle.violations);
     }
 
+    /**
+     * At a takeover, the entry of a living host is replaced by one that names the address of a host that joined after
+     * the last record of the earlier term (issue 47).
+     */
+    @Tag("known-red")
+    @Test
+    void keepsRunsOfHostWhoseEntryNamesTheAddressOfALaterHostAtATakeover() {
+        assertEquals(
+                List.of(), simulateForeignEntries(KNOWN_RED_ZONES_SEED, FleetFaults.of("zones")).oracle.violations);
+    }
+
     @Test
     void keepsInvariantsWhenHostsAreLostForGood() {
         assertEquals(List.of(), simulateSeeds("losses", fleet -> fleet.oracle.violations));
