Reject a job that can never fit at once also while there is no leader

Left: a repeat of a job that earlier code has accepted is answered 413 in a moment without a leader.

--- a/src/main/java/org/cicadalead/adapters/work/JobRequestService.java
+++ b/src/main/java/org/cicadalead/adapters/work/JobRequestService.java
@@ -109,7 +109,7 @@
         return (isAccepted
                         ? store(submission.job(), List.of(jobRecords.encodeSubmission(submission)), timeout)
                         : findStored(submission.job())
-                                .thenApply(stored -> stored.orElse(false) ? StoreOutcome.STORED : StoreOutcome.REFUSED))
+                                .thenApply(isStored -> isStored ? StoreOutcome.STORED : StoreOutcome.REFUSED))
                 .thenApply(outcome -> {
                     EventKind kind =
                             switch (outcome) {
@@ -129,12 +129,12 @@
     }
 
     /**
-     * Asks the leader once whether a job is stored, so that a repeated submission beyond a limit is not rejected; empty
-     * if the leader does not know or there is none.
+     * Asks the leader once whether it knows a job, so that a repeated submission beyond a limit is not rejected.
+     * Returns false also while there is no leader: callers of jobs that cannot be accepted do not wait for one.
      */
-    public CompletableFuture<Optional<Boolean>> findStored(String job) {
+    public CompletableFuture<Boolean> findStored(String job) {
         return queryPhase(job, JobAccess.UNRESTRICTED, new LeaderQueryTrace(timers))
-                .thenApply(answer -> answer.known() ? Optional.of(answer.phase().isPresent()) : Optional.empty());
+                .thenApply(answer -> answer.phase().isPresent());
     }
 
     private static long countTasks(WorkSubmission submission) {
--- a/src/main/java/org/cicadalead/platform/JobServer.java
+++ b/src/main/java/org/cicadalead/platform/JobServer.java
@@ -292,11 +292,12 @@
         return jobService.submit(submission.get(), storeTimeout).thenApply(JobServer::toResponse);
     }
 
-    /** Rejects a job that can never fit, unless it is a repeat of one that earlier code has accepted. */
+    /** Rejects a job that can never fit, unless the leader knows it as one that earlier code has accepted. */
     private CompletableFuture<Response> rejectTooLargeJob(WorkSubmission submission) {
-        return jobService.findStored(submission.job()).thenApply(stored -> stored.map(
-                        isStored -> isStored ? Response.of(PlatformHttpClient.OK) : Response.tooLargeJob(submission))
-                .orElse(Response.RETRY_LATER));
+        return jobService
+                .findStored(submission.job())
+                .thenApply(
+                        isStored -> isStored ? Response.of(PlatformHttpClient.OK) : Response.tooLargeJob(submission));
     }
 
     private static Response toResponse(JobRequestService.StoreOutcome reply) {
