--- a/src/main/java/org/cicadalead/adapters/work/OrderDispatcher.java
+++ b/src/main/java/org/cicadalead/adapters/work/OrderDispatcher.java
@@ -73,7 +73,8 @@
                         EventKind.RUN_ORDERED,
                         EventDetail.of("task", start.run().task()),
                         EventDetail.of("attempt", start.run().attempt()),
-                        EventDetail.of("host", host));
+                        EventDetail.of("host", host),
+                        EventDetail.of("after", start.previousEnd().orElse("")));
         ports.hosts()
                 .start(new HostOrders.StartOrder(
                         targetOf(start.target()),
--- a/src/main/java/org/cicadalead/adapters/work/SchedulingTerm.java
+++ b/src/main/java/org/cicadalead/adapters/work/SchedulingTerm.java
@@ -331,6 +331,8 @@
                         EventDetail.of("confirmed", lost.wasConfirmed()),
                         EventDetail.of("starting", lost.wasStarting()),
                         EventDetail.of("orderedMilliseconds", lost.orderedMilliseconds()),
+                        EventDetail.of("leaseEndedMilliseconds", lost.leaseEndedMilliseconds()),
+                        EventDetail.of("clockReadMilliseconds", lost.clockReadMilliseconds()),
                         EventDetail.of("runsLost", lost.runsLost()),
                         EventDetail.of("startsLost", lost.startsLost()));
     }
--- a/src/main/java/org/cicadalead/logic/work/LastRun.java
+++ b/src/main/java/org/cicadalead/logic/work/LastRun.java
@@ -19,6 +19,11 @@
         return new LastRun(run.key, run.host.identifier, ran, evidence, detail, now);
     }
 
+    /** Returns the evidence with its detail, for the log. */
+    String describeEvidence() {
+        return detail.isEmpty() ? evidence.name() : evidence.name() + ' ' + detail;
+    }
+
     /** Evidence that a run has ended. */
     enum Evidence {
         /** The host listed its end. */
--- a/src/main/java/org/cicadalead/logic/work/RunLedger.java
+++ b/src/main/java/org/cicadalead/logic/work/RunLedger.java
@@ -270,6 +270,7 @@
 
     private void dropUnlisted(WorkRun run, long now) {
         crashes.onRunEnded(run.task, run.host);
+        reportLoss(run, LastRun.Evidence.NOT_LISTED, 1, run.isStarting() ? 1 : 0, now);
         drop(run, LastRun.Evidence.NOT_LISTED, "", now);
     }
 
@@ -342,18 +343,24 @@
         int startsLost =
                 (int) host.runs.values().stream().filter(WorkRun::isStarting).count();
         for (WorkRun run : host.runs.values()) {
-            state.reportLostRun(new LostRun(
-                    run.key,
-                    host.identifier,
-                    evidence.name(),
-                    run.wasConfirmed(),
-                    run.isStarting(),
-                    now - run.orderedAt,
-                    host.runs.size(),
-                    startsLost));
+            reportLoss(run, evidence, host.runs.size(), startsLost, now);
         }
     }
 
+    private void reportLoss(WorkRun run, LastRun.Evidence evidence, int runsLost, int startsLost, long now) {
+        state.reportLostRun(new LostRun(
+                run.key,
+                run.host.identifier,
+                evidence.name(),
+                run.wasConfirmed(),
+                run.isStarting(),
+                now - run.orderedAt,
+                now - run.host.leaseExpiresAt(),
+                now - run.host.clockReadAt,
+                runsLost,
+                startsLost));
+    }
+
     private static void drop(WorkRun run, LastRun.Evidence evidence, String detail, long now) {
         run.host.removeRun(run.key);
         run.task.detach(run);
--- a/src/main/java/org/cicadalead/logic/work/TaskPlacement.java
+++ b/src/main/java/org/cicadalead/logic/work/TaskPlacement.java
@@ -344,7 +344,8 @@
                 task.step.job.submission.payload(),
                 state.grantLease(host, now).orElseThrow(),
                 task.checkpoint,
-                Optional.ofNullable(task.step.tickets).flatMap(tickets -> tickets.findTicket(host.identifier, now))));
+                Optional.ofNullable(task.step.tickets).flatMap(tickets -> tickets.findTicket(host.identifier, now)),
+                Optional.ofNullable(task.lastRun).map(LastRun::describeEvidence)));
         return run;
     }
 }
--- a/src/main/java/org/cicadalead/logic/work/WorkOrder.java
+++ b/src/main/java/org/cicadalead/logic/work/WorkOrder.java
@@ -16,9 +16,16 @@
      * @param deadline expiry of the lease in milliseconds of the host's clock
      * @param checkpoint checkpoint to resume from, empty to start from the beginning
      * @param ticket permission of the external policy, empty when the queue has no such policy
+     * @param previousEnd by what evidence the task's last run counts as ended, for the log; empty without one
      */
     record Start(
-            HostTarget target, RunKey run, String payload, long deadline, String checkpoint, Optional<String> ticket)
+            HostTarget target,
+            RunKey run,
+            String payload,
+            long deadline,
+            String checkpoint,
+            Optional<String> ticket,
+            Optional<String> previousEnd)
             implements WorkOrder {}
 
     /**
--- a/src/main/java/org/cicadalead/model/event/EventKind.java
+++ b/src/main/java/org/cicadalead/model/event/EventKind.java
@@ -238,8 +238,8 @@
             8031, EventSeverity.INFORMATION, "All machines of a maintenance wave have started their maintenance"),
     /** More lasting tasks wait than one second's lines tell of. */
     TASKS_LEFT_OUT(8032, EventSeverity.WARNING, "Lasting tasks wait or run again that no line tells of yet"),
-    /** A run ended with its host, or on a host that does not reply. */
-    RUN_LOST(8033, EventSeverity.WARNING, "A run ended with its host, or on a host that does not reply"),
+    /** A run counts as ended without a listed end. */
+    RUN_LOST(8033, EventSeverity.WARNING, "A run counts as ended although its host has not listed its end"),
     /** A task was given up because hosts crashed under it. */
     TASK_GIVEN_UP(8034, EventSeverity.WARNING, "A task was given up, as hosts crashed under it; its job has failed"),
     /** The settings were reloaded. */
