Count each lease from the latest proof of the host's clock, and hear a host that is back

Cause: the lease counted from the clock in the last list. A host without runs gives one each 1.5 s, and the poll in flight when work starts was neither replaced nor renewed the lease, so that it ended up to 1.8 s earlier than need be; a host that was back was polled each 0.55 s only. Ruled out: an early expiry by arithmetic, as the drops lie 6.0 s after the reading.

Each reply to an order now tells the clock; a start replaces a poll that would renew the lease too late; a silent host that may have runs is polled as often as one that replies, whatever its last poll does, and once more just before the wait for it ends; runs are dropped when no lease is left, the host was silent for the longest lease, and that last poll has no reply. A reading that is behind the least of the known process gives no lease. Lists that a later one has overtaken are not applied. Grants stay within the horizon of the last record, so the bounds of successors are as before.

--- a/src/main/java/org/cicadalead/adapters/work/HostPoller.java
+++ b/src/main/java/org/cicadalead/adapters/work/HostPoller.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import org.cicadalead.logic.work.HostPollRequest;
 import org.cicadalead.logic.work.WorkScheduler;
@@ -12,7 +13,10 @@
 import org.cicadalead.model.work.HostListing;
 import org.cicadalead.ports.HostOrders;
 
-/** Polls one host repeatedly, with one poll in flight at a time. Used on the scheduling thread. */
+/**
+ * Polls one host repeatedly. Several polls may be in flight; a result that the reply to a later poll has overtaken is
+ * not applied, and only the newest poll's result plans the next one. Used on the scheduling thread.
+ */
 final class HostPoller {
     /** Delay after a poll that reported ended runs, so that they are stored before the next poll acknowledges them. */
     private static final long DELAY_AFTER_ENDED_RUNS_MILLISECONDS = 40;
@@ -29,6 +33,13 @@
     private final String host;
     private final long epoch;
     private final Runnable onEnded;
+    private Optional<ScheduledFuture<?>> plannedPoll = Optional.empty();
+    private long newestPoll;
+
+    /** Number of the newest poll that some process has replied to. */
+    private long newestReply;
+
+    private boolean ended;
     private boolean reachable;
     private long lastLoggedEnd;
     private long hostStartMilliseconds;
@@ -49,18 +60,25 @@
     }
 
     /**
-     * Sends one poll; its result schedules the next one, also after a failure, as a host that is not polled any more
-     * gets no work until the term ends. Ends when the scheduler no longer polls the host.
+     * Sends one poll. Its result plans the next one, also after a failure, as a host that is not polled any more gets
+     * no work until the term ends. Ends when the scheduler no longer polls the host.
      */
     void poll() {
+        plannedPoll.ifPresent(planned -> planned.cancel(false));
+        if (ended || term.isClosed()) {
+            return;
+        }
         WorkTime now = term.now();
         Optional<HostPollRequest> request = scheduler.createPoll(host, now, term.unconfirmedMilliseconds());
         if (request.isEmpty()) {
+            ended = true;
             onEnded.run();
             return;
         }
         HostOrders.Target target =
                 new HostOrders.Target(host, request.get().target().address(), epoch);
+        SentPoll sent = new SentPoll(++newestPoll, target.address(), now.monotonic());
+        request.get().repeatAfterMilliseconds().ifPresent(this::planPoll);
         Calls.attempt(() -> ports.hosts()
                         .poll(
                                 target,
@@ -68,7 +86,12 @@
                                 request.get().acknowledged(),
                                 Duration.ofMillis(request.get().waitMilliseconds())))
                 .exceptionally(this::toFailedPoll)
-                .thenAccept(result -> term.enqueue(() -> onPollResult(result, target.address(), now.monotonic())));
+                .thenAccept(result -> term.enqueue(() -> onPollResult(sent, result)));
+    }
+
+    private void planPoll(long delayMilliseconds) {
+        plannedPoll.ifPresent(planned -> planned.cancel(false));
+        plannedPoll = Optional.of(term.executor().schedule(this::poll, delayMilliseconds, TimeUnit.MILLISECONDS));
     }
 
     private HostOrders.PollResult toFailedPoll(Throwable failure) {
@@ -76,38 +99,41 @@
         return new HostOrders.PollResult(HostOrders.OrderOutcome.UNKNOWN, Optional.empty());
     }
 
-    private void onPollResult(HostOrders.PollResult result, String address, long sentAtMilliseconds) {
+    private void onPollResult(SentPoll sent, HostOrders.PollResult result) {
+        scheduler.onPollEnded(host, sent.sentAt());
+        if (sent.number() < newestReply) {
+            return;
+        }
         long delay = DELAY_AFTER_FAILURE_MILLISECONDS;
         try {
-            delay = applyPollResult(result, address, sentAtMilliseconds);
+            delay = applyPollResult(sent, result);
         } finally {
-            term.executor()
-                    .schedule(
-                            () -> {
-                                if (!term.isClosed()) {
-                                    poll();
-                                }
-                            },
-                            delay,
-                            TimeUnit.MILLISECONDS);
+            if (sent.number() == newestPoll && !ended) {
+                planPoll(delay);
+            }
         }
     }
 
     /** Applies the result of a poll, and returns the delay of the next one in milliseconds. */
-    private long applyPollResult(HostOrders.PollResult result, String address, long sentAtMilliseconds) {
+    private long applyPollResult(SentPoll sent, HostOrders.PollResult result) {
         switch (result.outcome()) {
             case CONFIRMED -> {
+                newestReply = sent.number();
                 boolean hasEndedRuns = result.listing()
                         .map(listing -> !listing.ended().isEmpty())
                         .orElse(false);
                 result.listing().ifPresent(this::logEndedRuns);
                 result.listing()
-                        .ifPresent(listing -> scheduler.onHostListing(host, listing, sentAtMilliseconds, term.now()));
+                        .ifPresent(listing ->
+                                scheduler.onHostListing(host, sent.address(), listing, sent.sentAt(), term.now()));
                 updateReachability(true);
                 return hasEndedRuns ? DELAY_AFTER_ENDED_RUNS_MILLISECONDS : 1;
             }
             case FENCED -> scheduler.onFenced();
-            case OTHER_HOST -> scheduler.onHostReplaced(host, address, sentAtMilliseconds);
+            case OTHER_HOST -> {
+                newestReply = sent.number();
+                scheduler.onHostReplaced(host, sent.address(), sent.sentAt());
+            }
             default -> {
                 boolean isFirstFailure = reachable;
                 scheduler.onPollFailed(host);
@@ -144,4 +170,13 @@
             ports.log().emit(answered ? EventKind.HOST_ANSWERING : EventKind.HOST_SILENT, EventDetail.of("host", host));
         }
     }
+
+    /**
+     * A poll that was sent.
+     *
+     * @param number number of the poll, from 1 on
+     * @param address address that it was sent to
+     * @param sentAt monotonic time in milliseconds
+     */
+    private record SentPoll(long number, String address, long sentAt) {}
 }
--- a/src/main/java/org/cicadalead/adapters/work/OrderDispatcher.java
+++ b/src/main/java/org/cicadalead/adapters/work/OrderDispatcher.java
@@ -1,6 +1,7 @@
 package org.cicadalead.adapters.work;
 
 import java.util.List;
+import java.util.OptionalLong;
 import org.cicadalead.logic.work.WorkOrder;
 import org.cicadalead.logic.work.WorkScheduler;
 import org.cicadalead.model.event.EventDetail;
@@ -75,6 +76,7 @@
                         EventDetail.of("attempt", start.run().attempt()),
                         EventDetail.of("host", host),
                         EventDetail.of("after", start.previousEnd().orElse("")));
+        long sentAt = term.now().monotonic();
         ports.hosts()
                 .start(new HostOrders.StartOrder(
                         targetOf(start.target()),
@@ -83,7 +85,8 @@
                         start.deadline(),
                         start.checkpoint(),
                         start.ticket()))
-                .thenAccept(outcome -> term.enqueue(() -> {
+                .thenAccept(reply -> term.enqueue(() -> {
+                    StartOutcome outcome = reply.outcome();
                     if (outcome != StartOutcome.STARTED) {
                         ports.log()
                                 .emit(
@@ -93,7 +96,9 @@
                                         EventDetail.of("host", host),
                                         EventDetail.of("outcome", outcome));
                     }
+                    onClock(host, reply.clockMilliseconds(), sentAt);
                     scheduler.onStartReply(host, start.run(), outcome, term.now());
+                    term.pollAgainIfDue(host);
                 }));
     }
 
@@ -110,8 +115,9 @@
         long sentAt = term.now().monotonic();
         ports.hosts()
                 .stop(targetOf(stop.target()), stop.run())
-                .thenAccept(outcome -> term.enqueue(() -> {
-                    switch (outcome) {
+                .thenAccept(reply -> term.enqueue(() -> {
+                    onClock(host, reply.clockMilliseconds(), sentAt);
+                    switch (reply.outcome()) {
                         case CONFIRMED -> scheduler.onStopConfirmed(host, stop.run(), term.now());
                         case FENCED -> scheduler.onFenced();
                         case OTHER_HOST ->
@@ -130,7 +136,15 @@
                         EventDetail.of("task", pace.run().task()),
                         EventDetail.of("host", pace.target().host()),
                         EventDetail.of("percentage", pace.percentage()));
-        ports.hosts().pace(targetOf(pace.target()), pace.run(), pace.percentage());
+        long sentAt = term.now().monotonic();
+        ports.hosts()
+                .pace(targetOf(pace.target()), pace.run(), pace.percentage())
+                .thenAccept(
+                        reply -> term.enqueue(() -> onClock(pace.target().host(), reply.clockMilliseconds(), sentAt)));
+    }
+
+    private void onClock(String host, OptionalLong clockMilliseconds, long sentAt) {
+        clockMilliseconds.ifPresent(clock -> scheduler.onClockRead(host, clock, sentAt, term.now()));
     }
 
     private void askAdvisor(WorkOrder.AskAdvisor question) {
--- a/src/main/java/org/cicadalead/adapters/work/SchedulingTerm.java
+++ b/src/main/java/org/cicadalead/adapters/work/SchedulingTerm.java
@@ -4,7 +4,6 @@
 import java.util.ArrayList;
 import java.util.EnumSet;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -73,7 +72,7 @@
     private final JobsFeed jobsFeed;
     private final TopicFollower registryFollower;
     private final Map<String, HostEntry> hostEntries = new HashMap<>();
-    private final Set<String> polledHosts = new HashSet<>();
+    private final Map<String, HostPoller> pollers = new HashMap<>();
     private final CyclePacing pacing = new CyclePacing();
     private Optional<List<KeyedRecord>> loadedJobs = Optional.empty();
     private Optional<List<KeyedRecord>> loadedProgress = Optional.empty();
@@ -500,12 +499,23 @@
 
     private void pollNewHosts() {
         for (String host : scheduler.get().findHostsToPoll()) {
-            if (polledHosts.add(host)) {
-                new HostPoller(this, ports, scheduler.get(), host, epoch, () -> polledHosts.remove(host)).poll();
+            if (!pollers.containsKey(host)) {
+                HostPoller poller =
+                        new HostPoller(this, ports, scheduler.get(), host, epoch, () -> pollers.remove(host));
+                pollers.put(host, poller);
+                poller.poll();
             }
         }
     }
 
+    /** Polls a host without waiting for the reply to its last poll, if that would renew its lease too late. */
+    void pollAgainIfDue(String host) {
+        HostPoller poller = pollers.get(host);
+        if (poller != null && scheduler.get().isPollDue(host)) {
+            poller.poll();
+        }
+    }
+
     /**
      * Returns the milliseconds since the last confirmed record of this process as leader was sent. A time on the
      * monotonic clock that it is counted back from must be read before it, so that it is rather too long.
--- a/src/main/java/org/cicadalead/logic/work/TakeoverGate.java
+++ b/src/main/java/org/cicadalead/logic/work/TakeoverGate.java
@@ -65,6 +65,11 @@
         return unresolved.containsKey(host);
     }
 
+    /** Returns whether a host that an earlier term may have used has not listed all its runs in this term. */
+    boolean isAwaited(String host) {
+        return isUnresolved(host) || isPartlyListed(host);
+    }
+
     /** Returns whether two hosts lived together when the earlier term ended, so that their addresses differ. */
     boolean livedTogether(String first, String second) {
         return earlier.claimedHosts().containsAll(Set.of(first, second));
--- a/src/main/java/org/cicadalead/logic/work/WorkHost.java
+++ b/src/main/java/org/cicadalead/logic/work/WorkHost.java
@@ -1,5 +1,7 @@
 package org.cicadalead.logic.work;
 
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -23,6 +25,12 @@
 
     static final long NOT_ANNOUNCED_UNREACHABLE = 0;
 
+    /** Time in which a poll of a silent host has its reply or reaches its time limit. */
+    static final long SILENT_POLL_MILLISECONDS = 500;
+
+    /** Longer than any poll is open. */
+    private static final long LONGEST_POLL_MILLISECONDS = 10_000;
+
     /** Monotonic time before every other; halved so that computing a duration does not overflow. */
     static final long NEVER = Long.MIN_VALUE / 2;
 
@@ -42,9 +50,15 @@
     /** Address at which its present process has replied in this term; empty before it has. */
     private String confirmedAddress = "";
 
-    /** Address of the last poll; one poll is in flight at a time. */
+    /** Address of the newest poll. */
     private String polledAddress;
 
+    /** Monotonic times in milliseconds at which the polls were sent that have not ended yet. */
+    private final Deque<Long> openPolls = new ArrayDeque<>();
+
+    /** Time in milliseconds for which the host may wait before it replies to the newest poll. */
+    private long newestPollWait;
+
     /** Whether the entry's address is polled instead of the confirmed one, at which there was no reply. */
     private boolean triesEntryAddress;
 
@@ -64,6 +78,10 @@
     long processStartMilliseconds;
     long clockReading;
     long clockReadAt;
+
+    /** Time of the last list on the clock of the host, in milliseconds. */
+    private long listedAtClock;
+
     long highestDeadline;
     long lastReplyAt;
     /** Monotonic time in milliseconds of the last reply, which the end of the process leaves as it is. */
@@ -136,12 +154,46 @@
         return confirmedAddress.isEmpty() || triesEntryAddress ? entry.address() : confirmedAddress;
     }
 
-    /** Returns the address for a poll that is sent now. */
-    String beginPoll() {
+    /**
+     * Records a poll that is sent now.
+     *
+     * @param wait time in milliseconds for which the host may wait before it replies
+     * @return its address
+     */
+    String beginPoll(long wait, long now) {
         polledAddress = address();
+        newestPollWait = wait;
+        openPolls.removeIf(sentAt -> now - sentAt >= LONGEST_POLL_MILLISECONDS);
+        openPolls.addLast(now);
         return polledAddress;
     }
 
+    /** Records that a poll has a reply, or none within its time limit. */
+    void endPoll(long sentAt) {
+        openPolls.removeFirstOccurrence(sentAt);
+    }
+
+    /** Returns whether the newest poll is open and lets the host wait for longer than a time in milliseconds. */
+    boolean isPolledWithLongerWait(long wait) {
+        return !openPolls.isEmpty() && newestPollWait > wait;
+    }
+
+    /**
+     * Returns the monotonic time in milliseconds until which a silent host is waited for: until no lease is left, and
+     * for the longest lease of the platform from its last reply, as it may be back by then and list what has ended.
+     */
+    long awaitedUntil(SchedulingTerms terms) {
+        return Math.max(leaseExpiresAt(), lastReplyAt + terms.maximumLeaseMilliseconds());
+    }
+
+    /** Returns whether a silent host may still reply in time: a poll of the time until which it is awaited is open. */
+    boolean mayReplyInTime(SchedulingTerms terms, long now) {
+        long awaitedUntil = awaitedUntil(terms);
+        return now < awaitedUntil
+                || openPolls.stream()
+                        .anyMatch(sentAt -> sentAt <= awaitedUntil && now - sentAt < SILENT_POLL_MILLISECONDS);
+    }
+
     String polledAddress() {
         return polledAddress;
     }
@@ -185,6 +237,13 @@
         return repliedThisTerm && listing.bornMilliseconds() != processStartMilliseconds;
     }
 
+    /** Returns whether the known process made a list before the last one that was applied, which overtook it. */
+    boolean isOvertaken(HostListing listing) {
+        return repliedThisTerm
+                && listing.bornMilliseconds() == processStartMilliseconds
+                && listing.clockMilliseconds() < listedAtClock;
+    }
+
     /** Returns whether its end is planned: its machine was ordered to go, or it has announced that it leaves. */
     boolean isLeavingByPlan() {
         return leaving || entry.draining();
@@ -201,6 +260,7 @@
     /** Records the clock and the incarnation in a reply; returns whether the host has restarted. */
     boolean applyListing(HostListing listing, long now) {
         boolean restarted = hasOtherProcess(listing);
+        boolean isNewProcess = restarted || !repliedThisTerm;
         if (restarted) {
             highestDeadline = 0;
             highestEndNumber = 0;
@@ -210,14 +270,38 @@
         repliedThisTerm = true;
         incarnationUnknown = false;
         processStartMilliseconds = listing.bornMilliseconds();
-        clockReading = listing.clockMilliseconds();
-        clockReadAt = now;
+        if (isNewProcess || listing.clockMilliseconds() >= clockReading) {
+            clockReading = listing.clockMilliseconds();
+            clockReadAt = now;
+        }
+        listedAtClock = listing.clockMilliseconds();
         lastReplyAt = now;
         heardSince = restarted ? now : Math.min(heardSince, now);
         onReply(now);
         return restarted;
     }
 
+    /**
+     * Records the host's clock in a reply to an order, which is as good a proof as a list. Such a reply does not name
+     * the process: a clock that is behind the least that the known process can have reached is that of a new one, which
+     * has to list its runs first.
+     *
+     * @param reading the clock in milliseconds
+     * @param sentAt monotonic time in milliseconds at which the order was sent
+     */
+    void readClock(long reading, long sentAt, long now) {
+        if (!repliedThisTerm || incarnationUnknown) {
+            return;
+        }
+        if (sentAt > clockReadAt && reading < clockReading + SchedulingTerms.longestLease(sentAt - clockReadAt)) {
+            incarnationUnknown = true;
+        } else if (reading > clockReading) {
+            clockReading = reading;
+            clockReadAt = now;
+            lastReplyAt = now;
+        }
+    }
+
     /**
      * Grants a lease, and records the latest expiry granted. The lease has expired for certain by the horizon, which
      * counts from the sending of the last confirmed record of the leader and from the last reply of the host, whichever
--- a/src/main/java/org/cicadalead/logic/work/WorkScheduler.java
+++ b/src/main/java/org/cicadalead/logic/work/WorkScheduler.java
@@ -48,6 +48,14 @@
     /** Wait of a poll while the host has no runs: the maximum that a host accepts, less the network delay. */
     private static final long IDLE_POLL_WAIT_MILLISECONDS = 1_500;
 
+    /**
+     * Interval between polls of a silent host that may have runs, so that it costs no more calls than one that replies.
+     */
+    private static final long SILENT_POLL_INTERVAL_MILLISECONDS = SHORT_RUN_POLL_WAIT_MILLISECONDS;
+
+    /** Time before the end of the wait for a silent host at which the last poll is sent that counts. */
+    private static final long LAST_POLL_LEAD_MILLISECONDS = 10;
+
     /** Time for which an ended job is kept; the platform requires two minutes. */
     private static final long RETENTION_MILLISECONDS = 300_000;
 
@@ -246,6 +254,7 @@
         withdrawFirstListing(identifier, state.decidedAt);
         WorkHost host = state.hosts.get(identifier);
         if (host != null) {
+            dropRunsWithoutLease(host, state.decidedAt);
             crashes.onProcessEnded(host, wasOrdered || host.isLeavingByPlan());
             ledger.dropAll(host, LastRun.Evidence.HOST_ENDED, state.decidedAt);
             host.end();
@@ -271,8 +280,44 @@
         // A restarted host numbers its ended runs from the beginning. An acknowledgement of numbers of the previous
         // incarnation would discard ends that are not stored yet.
         long acknowledged = host.incarnationUnknown ? 0 : host.acknowledgedEndNumber;
-        WorkOrder.HostTarget target = new WorkOrder.HostTarget(host.identifier, host.beginPoll());
-        return Optional.of(new HostPollRequest(target, deadline, acknowledged, pollWait(host)));
+        long wait = pollWait(host);
+        WorkOrder.HostTarget target = new WorkOrder.HostTarget(host.identifier, host.beginPoll(wait, now.monotonic()));
+        return Optional.of(
+                new HostPollRequest(target, deadline, acknowledged, wait, repeatPollAfter(host, now.monotonic())));
+    }
+
+    /**
+     * Returns after which time in milliseconds a host is polled again although it has not replied. A silent host that
+     * may have runs is heard soon after it is back, also if that is just before the wait for it ends.
+     */
+    private OptionalLong repeatPollAfter(WorkHost host, long now) {
+        boolean isSilent = !host.repliedThisTerm || host.incarnationUnknown;
+        boolean mayHaveRuns = !host.runs.isEmpty() || takeoverGate.isAwaited(host.identifier);
+        if (!isSilent || !mayHaveRuns) {
+            return OptionalLong.empty();
+        }
+        long untilLastPoll = host.awaitedUntil(state.terms) - LAST_POLL_LEAD_MILLISECONDS - now;
+        return OptionalLong.of(
+                untilLastPoll > 0
+                        ? Math.min(untilLastPoll, SILENT_POLL_INTERVAL_MILLISECONDS)
+                        : SILENT_POLL_INTERVAL_MILLISECONDS);
+    }
+
+    /** Records that a poll has a reply, or none within its time limit. */
+    public void onPollEnded(String identifier, long sentAt) {
+        WorkHost host = state.hosts.get(identifier);
+        if (host != null) {
+            host.endPoll(sentAt);
+        }
+    }
+
+    /**
+     * Returns whether a host is to be polled again before it replies to the poll in flight, which was sent when it had
+     * no runs or only such as need less frequent polls, and renews its lease too late for the present ones.
+     */
+    public boolean isPollDue(String identifier) {
+        WorkHost host = state.hosts.get(identifier);
+        return host != null && !host.runs.isEmpty() && host.isPolledWithLongerWait(pollWait(host));
     }
 
     /** Returns for how many milliseconds a host may wait for an end before it replies to its next poll. */
@@ -289,10 +334,36 @@
         return host.runs.isEmpty() ? IDLE_POLL_WAIT_MILLISECONDS : BUSY_POLL_WAIT_MILLISECONDS;
     }
 
-    /** Applies the reply of a host to a poll that was sent at the given monotonic time. */
+    /**
+     * Records the host's clock in its reply to an order, from which its next leases count.
+     *
+     * @param clock reading in milliseconds
+     * @param sentAt monotonic time in milliseconds at which the order was sent
+     */
+    public void onClockRead(String identifier, long clock, long sentAt, WorkTime now) {
+        WorkHost host = state.hosts.get(identifier);
+        if (host != null) {
+            host.readClock(clock, sentAt, now.monotonic());
+        }
+    }
+
+    /** Applies the reply of a host to its newest poll, which was sent at the given monotonic time. */
     public void onHostListing(String identifier, HostListing listing, long sentAt, WorkTime now) {
         WorkHost host = state.hosts.get(identifier);
-        if (host == null) {
+        if (host != null) {
+            onHostListing(identifier, host.polledAddress(), listing, sentAt, now);
+        }
+    }
+
+    /**
+     * Applies the reply of a host to a poll, unless a later list has overtaken it on another connection.
+     *
+     * @param address address of the poll
+     * @param sentAt monotonic time in milliseconds at which the poll was sent
+     */
+    public void onHostListing(String identifier, String address, HostListing listing, long sentAt, WorkTime now) {
+        WorkHost host = state.hosts.get(identifier);
+        if (host == null || host.isOvertaken(listing)) {
             return;
         }
         boolean isFirst = listing.hasFurtherEnds()
@@ -303,7 +374,10 @@
         } else if (host.hasOtherProcess(listing)) {
             withdrawFirstListing(identifier, now.monotonic());
         }
-        confirmAddress(host, host.polledAddress(), sentAt);
+        confirmAddress(host, address, sentAt);
+        if (host.hasOtherProcess(listing)) {
+            dropRunsWithoutLease(host, now.monotonic());
+        }
         ledger.applyListing(host, listing, sentAt, now.monotonic());
     }
 
@@ -657,9 +731,8 @@
             if (host.isUnreachable(now)) {
                 takeoverGate.onUnreachable(host.identifier, host.leaseExpiresAt(), state.confirmedAt());
             }
-            if (host.isUnreachable(now) && !host.runs.isEmpty() && state.confirmedAt() >= host.leaseExpiresAt()) {
-                crashes.onSilence(host);
-                ledger.dropAll(host, LastRun.Evidence.LEASE_EXPIRED, now);
+            if (!host.mayReplyInTime(state.terms, now)) {
+                dropRunsWithoutLease(host, now);
             }
             if (host.isUnreachable(now) && state.confirmedAt() >= host.orphansExpireAt()) {
                 host.releaseOrphansOfAccounts();
@@ -667,6 +740,14 @@
         }
     }
 
+    /** Drops the runs of a silent host if they have ended for certain with its lease, whatever became of it later. */
+    private void dropRunsWithoutLease(WorkHost host, long now) {
+        if (host.isUnreachable(now) && !host.runs.isEmpty() && state.confirmedAt() >= host.leaseExpiresAt()) {
+            crashes.onSilence(host);
+            ledger.dropAll(host, LastRun.Evidence.LEASE_EXPIRED, now);
+        }
+    }
+
     private void openDueOccurrences(WorkTime now) {
         for (WorkJob job : state.liveJobs) {
             if (job.submission.isScheduled()) {
--- a/src/main/java/org/cicadalead/platform/HostClient.java
+++ b/src/main/java/org/cicadalead/platform/HostClient.java
@@ -34,6 +34,7 @@
     private static final int ACTIVE_RUN_FIELDS = 4;
     private static final int ENDED_RUN_FIELDS = 5;
     private static final long NO_ATTEMPT = -1;
+    private static final long NO_CLOCK = -1;
 
     /** Number of ended runs in a reply from which on further ones may follow in the next reply. */
     private static final int ENDED_RUNS_PER_REPLY = 500;
@@ -45,7 +46,7 @@
     }
 
     @Override
-    public CompletableFuture<StartOutcome> start(StartOrder order) {
+    public CompletableFuture<StartReply> start(StartOrder order) {
         ObjectNode body = createRunBody(order.run());
         body.put("spec", order.payload());
         body.put("deadlineMs", order.deadline());
@@ -55,7 +56,8 @@
         }
         order.ticket().ifPresent(ticket -> body.put("ticket", ticket));
         return post(order.target(), "/v1/run-start", body, ORDER_TIMEOUT)
-                .thenApply(response -> response.map(HostClient::toStartOutcome).orElse(StartOutcome.UNKNOWN));
+                .thenApply(response -> new StartReply(
+                        response.map(HostClient::toStartOutcome).orElse(StartOutcome.UNKNOWN), readClock(response)));
     }
 
     private static StartOutcome toStartOutcome(PlatformHttpClient.Response response) {
@@ -84,18 +86,18 @@
     }
 
     @Override
-    public CompletableFuture<OrderOutcome> stop(Target target, RunKey run) {
+    public CompletableFuture<OrderReply> stop(Target target, RunKey run) {
         ObjectNode body = createRunBody(run);
         body.put("fencingToken", target.epoch());
-        return post(target, "/v1/run-stop", body, ORDER_TIMEOUT).thenApply(HostClient::toOrderOutcome);
+        return post(target, "/v1/run-stop", body, ORDER_TIMEOUT).thenApply(HostClient::toOrderReply);
     }
 
     @Override
-    public CompletableFuture<OrderOutcome> pace(Target target, RunKey run, int percentage) {
+    public CompletableFuture<OrderReply> pace(Target target, RunKey run, int percentage) {
         ObjectNode body = createRunBody(run);
         body.put("percentage", percentage);
         body.put("fencingToken", target.epoch());
-        return post(target, "/v1/pace", body, ORDER_TIMEOUT).thenApply(HostClient::toOrderOutcome);
+        return post(target, "/v1/pace", body, ORDER_TIMEOUT).thenApply(HostClient::toOrderReply);
     }
 
     @Override
@@ -122,6 +124,19 @@
         return new PollResult(listing.isPresent() ? outcome : OrderOutcome.UNKNOWN, listing);
     }
 
+    private static OrderReply toOrderReply(Optional<PlatformHttpClient.Response> response) {
+        return new OrderReply(toOrderOutcome(response), readClock(response));
+    }
+
+    /** Returns the reading of the host's clock; only the host itself confirms an order or rejects it as conflicting. */
+    private static OptionalLong readClock(Optional<PlatformHttpClient.Response> response) {
+        long clock = response.filter(reply ->
+                        reply.status() == PlatformHttpClient.OK || reply.status() == PlatformHttpClient.CONFLICT)
+                .map(reply -> CheckedJson.numberOr(reply.json().path("clockMs"), NO_CLOCK, CheckedJson.MAX_NUMBER))
+                .orElse(NO_CLOCK);
+        return clock == NO_CLOCK ? OptionalLong.empty() : OptionalLong.of(clock);
+    }
+
     private static OrderOutcome toOrderOutcome(Optional<PlatformHttpClient.Response> response) {
         if (response.isEmpty()) {
             return OrderOutcome.UNKNOWN;
--- a/src/main/java/org/cicadalead/ports/HostOrders.java
+++ b/src/main/java/org/cicadalead/ports/HostOrders.java
@@ -14,13 +14,13 @@
  */
 public interface HostOrders {
     /** Starts a run; completes with what is known of the start. */
-    CompletableFuture<StartOutcome> start(StartOrder order);
+    CompletableFuture<StartReply> start(StartOrder order);
 
     /** Stops a run; the outcome tells whether the host confirmed it. */
-    CompletableFuture<OrderOutcome> stop(Target target, RunKey run);
+    CompletableFuture<OrderReply> stop(Target target, RunKey run);
 
     /** Sets the speed of a run, in percent of its full speed. */
-    CompletableFuture<OrderOutcome> pace(Target target, RunKey run, int percentage);
+    CompletableFuture<OrderReply> pace(Target target, RunKey run, int percentage);
 
     /** Renews the lease of a host, acknowledges ended runs and lists the runs. */
     CompletableFuture<PollResult> poll(Target target, OptionalLong deadline, long acknowledged, Duration wait);
@@ -47,6 +47,22 @@
     record StartOrder(
             Target target, RunKey run, String payload, long deadline, String checkpoint, Optional<String> ticket) {}
 
+    /**
+     * Reply to an order to start a run.
+     *
+     * @param outcome what is known of the start
+     * @param clockMilliseconds reading of the host's clock in its reply; empty if it did not reply itself
+     */
+    record StartReply(StartOutcome outcome, OptionalLong clockMilliseconds) {}
+
+    /**
+     * Reply to another order.
+     *
+     * @param outcome outcome of the order
+     * @param clockMilliseconds as in {@link StartReply}
+     */
+    record OrderReply(OrderOutcome outcome, OptionalLong clockMilliseconds) {}
+
     /** Outcome of an order. */
     enum OrderOutcome {
         /** The host confirmed the order. */
--- /dev/null
+++ b/src/test/java/org/cicadalead/logic/work/LatestProofTest.java
@@ -0,0 +1,112 @@
+package org.cicadalead.logic.work;
+
+import static org.cicadalead.logic.work.WorkFixtures.at;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.OptionalLong;
+import org.cicadalead.model.work.ActiveRun;
+import org.cicadalead.model.work.HostEntry;
+import org.cicadalead.model.work.HostListing;
+import org.cicadalead.model.work.StartOutcome;
+import org.junit.jupiter.api.Test;
+
+/** Leases, verdicts and acknowledgements count from the latest proof at hand, and from no older one (incident 0013). */
+class LatestProofTest {
+    private static final HostEntry HOST = WorkFixtures.host("host", WorkFixtures.BUSY, "rack");
+    private static final long BOUND = WorkFixtures.TERMS.earlierLeaseExpiryMilliseconds();
+
+    private final WorkScheduler scheduler = WorkFixtures.scheduler(HOST);
+
+    private WorkOrder.Start start(long now) {
+        scheduler.addJob(WorkFixtures.job("job", WorkFixtures.BUSY, 0, WorkFixtures.step(1, 1_000, 500)), at(now));
+        return WorkFixtures.startsIn(WorkFixtures.decide(scheduler, at(now), 0)).get(0);
+    }
+
+    private OptionalLong leaseAt(long now) {
+        return scheduler.createPoll("host", at(now), 0).orElseThrow().deadline();
+    }
+
+    /** Guards against a lease that counts from the last list although the host has replied to an order since. */
+    @Test
+    void countsLeaseFromTheClockInTheReplyToAStart() {
+        WorkOrder.Start start = start(1_400);
+        scheduler.onClockRead("host", 1_405, 1_401, at(1_410));
+        scheduler.onStartReply("host", start.run(), StartOutcome.STARTED, at(1_410));
+        assertEquals(
+                1_410 + WorkFixtures.TERMS.leaseMilliseconds() - 5,
+                leaseAt(1_410).orElseThrow());
+        assertTrue(start.deadline() < leaseAt(1_410).orElseThrow());
+    }
+
+    /** No lease outlives the horizon after the leader's last record, however new the reading of the clock is. */
+    @Test
+    void leavesTheBoundOfASuccessorTrueForLeasesThatCountFromANewReading() {
+        long record = 1_000;
+        WorkOrder.Start start = start(record);
+        scheduler.onStartReply("host", start.run(), StartOutcome.STARTED, at(record + 3));
+        for (long now = record + 10; now < record + 2_400; now += 10) {
+            // The slowest clock, which was read at 0 first.
+            long clock = (long) (now * SchedulingTerms.SLOWEST_CLOCK_RATE);
+            scheduler.onClockRead("host", clock, now - 3, at(now));
+            OptionalLong lease = scheduler
+                    .createPoll("host", at(now), now - record)
+                    .orElseThrow()
+                    .deadline();
+            double endsAt = lease.orElse(0) / SchedulingTerms.SLOWEST_CLOCK_RATE;
+            assertTrue(endsAt <= record + BOUND, () -> "lease ends at " + endsAt);
+        }
+    }
+
+    /** Guards against a lease by the clock of a former process: it would lie far ahead on the new one. */
+    @Test
+    void givesNoLeaseToAHostWhoseClockHasFallenBack() {
+        WorkOrder.Start start = start(1_400);
+        scheduler.onClockRead("host", 20, 1_401, at(1_410));
+        scheduler.onStartReply("host", start.run(), StartOutcome.STARTED, at(1_410));
+        assertEquals(OptionalLong.empty(), leaseAt(1_411));
+    }
+
+    @Test
+    void takesTheSlowestClockForThatOfTheSameProcess() {
+        start(1_400);
+        scheduler.onClockRead("host", (long) (1_401 * SchedulingTerms.SLOWEST_CLOCK_RATE), 1_401, at(1_403));
+        assertTrue(leaseAt(1_404).isPresent());
+    }
+
+    @Test
+    void ignoresAReadingThatALaterOneHasOvertaken() {
+        start(1_400);
+        scheduler.onClockRead("host", 1_440, 1_430, at(1_445));
+        OptionalLong lease = leaseAt(1_445);
+        scheduler.onClockRead("host", 1_410, 1_402, at(1_445));
+        assertEquals(lease, leaseAt(1_445));
+    }
+
+    /** Guards against work that is left to the long poll which was sent while the host was idle. */
+    @Test
+    void pollsAgainWhenWorkStartsDuringThePollOfAnIdleHost() {
+        assertEquals(
+                1_500, scheduler.createPoll("host", at(1_000), 0).orElseThrow().waitMilliseconds());
+        WorkOrder.Start start = start(1_200);
+        scheduler.onStartReply("host", start.run(), StartOutcome.STARTED, at(1_205));
+        assertTrue(scheduler.isPollDue("host"));
+        assertEquals(
+                300, scheduler.createPoll("host", at(1_205), 0).orElseThrow().waitMilliseconds());
+        assertFalse(scheduler.isPollDue("host"));
+    }
+
+    /** Guards against a list that shows an older state than the last one, as replies overtake each other. */
+    @Test
+    void ignoresAListThatALaterOneHasOvertaken() {
+        WorkOrder.Start start = start(100);
+        scheduler.onStartReply("host", start.run(), StartOutcome.STARTED, at(104));
+        ActiveRun active = new ActiveRun(start.run(), "", WorkRun.FULL_SPEED_PERCENT, 0);
+        scheduler.onHostListing("host", "host:1", new HostListing(1, 300, List.of(active), List.of()), 110, at(310));
+        scheduler.onHostListing("host", "host:1", new HostListing(1, 250, List.of(), List.of()), 105, at(311));
+        assertEquals(List.of(), WorkFixtures.startsIn(WorkFixtures.decide(scheduler, at(312), 0)));
+        assertEquals(List.of(), scheduler.takeLostRuns());
+    }
+}
