Announce the lease of an earlier term on a host that has not listed all ends

A term had read the first page of a host's ends when the host was cut off; its announcement claimed no lease on the host, as it had granted none itself, so the next term opened the service while the lease of the term before was alive. The claim now includes that lease until all ends are in the store.

--- a/src/main/java/org/cicadalead/logic/work/TakeoverGate.java
+++ b/src/main/java/org/cicadalead/logic/work/TakeoverGate.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
@@ -70,6 +71,15 @@
         return isUnresolved(host) || isPartlyListed(host);
     }
 
+    /**
+     * Returns the monotonic time in milliseconds at which the leases of earlier terms on a host have expired; empty
+     * once it has listed its runs, and for a host that no earlier term may have used.
+     */
+    OptionalLong findLeaseExpiry(String host) {
+        UnresolvedHost waiting = unresolved.getOrDefault(host, partlyListed.get(host));
+        return waiting == null ? OptionalLong.empty() : OptionalLong.of(waiting.leaseExpiresAt());
+    }
+
     /** Returns whether two hosts lived together when the earlier term ended, so that their addresses differ. */
     boolean livedTogether(String first, String second) {
         return earlier.claimedHosts().containsAll(Set.of(first, second));
--- a/src/main/java/org/cicadalead/logic/work/WorkHost.java
+++ b/src/main/java/org/cicadalead/logic/work/WorkHost.java
@@ -93,6 +93,11 @@
     long highestEndNumber;
     long acknowledgedEndNumber;
 
+    /**
+     * Monotonic time in milliseconds at which its leases of earlier terms have expired; before all times without one.
+     */
+    long earlierLeaseExpiresAt = NEVER;
+
     /** Whether the last list may leave out ends that have not been acknowledged. */
     private boolean hasFurtherEnds;
 
@@ -142,6 +147,7 @@
         highestEndNumber = 0;
         acknowledgedEndNumber = 0;
         hasFurtherEnds = false;
+        earlierLeaseExpiresAt = NEVER;
         lastReplyAt = NEVER;
         heardSince = Long.MAX_VALUE;
     }
@@ -336,6 +342,14 @@
         return clockReadAt + Math.round((highestDeadline - clockReading) / SchedulingTerms.SLOWEST_CLOCK_RATE) + 1;
     }
 
+    /**
+     * Returns the monotonic time in milliseconds up to which a successor has to wait for the host if it falls silent:
+     * its lease, also of an earlier term, keeps ends on it that are not in the store.
+     */
+    long claimedUntil() {
+        return hasStoredAllEnds() ? leaseExpiresAt() : Math.max(leaseExpiresAt(), earlierLeaseExpiresAt);
+    }
+
     /** Returns whether the host has not replied for so long that it gets no work and no lease extension. */
     boolean isUnreachable(long now) {
         return now - lastReplyAt >= UNREACHABLE_AFTER_MILLISECONDS;
--- a/src/main/java/org/cicadalead/logic/work/WorkScheduler.java
+++ b/src/main/java/org/cicadalead/logic/work/WorkScheduler.java
@@ -366,6 +366,7 @@
         if (host == null || host.isOvertaken(listing)) {
             return;
         }
+        takeoverGate.findLeaseExpiry(identifier).ifPresent(expiry -> host.earlierLeaseExpiresAt = expiry);
         boolean isFirst = listing.hasFurtherEnds()
                 ? takeoverGate.onPartOfRunsListed(identifier)
                 : takeoverGate.resolve(identifier);
@@ -565,7 +566,7 @@
             }
         });
         for (WorkHost host : state.hosts.values()) {
-            long remaining = host.leaseExpiresAt() - now.monotonic();
+            long remaining = host.claimedUntil() - now.monotonic();
             boolean answering = !host.isUnreachable(now.monotonic());
             if (!host.runs.isEmpty() || remaining > 0 || host.registered || !answering) {
                 if (!answering) {
--- a/src/test/java/org/cicadalead/logic/work/LatestProofTest.java
+++ b/src/test/java/org/cicadalead/logic/work/LatestProofTest.java
@@ -6,16 +6,26 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
+import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import org.cicadalead.model.work.ActiveRun;
+import org.cicadalead.model.work.EndedRun;
+import org.cicadalead.model.work.HostClaim;
 import org.cicadalead.model.work.HostEntry;
 import org.cicadalead.model.work.HostListing;
+import org.cicadalead.model.work.LeaderRecord;
+import org.cicadalead.model.work.RunEnding;
+import org.cicadalead.model.work.RunKey;
 import org.cicadalead.model.work.StartOutcome;
+import org.cicadalead.model.work.TaskKey;
 import org.junit.jupiter.api.Test;
 
 /** Leases, verdicts and acknowledgements count from the latest proof at hand, and from no older one (incident 0013). */
 class LatestProofTest {
     private static final HostEntry HOST = WorkFixtures.host("host", WorkFixtures.BUSY, "rack");
+    private static final HostEntry OTHER = WorkFixtures.host("other", WorkFixtures.QUIET, "rack-2");
     private static final long BOUND = WorkFixtures.TERMS.earlierLeaseExpiryMilliseconds();
 
     private final WorkScheduler scheduler = WorkFixtures.scheduler(HOST);
@@ -109,4 +119,36 @@
         assertEquals(List.of(), WorkFixtures.startsIn(WorkFixtures.decide(scheduler, at(312), 0)));
         assertEquals(List.of(), scheduler.takeLostRuns());
     }
+
+    /**
+     * Guards against a start by the successor of a term that had read only a part of a host's ends when the host fell
+     * silent: its lease of the term before goes on.
+     */
+    @Test
+    void claimsTheLeaseOfAnEarlierTermOnAHostThatHasNotListedAllEnds() {
+        LeaderRecord last = new LeaderRecord(
+                1,
+                "process",
+                "address",
+                false,
+                Map.of("host", new HostClaim(WorkFixtures.BUSY, true, 0, Optional.empty())),
+                Optional.of(Set.of("job")),
+                Optional.of(BOUND));
+        WorkScheduler successor = new WorkScheduler(
+                WorkFixtures.TERMS,
+                2,
+                EarlierHosts.from(new EarlierTerm(last, 0), List.of(HOST, OTHER), WorkFixtures.TERMS, 1_000),
+                1_000);
+        successor.updateHosts(List.of(HOST, OTHER), at(1_000));
+        RunKey run = new RunKey(new TaskKey("job", 0, 0, 0), 1);
+        successor.onHostListing(
+                "host",
+                "host:1",
+                new HostListing(1, 1_010, List.of(), List.of(new EndedRun(1, run, RunEnding.DONE, "")), true),
+                1_005,
+                at(1_010));
+        HostClaim claim = successor.announceHostsInUse(at(4_000)).claims().get("host");
+        assertFalse(claim.answering());
+        assertTrue(claim.remainingLease() >= BOUND - 4_000, () -> "remaining lease is " + claim.remainingLease());
+    }
 }
