Start a task of a host that has ended only after a later record of the leader

A record that is stored after the host's end is known shows that no later term existed; the job waits for it as for its first announcement, which is requested at once.

--- a/src/main/java/org/cicadalead/logic/work/RunLedger.java
+++ b/src/main/java/org/cicadalead/logic/work/RunLedger.java
@@ -362,6 +362,11 @@
     }
 
     private static void drop(WorkRun run, LastRun.Evidence evidence, String detail, long now) {
+        if (evidence == LastRun.Evidence.HOST_ENDED || run.orderedAt < run.host.heardSince) {
+            // A later term may have ended the process, and have stored the run's end before. A record that is stored
+            // from now on shows that there was none.
+            run.task.step.job.announcedIn = WorkJob.ANNOUNCEMENT_PENDING;
+        }
         run.host.removeRun(run.key);
         run.task.detach(run);
         run.task.recordEnd(LastRun.ofDropped(run, evidence, detail, now));
--- a/src/test/java/org/cicadalead/logic/work/LatestProofTest.java
+++ b/src/test/java/org/cicadalead/logic/work/LatestProofTest.java
@@ -120,6 +120,27 @@
         assertEquals(List.of(), scheduler.takeLostRuns());
     }
 
+    /**
+     * Guards against a start by a leader that has been superseded: its successor may have stored the end of the run
+     * before it ended the host.
+     */
+    @Test
+    void startsTaskOfAnEndedHostOnlyAfterALaterRecordOfTheLeader() {
+        WorkScheduler leader = WorkFixtures.scheduler(HOST, WorkFixtures.host("second", WorkFixtures.BUSY, "rack-2"));
+        leader.addJob(WorkFixtures.job("job", WorkFixtures.BUSY, 0, WorkFixtures.step(1, 1_000, 500)), at(100));
+        WorkOrder.Start start =
+                WorkFixtures.startsIn(WorkFixtures.decide(leader, at(100), 0)).get(0);
+        WorkFixtures.confirmStarts(leader, List.of(start), 104);
+        String host = start.target().host();
+        ActiveRun active = new ActiveRun(start.run(), "", WorkRun.FULL_SPEED_PERCENT, 0);
+        WorkFixtures.replyToPoll(leader, host, 300, List.of(active), List.of());
+        leader.onHostReplaced(host, start.target().address(), 400);
+        WorkFixtures.replyToPoll(leader, host.equals("host") ? "second" : "host", 401, List.of(), List.of());
+        assertEquals(List.of(), WorkFixtures.startsIn(leader.decide(at(402), 250)));
+        leader.onAnnouncementStored(leader.announceHostsInUse(at(410)).generation());
+        assertEquals(1, WorkFixtures.startsIn(leader.decide(at(420), 10)).size());
+    }
+
     /**
      * Guards against a start by the successor of a term that had read only a part of a host's ends when the host fell
      * silent: its lease of the term before goes on.
