Acknowledge and renew nothing after a reply that was handled late

A reply that is handled 2.5 s after its poll was sent, and a host silent for as long, count as possibly restarted: it has to list its runs before anything is acknowledged or renewed.

--- a/src/main/java/org/cicadalead/logic/work/WorkHost.java
+++ b/src/main/java/org/cicadalead/logic/work/WorkHost.java
@@ -243,6 +243,11 @@
         return repliedThisTerm && listing.bornMilliseconds() != processStartMilliseconds;
     }
 
+    /** Returns whether the reply to an order is handled so late that it tells nothing of the present. */
+    static boolean isLate(long sentAt, long now) {
+        return now - sentAt >= UNREACHABLE_AFTER_MILLISECONDS;
+    }
+
     /** Returns whether the known process made a list before the last one that was applied, which overtook it. */
     boolean isOvertaken(HostListing listing) {
         return repliedThisTerm
--- a/src/main/java/org/cicadalead/logic/work/WorkScheduler.java
+++ b/src/main/java/org/cicadalead/logic/work/WorkScheduler.java
@@ -272,6 +272,8 @@
         if (host == null || !needsPolls(host)) {
             return Optional.empty();
         }
+        // Also when this process was suspended: the host may have restarted since.
+        host.incarnationUnknown |= host.isUnreachable(now.monotonic());
         boolean isBusy = !host.runs.isEmpty();
         state.updateConfirmation(now.monotonic(), unconfirmedMilliseconds);
         boolean renewsLease =
@@ -342,7 +344,7 @@
      */
     public void onClockRead(String identifier, long clock, long sentAt, WorkTime now) {
         WorkHost host = state.hosts.get(identifier);
-        if (host != null) {
+        if (host != null && !WorkHost.isLate(sentAt, now.monotonic())) {
             host.readClock(clock, sentAt, now.monotonic());
         }
     }
@@ -380,6 +382,8 @@
             dropRunsWithoutLease(host, now.monotonic());
         }
         ledger.applyListing(host, listing, sentAt, now.monotonic());
+        // A reply that is handled late, as after a suspension, is no proof that its process is there still.
+        host.incarnationUnknown = WorkHost.isLate(sentAt, now.monotonic());
     }
 
     private void confirmAddress(WorkHost host, String address, long sentAt) {
--- a/src/test/java/org/cicadalead/logic/work/LatestProofTest.java
+++ b/src/test/java/org/cicadalead/logic/work/LatestProofTest.java
@@ -120,6 +120,30 @@
         assertEquals(List.of(), scheduler.takeLostRuns());
     }
 
+    /** Guards against ends that a suspended leader acknowledges on a host that restarted meanwhile (issue 21). */
+    @Test
+    void acknowledgesNothingAfterAReplyThatWasHandledLate() {
+        WorkOrder.Start start = start(100);
+        scheduler.onStartReply("host", start.run(), StartOutcome.STARTED, at(104));
+        WorkFixtures.replyToPoll(
+                scheduler, "host", 700, List.of(), List.of(new EndedRun(1, start.run(), RunEnding.DONE, "")));
+        storeProgress(701);
+        assertEquals(1, scheduler.createPoll("host", at(702), 0).orElseThrow().acknowledged());
+        // The process was suspended from 710 ms on with the reply on its way.
+        scheduler.onHostListing("host", new HostListing(1, 705, List.of(), List.of()), 702, at(5_000));
+        HostPollRequest next = scheduler.createPoll("host", at(5_001), 4_300).orElseThrow();
+        assertEquals(0, next.acknowledged());
+        assertEquals(OptionalLong.empty(), next.deadline());
+    }
+
+    private void storeProgress(long now) {
+        for (WorkOrder order : WorkFixtures.decide(scheduler, at(now), 0)) {
+            if (order instanceof WorkOrder.Persist persist) {
+                scheduler.onBatchResult(persist.batch(), true);
+            }
+        }
+    }
+
     /**
      * Guards against a start by a leader that has been superseded: its successor may have stored the end of the run
      * before it ended the host.
