--- a/src/main/java/org/cicadalead/logic/work/WorkScheduler.java
+++ b/src/main/java/org/cicadalead/logic/work/WorkScheduler.java
@@ -6,7 +6,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Set;
 import org.cicadalead.logic.work.account.AccountLimits;
 import org.cicadalead.logic.work.account.AccountStatus;
@@ -33,29 +32,6 @@
     /** Time after which an order to stop is sent again; longer than the timeout of an order. */
     private static final long STOP_RETRY_MILLISECONDS = 450;
 
-    /** Wait of a poll while the host has only long-running runs, so that leases are renewed well before they expire. */
-    private static final long BUSY_POLL_WAIT_MILLISECONDS = 1_000;
-
-    /**
-     * Wait of a poll while the host has short runs. A poll whose reply is lost delays the end of a run, and with it the
-     * next step of a job, by this wait and the timeout margin.
-     */
-    private static final long SHORT_RUN_POLL_WAIT_MILLISECONDS = 300;
-
-    /** Wait of a poll while a task waits for the list that tells that its run did not start. */
-    private static final long OUTCOME_POLL_WAIT_MILLISECONDS = 100;
-
-    /** Wait of a poll while the host has no runs: the maximum that a host accepts, less the network delay. */
-    private static final long IDLE_POLL_WAIT_MILLISECONDS = 1_500;
-
-    /**
-     * Interval between polls of a silent host that may have runs, so that it costs no more calls than one that replies.
-     */
-    private static final long SILENT_POLL_INTERVAL_MILLISECONDS = SHORT_RUN_POLL_WAIT_MILLISECONDS;
-
-    /** Time before the end of the wait for a silent host at which the last poll is sent that counts. */
-    private static final long LAST_POLL_LEAD_MILLISECONDS = 10;
-
     /** Time for which an ended job is kept; the platform requires two minutes. */
     private static final long RETENTION_MILLISECONDS = 300_000;
 
@@ -65,6 +41,7 @@
     private final TaskPlacement placement;
     private final ProgressBatches batches;
     private final TakeoverGate takeoverGate;
+    private final HostPolls polls;
     private final Set<String> lastRemovedJobs = new HashSet<>();
     /**
      * Generation of the newest announcement that says that a host is unreachable, by identifier, until a later one is
@@ -97,6 +74,7 @@
         this.crashes = new CrashLedger(state);
         this.ledger = new RunLedger(state, crashes);
         this.takeoverGate = new TakeoverGate(earlier, now, now + terms.earlierStartWindowMilliseconds());
+        this.polls = new HostPolls(state, takeoverGate);
         this.placement = new TaskPlacement(state, ledger, takeoverGate, crashes);
         this.batches = new ProgressBatches(state);
     }
@@ -268,49 +246,12 @@
      * @param unconfirmedMilliseconds time since the last confirmed record of the leader was sent
      */
     public Optional<HostPollRequest> createPoll(String identifier, WorkTime now, long unconfirmedMilliseconds) {
-        WorkHost host = state.hosts.get(identifier);
-        if (host == null || !needsPolls(host)) {
-            return Optional.empty();
-        }
-        // Also when this process was suspended: the host may have restarted since.
-        host.incarnationUnknown |= host.isUnreachable(now.monotonic());
-        boolean isBusy = !host.runs.isEmpty();
-        state.updateConfirmation(now.monotonic(), unconfirmedMilliseconds);
-        boolean renewsLease =
-                state.isAnnounced() && isBusy && !host.incarnationUnknown && host.canReceiveLease(now.monotonic());
-        OptionalLong deadline = renewsLease ? state.grantLease(host, now.monotonic()) : OptionalLong.empty();
-        // A restarted host numbers its ended runs from the beginning. An acknowledgement of numbers of the previous
-        // incarnation would discard ends that are not stored yet.
-        long acknowledged = host.incarnationUnknown ? 0 : host.acknowledgedEndNumber;
-        long wait = pollWait(host);
-        WorkOrder.HostTarget target = new WorkOrder.HostTarget(host.identifier, host.beginPoll(wait, now.monotonic()));
-        return Optional.of(
-                new HostPollRequest(target, deadline, acknowledged, wait, repeatPollAfter(host, now.monotonic())));
-    }
-
-    /**
-     * Returns after which time in milliseconds a host is polled again although it has not replied. A silent host that
-     * may have runs is heard soon after it is back, also if that is just before the wait for it ends.
-     */
-    private OptionalLong repeatPollAfter(WorkHost host, long now) {
-        boolean isSilent = !host.repliedThisTerm || host.incarnationUnknown;
-        boolean mayHaveRuns = !host.runs.isEmpty() || takeoverGate.isAwaited(host.identifier);
-        if (!isSilent || !mayHaveRuns) {
-            return OptionalLong.empty();
-        }
-        long untilLastPoll = host.awaitedUntil(state.terms) - LAST_POLL_LEAD_MILLISECONDS - now;
-        return OptionalLong.of(
-                untilLastPoll > 0
-                        ? Math.min(untilLastPoll, SILENT_POLL_INTERVAL_MILLISECONDS)
-                        : SILENT_POLL_INTERVAL_MILLISECONDS);
+        return polls.create(identifier, now, unconfirmedMilliseconds);
     }
 
     /** Records that a poll has a reply, or none within its time limit. */
     public void onPollEnded(String identifier, long sentAt) {
-        WorkHost host = state.hosts.get(identifier);
-        if (host != null) {
-            host.endPoll(sentAt);
-        }
+        polls.onEnded(identifier, sentAt);
     }
 
     /**
@@ -318,22 +259,7 @@
      * no runs or only such as need less frequent polls, and renews its lease too late for the present ones.
      */
     public boolean isPollDue(String identifier) {
-        WorkHost host = state.hosts.get(identifier);
-        return host != null && !host.runs.isEmpty() && host.isPolledWithLongerWait(pollWait(host));
-    }
-
-    /** Returns for how many milliseconds a host may wait for an end before it replies to its next poll. */
-    private static long pollWait(WorkHost host) {
-        if (!host.repliedThisTerm || host.incarnationUnknown) {
-            return 0;
-        }
-        if (host.hasRunWaitingForList() || host.isolatedStart != null) {
-            return OUTCOME_POLL_WAIT_MILLISECONDS;
-        }
-        if (host.hasShortRun()) {
-            return SHORT_RUN_POLL_WAIT_MILLISECONDS;
-        }
-        return host.runs.isEmpty() ? IDLE_POLL_WAIT_MILLISECONDS : BUSY_POLL_WAIT_MILLISECONDS;
+        return polls.isDue(identifier);
     }
 
     /**
@@ -643,19 +569,9 @@
         }
     }
 
-    private boolean needsPolls(WorkHost host) {
-        return host.registered || !host.runs.isEmpty() || takeoverGate.isPartlyListed(host.identifier);
-    }
-
     /** Returns the identifiers of all hosts to poll. */
     public Set<String> findHostsToPoll() {
-        Set<String> hosts = new HashSet<>();
-        for (WorkHost host : state.hosts.values()) {
-            if (needsPolls(host)) {
-                hosts.add(host.identifier);
-            }
-        }
-        return hosts;
+        return polls.findHosts();
     }
 
     /** Returns the hosts that may still have runs of an earlier term and so block starts in their services. */
