--- a/src/test/java/org/cicadalead/logic/work/HostBackWithinLeaseTest.java
+++ b/src/test/java/org/cicadalead/logic/work/HostBackWithinLeaseTest.java
@@ -165,9 +165,13 @@
         }
 
         private void runCycle() {
-            for (WorkOrder.Start start : WorkFixtures.startsIn(scheduler.decide(time(), now - confirmedAt))) {
-                cutHost = cutHost.isEmpty() ? start.target().host() : cutHost;
-                start(start);
+            for (WorkOrder order : scheduler.decide(time(), now - confirmedAt)) {
+                if (order instanceof WorkOrder.Start start) {
+                    cutHost = cutHost.isEmpty() ? start.target().host() : cutHost;
+                    start(start);
+                } else if (order instanceof WorkOrder.Persist persist) {
+                    after(APPEND_MILLISECONDS, () -> scheduler.onBatchResult(persist.batch(), true));
+                }
             }
             after(CYCLE_MILLISECONDS, this::runCycle);
         }
