--- a/src/test/java/org/cicadalead/logic/work/HostBackWithinLeaseTest.java
+++ b/src/test/java/org/cicadalead/logic/work/HostBackWithinLeaseTest.java
@@ -65,6 +65,18 @@
         }
     }
 
+    /** Guards against a host that is back and goes unheard while its lease runs out. */
+    @Test
+    void hearsHostWithRunsSoonAfterItIsBack() {
+        for (long cutMilliseconds = 3_000; cutMilliseconds < 3_600; cutMilliseconds += 25) {
+            Play play = new Play(0, SUBMITTED_AT, 800, cutMilliseconds);
+            long backAt = SUBMITTED_AT + 800 + cutMilliseconds;
+            play.runUntil(backAt + 1_000);
+            long heardAfter = play.heardAt - backAt;
+            assertTrue(heardAfter <= 300 + 2 * Play.DELAY_MILLISECONDS, () -> "heard after " + heardAfter + " ms");
+        }
+    }
+
     /** One silent host with runs is polled no more often than one with runs that replies. */
     @Test
     void pollsSilentHostNoMoreOftenThanOneThatReplies() {
@@ -92,6 +104,10 @@
         final Map<TaskKey, Integer> starts = new HashMap<>();
         int tasksOfCutHost;
         long polls;
+
+        /** Time of the first list of the host that was cut off after that. */
+        long heardAt = Long.MAX_VALUE;
+
         private final PriorityQueue<Event> events = new PriorityQueue<>();
         private final WorkScheduler scheduler = new WorkScheduler(WorkFixtures.TERMS, 1, EarlierHosts.NONE, 0);
         private final Map<String, SimulatedHost> hosts = new HashMap<>();
@@ -241,6 +257,7 @@
                     scheduler.onPollEnded(name, sentAt);
                     if (number >= newestReplies.getOrDefault(name, 0L)) {
                         newestReplies.put(name, number);
+                        heardAt = name.equals(cutHost) && now >= cutUntil ? Math.min(heardAt, now) : heardAt;
                         scheduler.onHostListing(name, request.target().address(), listing, sentAt, time());
                     }
                     after(listing.ended().isEmpty() ? 1 : 40, () -> pollIfNewest(name, number));
