--- a/review/second/Scenario.java
+++ b/review/second/Scenario.java
@@ -25,6 +25,7 @@
         boolean trouble = !"0".equals(System.getenv("TROUBLE"));
         Body body =
                 switch (arguments[0]) {
+                    case "moved-queue" -> new MovedQueue();
                     case "wide-job" -> new WideJob();
                     case "many-jobs" -> new ManyJobs();
                     default -> throw new IllegalArgumentException(arguments[0]);
