--- a/review/second/Scenario.java
+++ b/review/second/Scenario.java
@@ -26,6 +26,7 @@
         Body body =
                 switch (arguments[0]) {
                     case "moved-queue" -> new MovedQueue();
+                    case "other-kind" -> new OtherKind();
                     case "wide-job" -> new WideJob();
                     case "many-jobs" -> new ManyJobs();
                     default -> throw new IllegalArgumentException(arguments[0]);
